--- a/src/main/java/troutpost/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -1,4 +1,4 @@
-package troutpost;
+package barrowshore;
 
 import java.util.List;
 
--- a/src/main/java/troutpost/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -1,5 +1,5 @@
 // The decisions of one dispatcher. The whole interface of this module is one small file: DispatchApi.java.
-package troutpost;
+package barrowshore;
 
 import java.util.Arrays;
 import java.util.HashMap;
--- a/src/main/java/troutpost/Job.java
+++ b/src/main/java/barrowshore/Job.java
@@ -1,8 +1,8 @@
-package troutpost;
+package barrowshore;
 
 import java.util.ArrayList;
-import troutpost.DispatchApi.JobClass;
-import troutpost.DispatchApi.Request;
+import barrowshore.DispatchApi.JobClass;
+import barrowshore.DispatchApi.Request;
 
 /** The record of one request and its attempts; it decides nothing. */
 final class Job {
--- a/src/main/java/troutpost/Kind.java
+++ b/src/main/java/barrowshore/Kind.java
@@ -1,4 +1,4 @@
-package troutpost;
+package barrowshore;
 
 /** The averages kept of one kind of machine; it decides nothing. named: some class runs only there. */
 final class Kind {
--- a/src/main/java/troutpost/Rng.java
+++ b/src/main/java/barrowshore/Rng.java
@@ -1,4 +1,4 @@
-package troutpost;
+package barrowshore;
 
 /** The random source of one dispatcher (xorshift64*), from its own seed. */
 final class Rng {
--- a/src/main/java/troutpost/Roster.java
+++ b/src/main/java/barrowshore/Roster.java
@@ -1,11 +1,11 @@
-package troutpost;
+package barrowshore;
 
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import troutpost.DispatchApi.Health;
-import troutpost.DispatchApi.ListKind;
-import troutpost.DispatchApi.Member;
+import barrowshore.DispatchApi.Health;
+import barrowshore.DispatchApi.ListKind;
+import barrowshore.DispatchApi.Member;
 
 /** The worker list as this dispatcher was last told, in order of first mention; it decides nothing. */
 final class Roster {
--- a/src/main/java/troutpost/TokenBucket.java
+++ b/src/main/java/barrowshore/TokenBucket.java
@@ -1,4 +1,4 @@
-package troutpost;
+package barrowshore;
 
 /** A token bucket; it decides nothing. */
 final class TokenBucket {
--- a/src/main/java/troutpost/Traffic.java
+++ b/src/main/java/barrowshore/Traffic.java
@@ -1,8 +1,8 @@
-package troutpost;
+package barrowshore;
 
 import java.util.Arrays;
-import troutpost.DispatchApi.JobClass;
-import troutpost.DispatchApi.Settings;
+import barrowshore.DispatchApi.JobClass;
+import barrowshore.DispatchApi.Settings;
 
 /** Averages over recent requests, each of a stated weight; it decides nothing. */
 final class Traffic {
--- a/src/main/java/troutpost/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -1,8 +1,8 @@
 // Part of the decision module; its whole interface is DispatchApi.java.
-package troutpost;
+package barrowshore;
 
 import java.util.ArrayList;
-import troutpost.DispatchApi.Settings;
+import barrowshore.DispatchApi.Settings;
 
 /** What one dispatcher knows of one worker: speed, jobs in flight, health, and its budget while cold. */
 final class Worker {
--- a/src/main/java/troutpost/wire/Line.java
+++ b/src/main/java/barrowshore/wire/Line.java
@@ -1,4 +1,4 @@
-package troutpost.wire;
+package barrowshore.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/troutpost/wire/Main.java
+++ b/src/main/java/barrowshore/wire/Main.java
@@ -1,4 +1,4 @@
-package troutpost.wire;
+package barrowshore.wire;
 
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -11,13 +11,13 @@
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar troutpost.jar wirehost");
+            System.err.println("usage: java -jar barrowshore.jar wirehost");
             System.exit(2);
         }
         try {
             new WireHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
         } catch (WireException e) {
-            System.err.println("troutpost: " + e.getMessage());
+            System.err.println("barrowshore: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/troutpost/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -1,12 +1,12 @@
-package troutpost.wire;
+package barrowshore.wire;
 
 import java.util.HashMap;
 import java.util.Map;
-import troutpost.DispatchApi.Effect;
-import troutpost.DispatchApi.JobClass;
-import troutpost.DispatchApi.Reports;
-import troutpost.DispatchApi.Scope;
-import troutpost.DispatchApi.Settings;
+import barrowshore.DispatchApi.Effect;
+import barrowshore.DispatchApi.JobClass;
+import barrowshore.DispatchApi.Reports;
+import barrowshore.DispatchApi.Scope;
+import barrowshore.DispatchApi.Settings;
 
 /** Reads the wire's path=value pairs into settings; unknown keys are skipped, absent ones keep their defaults. */
 final class SettingsReader {
--- a/src/main/java/troutpost/wire/WireException.java
+++ b/src/main/java/barrowshore/wire/WireException.java
@@ -1,4 +1,4 @@
-package troutpost.wire;
+package barrowshore.wire;
 
 /** A message on the wire that cannot be read; the text names the line and what is wrong with it. */
 final class WireException extends RuntimeException {
--- a/src/main/java/troutpost/wire/WireHost.java
+++ b/src/main/java/barrowshore/wire/WireHost.java
@@ -1,4 +1,4 @@
-package troutpost.wire;
+package barrowshore.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,16 +8,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import troutpost.DispatchApi;
-import troutpost.DispatchApi.Health;
-import troutpost.DispatchApi.ListKind;
-import troutpost.DispatchApi.Load;
-import troutpost.DispatchApi.Member;
-import troutpost.DispatchApi.Note;
-import troutpost.DispatchApi.Request;
-import troutpost.DispatchApi.Settings;
-import troutpost.DispatchApi.Status;
-import troutpost.Dispatcher;
+import barrowshore.DispatchApi;
+import barrowshore.DispatchApi.Health;
+import barrowshore.DispatchApi.ListKind;
+import barrowshore.DispatchApi.Load;
+import barrowshore.DispatchApi.Member;
+import barrowshore.DispatchApi.Note;
+import barrowshore.DispatchApi.Request;
+import barrowshore.DispatchApi.Settings;
+import barrowshore.DispatchApi.Status;
+import barrowshore.Dispatcher;
 
 /** Hosts many dispatchers on the wire: turns its lines into calls and their actions into lines. Decides nothing. */
 final class WireHost {
--- a/src/test/java/troutpost/Bench.java
+++ b/src/test/java/barrowshore/Bench.java
@@ -1,18 +1,18 @@
-package troutpost;
+package barrowshore;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import troutpost.DispatchApi.Effect;
-import troutpost.DispatchApi.Health;
-import troutpost.DispatchApi.JobClass;
-import troutpost.DispatchApi.ListKind;
-import troutpost.DispatchApi.Member;
-import troutpost.DispatchApi.Request;
-import troutpost.DispatchApi.Scope;
-import troutpost.DispatchApi.Settings;
-import troutpost.DispatchApi.Status;
+import barrowshore.DispatchApi.Effect;
+import barrowshore.DispatchApi.Health;
+import barrowshore.DispatchApi.JobClass;
+import barrowshore.DispatchApi.ListKind;
+import barrowshore.DispatchApi.Member;
+import barrowshore.DispatchApi.Request;
+import barrowshore.DispatchApi.Scope;
+import barrowshore.DispatchApi.Settings;
+import barrowshore.DispatchApi.Status;
 
 /** A dispatcher on a fake clock with its actions recorded, as an embedder would drive it. */
 final class Bench implements DispatchApi.Actions {
--- a/src/test/java/troutpost/EmbeddingTest.java
+++ b/src/test/java/barrowshore/EmbeddingTest.java
@@ -1,4 +1,4 @@
-package troutpost;
+package barrowshore;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -7,16 +7,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import troutpost.DispatchApi.Effect;
-import troutpost.DispatchApi.Health;
-import troutpost.DispatchApi.JobClass;
-import troutpost.DispatchApi.ListKind;
-import troutpost.DispatchApi.Load;
-import troutpost.DispatchApi.Member;
-import troutpost.DispatchApi.Request;
-import troutpost.DispatchApi.Scope;
-import troutpost.DispatchApi.Settings;
-import troutpost.DispatchApi.Status;
+import barrowshore.DispatchApi.Effect;
+import barrowshore.DispatchApi.Health;
+import barrowshore.DispatchApi.JobClass;
+import barrowshore.DispatchApi.ListKind;
+import barrowshore.DispatchApi.Load;
+import barrowshore.DispatchApi.Member;
+import barrowshore.DispatchApi.Request;
+import barrowshore.DispatchApi.Scope;
+import barrowshore.DispatchApi.Settings;
+import barrowshore.DispatchApi.Status;
 
 /** The README's embedding, as another program would do it. */
 class EmbeddingTest {
--- a/src/test/java/troutpost/IndexTableTest.java
+++ b/src/test/java/barrowshore/IndexTableTest.java
@@ -1,4 +1,4 @@
-package troutpost;
+package barrowshore;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/troutpost/RulesTest.java
+++ b/src/test/java/barrowshore/RulesTest.java
@@ -1,4 +1,4 @@
-package troutpost;
+package barrowshore;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,14 +13,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
-import troutpost.DispatchApi.Effect;
-import troutpost.DispatchApi.Health;
-import troutpost.DispatchApi.ListKind;
-import troutpost.DispatchApi.Member;
-import troutpost.DispatchApi.Request;
-import troutpost.DispatchApi.Scope;
-import troutpost.DispatchApi.Settings;
-import troutpost.DispatchApi.Status;
+import barrowshore.DispatchApi.Effect;
+import barrowshore.DispatchApi.Health;
+import barrowshore.DispatchApi.ListKind;
+import barrowshore.DispatchApi.Member;
+import barrowshore.DispatchApi.Request;
+import barrowshore.DispatchApi.Scope;
+import barrowshore.DispatchApi.Settings;
+import barrowshore.DispatchApi.Status;
 
 /** The four binding rules, each from its own text, by event sequences without the bench. */
 class RulesTest {
--- a/src/test/java/troutpost/wire/WireHostTest.java
+++ b/src/test/java/barrowshore/wire/WireHostTest.java
@@ -1,4 +1,4 @@
-package troutpost.wire;
+package barrowshore.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
