--- /dev/null
+++ b/src/main/java/barrowshore/net/Config.java
@@ -0,0 +1,114 @@
+package barrowshore.net;
+
+import barrowshore.DispatchApi.Settings;
+import barrowshore.wire.SettingsReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.eclipse.jetty.util.ajax.JSON;
+
+/**
+ * What a scheduler is told at its start. It owns the reading of the configuration file and of nothing else: each field
+ * is checked here, once, and a wrong one gets a {@link ConfigException} that names it. It must never guess a value that
+ * is required, and never open a socket.
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, Settings settings,
+                     long keepAlive, List<String> classes, List<String> tenants, ServiceEntry.Names names,
+                     ServiceEntry.Update known) {
+
+    public static Config read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new ConfigException("configuration " + file + " cannot be read: " + e.getClass().getSimpleName());
+        }
+        return parse(text);
+    }
+
+    static Config parse(String text) {
+        Map<?, ?> root = map(json(text), "configuration");
+        Map<?, ?> nested = map(root.get("settings"), "settings");
+        SettingsReader reader = SettingsReader.of(nested);
+        ServiceEntry.Names names = new ServiceEntry.Names(reader.items("zones"), reader.items("kinds"));
+        Settings settings;
+        long keepAlive;
+        try {
+            settings = reader.settings(seed(text(root, "seed")));
+            settings.validate();
+            keepAlive = (long) reader.number("policyLimits.keepalive", 60e6);
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException("settings: " + e.getMessage());
+        }
+        int sockets = 1024;
+        if (root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") != null) {
+            if (!(limits.get("sockets") instanceof Number n) || n.intValue() < 64) {
+                throw new ConfigException("limits.sockets must be a number of at least 64");
+            }
+            sockets = n.intValue();
+        }
+        ServiceEntry.Update known = new ServiceEntry.Update(0, true, List.of());
+        if (root.get("known") != null) {
+            try {
+                known = ServiceEntry.update(map(root.get("known"), "known"), names);
+            } catch (IllegalArgumentException e) {
+                throw new ConfigException("known: " + e.getMessage());
+            }
+        }
+        return new Config(text(root, "name"), address(text(root, "listen"), "listen"),
+                address(text(root, "discovery"), "discovery"), sockets, settings, keepAlive, reader.names("lanes"),
+                reader.names("tenants"), names, known);
+    }
+
+    /** One line for a person. */
+    public String summary() {
+        return name + ": listen " + listen + ", discovery " + discovery + ", " + classes.size() + " classes, "
+                + tenants.size() + " tenants, " + known.entries().size() + " known real servers";
+    }
+
+    /** Parses JSON with lists as {@link List}; an IllegalArgumentException tells that it is none. */
+    static Object json(String text) {
+        JSON json = new JSON();
+        json.setArrayConverter(list -> list);
+        try {
+            return json.fromJSON(text);
+        } catch (RuntimeException e) {
+            throw new IllegalArgumentException("not JSON: " + e.getMessage());
+        }
+    }
+
+    static InetSocketAddress address(String text, String field) {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (RuntimeException e) {
+            throw new ConfigException(field + " is not address:port: " + text);
+        }
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new ConfigException("seed is not a hexadecimal number: " + hex);
+        }
+    }
+
+    private static String text(Map<?, ?> map, String field) {
+        if (map.get(field) instanceof String s && !s.isEmpty()) {
+            return s;
+        }
+        throw new ConfigException(field + " is missing or not a text");
+    }
+
+    private static Map<?, ?> map(Object value, String field) {
+        if (value instanceof Map<?, ?> map) {
+            return map;
+        }
+        throw new ConfigException(field + " is missing or not an object");
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -0,0 +1,105 @@
+package barrowshore.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Semaphore;
+import java.util.function.Function;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.IO;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Opens and accepts every socket. It owns the selector and the budget of descriptors for outgoing connections: a permit
+ * is taken when a dial starts and given back in one place, when its end point is closed or the dial fails. It must
+ * never know what is spoken on a connection.
+ */
+final class Dialer extends SelectorManager {
+    /** Makes the connection that speaks on a fresh end point. */
+    interface Opener extends Function<EndPoint, Connection> {
+        /** The dial has failed; called instead of {@link #apply}. */
+        void failed(Throwable cause);
+    }
+
+    private final Semaphore budget;
+    private final Function<EndPoint, Connection> accepted;
+
+    Dialer(Executor pool, Scheduler scheduler, int outgoing, long connectMillis,
+           Function<EndPoint, Connection> accepted) {
+        super(pool, scheduler, 1);
+        this.budget = new Semaphore(outgoing);
+        this.accepted = accepted;
+        setConnectTimeout(connectMillis);
+    }
+
+    /** Dials; false if the budget of descriptors is used up, in which case the opener hears nothing. */
+    boolean dial(InetSocketAddress address, Opener opener) {
+        if (!budget.tryAcquire()) {
+            return false;
+        }
+        SocketChannel channel = null;
+        try {
+            channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            if (channel.connect(address)) {
+                accept(channel, opener);
+            } else {
+                connect(channel, opener);
+            }
+        } catch (IOException | RuntimeException e) {
+            IO.close(channel);
+            budget.release();
+            opener.failed(e);
+        }
+        return true;
+    }
+
+    void listen(ServerSocketChannel server) throws IOException {
+        server.configureBlocking(false);
+        acceptor(server);
+    }
+
+    @Override
+    protected void accepted(SelectableChannel channel) throws IOException {
+        channel.configureBlocking(false);
+        ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
+        accept(channel, null);
+    }
+
+    @Override
+    protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        return new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+
+    @Override
+    public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
+        return attachment instanceof Opener opener ? opener.apply(endPoint) : accepted.apply(endPoint);
+    }
+
+    @Override
+    public void connectionClosed(Connection connection, Throwable cause) {
+        super.connectionClosed(connection, cause);
+        if (!(connection instanceof ClientSide.ClientLink)) {
+            budget.release();
+        }
+    }
+
+    @Override
+    protected void connectionFailed(SelectableChannel channel, Throwable cause, Object attachment) {
+        IO.close(channel);
+        if (attachment instanceof Opener opener) {
+            budget.release();
+            opener.failed(cause);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/net/Flow.java
@@ -0,0 +1,30 @@
+package barrowshore.net;
+
+/**
+ * What any client protocol hands the module actor, and the one final answer that it takes back. These records own no
+ * resource and know no protocol: a second protocol beside HTTP brings its flows in this form. Times in microseconds of
+ * the scheduler's clock; {@code deadline} is when the answer must have been given.
+ */
+record Flow(String id, int jobClass, int tenant, double slots, double hint, long deadline, String method, String target,
+            byte[] body) {
+
+    /** The final answer to a flow. */
+    sealed interface Answer permits Served, TurnDown, Failed, Rejected { }
+
+    /** A real server's result. */
+    record Served(byte[] result) implements Answer { }
+
+    /** Harmless to try again, after so long. */
+    record TurnDown(long retryAfter) implements Answer { }
+
+    /** No promise; late: its time ran out. */
+    record Failed(boolean late) implements Answer { }
+
+    /** The flow never came to the module: its id is in use. */
+    record Rejected(String why) implements Answer { }
+
+    /** Takes the final answer; called once. */
+    interface Client {
+        void answer(Answer answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -0,0 +1,207 @@
+package barrowshore.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpGenerator;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/**
+ * One HTTP/1.1 connection of any peer: bytes in through Jetty's parser, messages out through its generator. It owns its
+ * end point and the read buffer and is the one place that closes them; all of it runs in the mailbox of the actor it
+ * belongs to. It must never resend anything, and never read further ahead than one buffer.
+ */
+abstract class HttpLink extends AbstractConnection implements HttpParser.HttpHandler {
+    private static final int READ_BUFFER = 4096;
+    private static final int HEADER_BUFFER = 2048;
+    private static final int MAX_HEADER = 16384;
+
+    final Mailbox mailbox;
+    private final ByteBuffer in = BufferUtil.allocate(READ_BUFFER);
+    /** Set by the subclass's constructor; it needs the subclass as its handler. */
+    HttpParser parser;
+    private boolean closed;
+    private boolean discarding;
+
+    HttpLink(EndPoint endPoint, Mailbox mailbox) {
+        super(endPoint, Runnable::run);
+        this.mailbox = mailbox;
+    }
+
+    /** The peer has closed, the connection broke, or we closed it: called once, always. */
+    abstract void onEnd(Throwable cause);
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        mailbox.post(this::begin);
+    }
+
+    /** The connection is up. */
+    void begin() {
+        read();
+    }
+
+    @Override
+    public void onFillable() {
+        mailbox.post(this::read);
+    }
+
+    @Override
+    public void onFillInterestedFailed(Throwable cause) {
+        mailbox.post(() -> end(cause));
+    }
+
+    @Override
+    protected boolean onReadTimeout(TimeoutException timeout) {
+        return true;
+    }
+
+    /** Reads and parses until there is nothing more, or the subclass stops it by {@link #wantsBytes}. */
+    void read() {
+        try {
+            while (!closed) {
+                if (discarding) {
+                    BufferUtil.clear(in);
+                }
+                boolean parse = !discarding && wantsBytes();
+                if (parse && BufferUtil.hasContent(in)) {
+                    parser.parseNext(in);
+                    continue;
+                }
+                int filled = getEndPoint().fill(in);
+                if (filled < 0) {
+                    if (parse) {
+                        parser.atEOF();
+                        parser.parseNext(BufferUtil.EMPTY_BUFFER);
+                    }
+                    end(null);
+                } else if (filled == 0) {
+                    // A full buffer that nobody wants is left unread: the peer waits, as TCP has it.
+                    if ((BufferUtil.space(in) > 0 || parse) && !isFillInterested()) {
+                        fillInterested(Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable,
+                                this::onFillInterestedFailed));
+                    }
+                    return;
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            end(e);   // whatever a peer sends costs at most its own connection
+        }
+    }
+
+    /** Whether bytes go to the parser now; if not they are kept, and only the end of the stream is looked for. */
+    boolean wantsBytes() {
+        return true;
+    }
+
+    /** Whether the peer has closed a connection that should be silent; asked just before it is written to. */
+    boolean brokenWhileIdle() {
+        try {
+            return closed || !getEndPoint().isOpen() || getEndPoint().fill(in) != 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Whether bytes have come that nobody has asked for. */
+    boolean hasUnread() {
+        return BufferUtil.hasContent(in);
+    }
+
+    /**
+     * Ends our side and lets the peer end its own: closing at once, with bytes unread, would reset the connection and
+     * could destroy the answer on its way.
+     */
+    void finish(long millis) {
+        discarding = true;
+        getEndPoint().setIdleTimeout(millis);
+        getEndPoint().shutdownOutput();
+        read();
+    }
+
+    /** The peer does not speak HTTP. */
+    @Override
+    public void badMessage(HttpException failure) {
+        end(failure instanceof Throwable cause ? cause : null);
+    }
+
+    boolean isClosed() {
+        return closed;
+    }
+
+    void shut() {
+        end(null);
+    }
+
+    private void end(Throwable cause) {
+        if (!closed) {
+            closed = true;
+            getEndPoint().close(cause);
+            onEnd(cause);
+        }
+    }
+
+    /** Writes a whole message; the result comes back through the mailbox. */
+    void write(MetaData message, byte[] body, Runnable written) {
+        ByteBuffer content = body.length == 0 ? null : ByteBuffer.wrap(body);
+        ByteBuffer header = header(message, content);
+        Callback callback = Callback.from(() -> mailbox.post(written), cause -> mailbox.post(() -> end(cause)));
+        if (content == null) {
+            getEndPoint().write(callback, header);
+        } else {
+            getEndPoint().write(callback, header, content);
+        }
+    }
+
+    private static ByteBuffer header(MetaData message, ByteBuffer content) {
+        for (int size = HEADER_BUFFER; ; size *= 2) {
+            HttpGenerator generator = new HttpGenerator();
+            ByteBuffer header = BufferUtil.allocate(size);
+            try {
+                HttpGenerator.Result result = message instanceof MetaData.Request request
+                        ? generator.generateRequest(request, header, null, content, true)
+                        : generator.generateResponse((MetaData.Response) message, false, header, null, content, true);
+                if (result == HttpGenerator.Result.FLUSH) {
+                    return header;
+                }
+                if (result != HttpGenerator.Result.HEADER_OVERFLOW || size > 4 * MAX_HEADER) {
+                    throw new IllegalStateException("the generator wants " + result);
+                }
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    // What most peers' messages do not need.
+
+    @Override
+    public boolean contentComplete() {
+        return false;
+    }
+
+    @Override
+    public boolean content(ByteBuffer bytes) {
+        return false;
+    }
+
+    @Override
+    public boolean headerComplete() {
+        return false;
+    }
+
+    @Override
+    public void parsedHeader(HttpField field) { }
+
+    @Override
+    public void earlyEOF() { }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/net/Mailbox.java
@@ -0,0 +1,54 @@
+package barrowshore.net;
+
+import java.lang.System.Logger.Level;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * The mailbox of an actor: messages posted from any thread run one at a time, in order, on the shared pool. It owns the
+ * promise that an actor's state is touched by one thread at a time; it must never run a message in the caller's stack,
+ * and never let an exception of one message lose the next.
+ */
+final class Mailbox implements Runnable {
+    private static final System.Logger LOG = System.getLogger(Mailbox.class.getName());
+    /** Messages run in one turn, so that a busy actor lets the others at the pool. */
+    private static final int TURN = 64;
+
+    private final String name;
+    private final Executor pool;
+    private final ConcurrentLinkedQueue<Runnable> messages = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger waiting = new AtomicInteger();
+
+    Mailbox(String name, Executor pool) {
+        this.name = name;
+        this.pool = pool;
+    }
+
+    void post(Runnable message) {
+        messages.add(message);
+        if (waiting.getAndIncrement() == 0) {
+            pool.execute(this);
+        }
+    }
+
+    @Override
+    public void run() {
+        int done = 0;
+        while (done < TURN) {
+            Runnable message = messages.poll();
+            if (message == null) {
+                break;
+            }
+            done++;
+            try {
+                message.run();
+            } catch (RuntimeException | StackOverflowError e) {
+                LOG.log(Level.ERROR, "a message to " + name + " failed", e);
+            }
+        }
+        if (waiting.addAndGet(-done) > 0) {
+            pool.execute(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/net/ModuleActor.java
@@ -0,0 +1,362 @@
+package barrowshore.net;
+
+import barrowshore.DispatchApi;
+import barrowshore.DispatchApi.Health;
+import barrowshore.DispatchApi.ListKind;
+import barrowshore.DispatchApi.Load;
+import barrowshore.DispatchApi.Member;
+import barrowshore.DispatchApi.Note;
+import barrowshore.DispatchApi.Request;
+import barrowshore.DispatchApi.Status;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * The actor round the decision module. It owns the module, every open flow with its deadline timer and its schedulings,
+ * and the real servers' actors. It gives each flow one final answer inside its deadline whether or not the module does,
+ * and the module one outcome for each send. It must never choose, repeat or refuse anything by itself, but for a flow
+ * that the module leaves unanswered when its time is up.
+ */
+final class ModuleActor implements DispatchApi.Actions {
+    private static final System.Logger LOG = System.getLogger(ModuleActor.class.getName());
+    /** A probe that has told nothing by then tells nothing of the present any more. */
+    private static final long PROBE_MILLIS = 1000;
+
+    private final Clock clock;
+    private final Scheduler timers;
+    private final Mailbox mailbox;
+    private final Function<String, RealServer> newServer;
+    private final DispatchApi module;
+    private final Map<String, OpenFlow> flows = new HashMap<>();
+    private final Map<String, RealServer> servers = new HashMap<>();
+    private final Set<String> listed = new HashSet<>();
+    private final int mostAttempts;
+    private final List<Runnable> whenIdle = new ArrayList<>();
+    private boolean told;
+    private long lastNow;
+
+    ModuleActor(Clock clock, Executor pool, Scheduler timers, int mostAttempts,
+                Function<String, RealServer> newServer,
+                Function<DispatchApi.Actions, DispatchApi> newModule) {
+        this.clock = clock;
+        this.timers = timers;
+        this.newServer = newServer;
+        this.mostAttempts = mostAttempts;
+        this.mailbox = new Mailbox("the module", pool);
+        this.module = newModule.apply(this);
+    }
+
+    /** A flow and what has become of it; kept until it is answered and no scheduling is out. */
+    private static final class OpenFlow {
+        final Flow flow;
+        final Flow.Client client;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        Scheduler.Task timer;
+        int out;
+        boolean answered;
+
+        OpenFlow(Flow flow, Flow.Client client) {
+            this.flow = flow;
+            this.client = client;
+        }
+    }
+
+    /** One scheduling: what the real server reports comes back here, through the mailbox. */
+    private final class Attempt implements RealServer.Scheduling {
+        final OpenFlow open;
+        final int number;
+        final RealServer server;
+        final long sentAt;
+        Scheduler.Task timer;
+        boolean ended;
+
+        Attempt(OpenFlow open, int number, RealServer server, long sentAt) {
+            this.open = open;
+            this.number = number;
+            this.server = server;
+            this.sentAt = sentAt;
+        }
+
+        @Override
+        public Flow flow() {
+            return open.flow;
+        }
+
+        @Override
+        public long left() {
+            return open.flow.deadline() - clock.micros();
+        }
+
+        @Override
+        public void noted(Note note, double share) {
+            mailbox.post(() -> {
+                if (!ended) {
+                    guarded(open, () -> module.note(now(), open.flow.id(), number, note, share));
+                }
+            });
+        }
+
+        @Override
+        public void ended(Status status, Load load, byte[] result) {
+            mailbox.post(() -> conclude(this, status, load, result));
+        }
+    }
+
+    // What the actor is told.
+
+    void start(ServiceEntry.Update known) {
+        mailbox.post(() -> {
+            guarded(null, () -> module.start(now()));
+            list(known, ListKind.INITIAL);
+        });
+    }
+
+    void update(ServiceEntry.Update update) {
+        mailbox.post(() -> {
+            list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
+            told = true;
+        });
+    }
+
+    /** Answers whether the list has come and the tables are built. */
+    void ready(Consumer<Boolean> asker) {
+        mailbox.post(() -> asker.accept(told && !listed.isEmpty()));
+    }
+
+    /** Runs the message once no flow is open. */
+    void whenIdle(Runnable message) {
+        mailbox.post(() -> {
+            whenIdle.add(message);
+            tellIfIdle();
+        });
+    }
+
+    void open(Flow flow, Flow.Client client) {
+        mailbox.post(() -> {
+            if (flows.containsKey(flow.id())) {
+                client.answer(new Flow.Rejected("the id is in use"));
+                return;
+            }
+            OpenFlow open = new OpenFlow(flow, client);
+            flows.put(flow.id(), open);
+            long now = now();
+            open.timer = timers.schedule(() -> mailbox.post(() -> expire(open)), flow.deadline() - now,
+                    TimeUnit.MICROSECONDS);
+            guarded(open, () -> module.request(now, new Request(flow.id(), flow.jobClass(), flow.tenant(),
+                    flow.slots(), flow.hint(), flow.deadline() - now)));
+        });
+    }
+
+    void clientGone(Flow flow) {
+        mailbox.post(() -> {
+            OpenFlow open = flows.get(flow.id());
+            if (open != null && open.flow == flow && !open.answered) {
+                close(open);
+                guarded(open, () -> module.clientGone(now(), flow.id()));
+                forget(open);
+            }
+        });
+    }
+
+    private long now() {
+        lastNow = Math.max(lastNow, clock.micros());
+        return lastNow;
+    }
+
+    private void list(ServiceEntry.Update update, ListKind kind) {
+        List<Member> members = new ArrayList<>();
+        Set<String> named = new HashSet<>();
+        for (ServiceEntry.Entry e : update.entries()) {
+            named.add(e.uid());
+            servers.computeIfAbsent(e.uid(), newServer).update(e);
+            members.add(new Member(e.uid(), switch (e.state()) {
+                case READY -> Health.READY;
+                case TERMINATING -> Health.DRAINING;
+                case GONE -> Health.GONE;
+            }, e.hint(), e.cell(), e.kind(), e.zone(), e.bootMicros()));
+        }
+        if (kind != ListKind.CHANGES) {
+            listed.stream().filter(uid -> !named.contains(uid)).forEach(uid -> servers.get(uid).gone());
+            listed.retainAll(named);
+        }
+        update.entries().forEach(e -> {
+            if (e.state() == ServiceEntry.State.GONE) {
+                listed.remove(e.uid());
+            } else {
+                listed.add(e.uid());
+            }
+        });
+        guarded(null, () -> module.list(now(), kind, members));
+    }
+
+    /** The time of a flow is up: its schedulings time out, and if the module has no answer it gets ours. */
+    private void expire(OpenFlow open) {
+        if (open.answered) {
+            return;
+        }
+        for (Attempt a : List.copyOf(open.attempts)) {
+            if (!a.ended) {
+                a.server.giveUp(a);
+                conclude(a, Status.TIMEOUT, null, null);
+            }
+        }
+        if (!open.answered) {
+            // Guards against a module that fell silent: the client still waits, and a rule is at stake.
+            answer(open, new Flow.Failed(true));
+            guarded(open, () -> module.clientGone(now(), open.flow.id()));
+            forget(open);
+        }
+    }
+
+    private void conclude(Attempt a, Status status, Load load, byte[] result) {
+        if (a.ended) {
+            return;
+        }
+        a.ended = true;
+        if (a.timer != null) {
+            a.timer.cancel();
+        }
+        OpenFlow open = a.open;
+        open.out--;
+        if (status == Status.OK && !open.answered) {
+            answer(open, new Flow.Served(result));
+        }
+        long now = now();
+        boolean closed = open.answered;
+        guarded(open, () -> module.outcome(now, open.flow.id(), a.number, closed, status, now - a.sentAt, load));
+        forget(open);
+    }
+
+    /** Runs a call of the module; an exception in it costs at most the flow that it was about. */
+    private void guarded(OpenFlow open, Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "the module failed", e);
+            if (open != null && !open.answered && open.out == 0) {
+                answer(open, new Flow.Failed(false));
+                forget(open);
+            }
+        }
+    }
+
+    private void close(OpenFlow open) {
+        open.answered = true;
+        open.timer.cancel();
+    }
+
+    private void answer(OpenFlow open, Flow.Answer answer) {
+        if (!open.answered) {
+            close(open);
+            open.client.answer(answer);
+        }
+    }
+
+    private void forget(OpenFlow open) {
+        if (open.answered && open.out == 0) {
+            flows.remove(open.flow.id(), open);
+            tellIfIdle();
+        }
+    }
+
+    private void tellIfIdle() {
+        if (!whenIdle.isEmpty() && flows.values().stream().allMatch(open -> open.answered)) {
+            whenIdle.forEach(Runnable::run);
+            whenIdle.clear();
+        }
+    }
+
+    // What the module orders.
+
+    @Override
+    public void send(String id, String worker, long timeout) {
+        OpenFlow open = flows.get(id);
+        RealServer server = servers.get(worker);
+        if (open == null) {
+            LOG.log(Level.ERROR, "the module sent flow {0}, which is not open", id);
+            return;
+        }
+        Attempt a = new Attempt(open, open.attempts.size(), server, now());
+        open.attempts.add(a);
+        open.out++;
+        if (server == null || open.answered || open.attempts.size() > mostAttempts) {
+            a.ended(Status.NOT_SENT, null, null);
+            return;
+        }
+        if (timeout > 0) {
+            a.timer = timers.schedule(() -> mailbox.post(() -> {
+                if (!a.ended) {
+                    server.giveUp(a);
+                    conclude(a, Status.TIMEOUT, null, null);
+                }
+            }), timeout, TimeUnit.MICROSECONDS);
+        }
+        server.schedule(a);
+    }
+
+    @Override
+    public void refuse(String id, long retryAfter) {
+        decided(id, new Flow.TurnDown(retryAfter));
+    }
+
+    @Override
+    public void fail(String id) {
+        decided(id, new Flow.Failed(false));
+    }
+
+    private void decided(String id, Flow.Answer answer) {
+        OpenFlow open = flows.get(id);
+        if (open != null) {
+            answer(open, answer);
+            forget(open);
+        }
+    }
+
+    @Override
+    public void cancel(String id, int attempt) {
+        OpenFlow open = flows.get(id);
+        if (open != null && attempt >= 0 && attempt < open.attempts.size()) {
+            Attempt a = open.attempts.get(attempt);
+            a.server.giveUp(a);
+            a.ended(Status.CANCELLED, null, null);
+        }
+    }
+
+    @Override
+    public void probe(String worker) {
+        RealServer server = servers.get(worker);
+        if (server != null) {
+            long sentAt = now();
+            server.probe(PROBE_MILLIS, (status, load) -> mailbox.post(() -> {
+                long now = now();
+                guarded(null, () -> module.probed(now, worker, status, now - sentAt, load));
+            }));
+        }
+    }
+
+    @Override
+    public void timer(long delay, String token) {
+        timers.schedule(() -> mailbox.post(() -> guarded(null, () -> module.timer(now(), token))),
+                Math.max(1, delay), TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void watch() {
+        // The service entry's watch is open from the start and stays so.
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.log(Level.INFO, line);
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/net/Node.java
@@ -0,0 +1,94 @@
+package barrowshore.net;
+
+import barrowshore.Dispatcher;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+
+/**
+ * One scheduler, put together. It owns the pool, the timers' thread, the dialer and the listening socket, and the order
+ * in which they start and end. It must never take part in a flow's life.
+ */
+public final class Node {
+    private static final System.Logger LOG = System.getLogger(Node.class.getName());
+    /** One core: the selector's thread and a few to run messages while one of them is on the module. */
+    private static final int THREADS = 4;
+    /** Descriptors kept for the JVM, the listening socket, discovery and the selector. */
+    private static final int RESERVED = 64;
+    /** Share of the other descriptors that goes to real servers. */
+    private static final double OUTGOING = 0.4;
+    /** Milliseconds after SIGTERM until the last new connections have come. */
+    private static final long SETTLE = 500;
+    /** Milliseconds after SIGTERM before which the process does not end. */
+    private static final long STAY = 700;
+
+    private final ExecutorService pool = Executors.newFixedThreadPool(THREADS);
+    private final ScheduledExecutorScheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
+    private final ModuleActor module;
+    private final ClientSide clients;
+    private final ServiceEntry entry;
+    private final Dialer dialer;
+    private final ServerSocketChannel server;
+
+    private Node(Config config) throws Exception {
+        Clock clock = Clock.system();
+        int usable = config.sockets() - RESERVED;
+        int outgoing = (int) (usable * OUTGOING);
+        timers.start();
+        dialer = new Dialer(pool, timers, outgoing, config.settings().connectTimeout / 1000, this::accepted);
+        module = new ModuleActor(clock, pool, timers, config.settings().maxAttempts,
+                uid -> new RealServer(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
+                actions -> new Dispatcher(config.settings(), actions));
+        clients = new ClientSide(config, clock, pool, module, (int) ((usable - outgoing) * 0.9));
+        entry = new ServiceEntry(config, pool, dialer, timers, module::update);
+        dialer.start();
+        module.start(config.known());
+        entry.open();
+        server = listen(config.listen());
+        dialer.listen(server);
+        LOG.log(Level.INFO, config.summary());
+    }
+
+    private org.eclipse.jetty.io.Connection accepted(org.eclipse.jetty.io.EndPoint endPoint) {
+        return clients.accept(endPoint);
+    }
+
+    private static ServerSocketChannel listen(InetSocketAddress address) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
+        try {
+            server.setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true);
+            return server.bind(address, 512);
+        } catch (IOException | RuntimeException e) {
+            server.close();
+            throw new ConfigException("listen: cannot listen on " + address + ": " + e.getMessage());
+        }
+    }
+
+    /** Serves until SIGTERM; then goes on until all is answered and the clients' connections are gone. */
+    public static void serve(Config config) throws Exception {
+        Node node = new Node(config);
+        Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+        new CountDownLatch(1).await();
+    }
+
+    private void drain() {
+        CountDownLatch ended = new CountDownLatch(3);
+        timers.schedule(() -> {
+            clients.drain(ended::countDown);
+            module.whenIdle(ended::countDown);
+        }, SETTLE, TimeUnit.MILLISECONDS);
+        timers.schedule(ended::countDown, STAY, TimeUnit.MILLISECONDS);
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/net/RealServer.java
@@ -0,0 +1,417 @@
+package barrowshore.net;
+
+import barrowshore.DispatchApi.Load;
+import barrowshore.DispatchApi.Note;
+import barrowshore.DispatchApi.Status;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * One real server: an actor that carries schedulings and probes to it over its own pool of connections. It owns those
+ * connections, each from its dial to its end, and reports exactly one end of each scheduling and probe. It must never
+ * choose a real server, never send anything twice, and never say that a flow did not run without proof: refused, never
+ * up, or broken before the last byte was written.
+ */
+final class RealServer {
+    private static final String LOAD_HEADER = "X-Server-Load";
+    private static final String NOT_PROCESSED_HEADER = "X-Not-Processed";
+    private static final byte[] NO_BODY = new byte[0];
+    /** How long an answer's tail may take after its last line, before the connection is given up. */
+    private static final long TAIL = 1000;
+    private static final int LONGEST_LINE = 1 << 20;
+
+    /** One scheduling, as the module actor knows it; it gets one end. */
+    interface Scheduling {
+        Flow flow();
+
+        /** How long the scheduler will wait, in microseconds from now; at most 0: no longer wanted. */
+        long left();
+
+        void noted(Note note, double share);
+
+        void ended(Status status, Load load, byte[] result);
+    }
+
+    /** Takes the one end of a probe. */
+    interface Probe {
+        void ended(Status status, Load load);
+    }
+
+    private final String uid;
+    private final Dialer dialer;
+    private final Scheduler timers;
+    private final Mailbox mailbox;
+    private final long retireAfter;
+    private final int most;
+    private final ArrayDeque<Link> idle = new ArrayDeque<>();
+    private final Set<Link> links = new HashSet<>();
+    private final Map<Scheduling, Work> works = new HashMap<>();
+    private int dialing;
+    private InetSocketAddress address;
+    private ServiceEntry.State state = ServiceEntry.State.GONE;
+    private long bootMicros;
+
+    RealServer(String uid, Executor pool, Dialer dialer, Scheduler timers, long keepAlive, int most) {
+        this.uid = uid;
+        this.dialer = dialer;
+        this.timers = timers;
+        this.most = most;
+        // Guards against the stale-pool race: what is written to a connection that the real server is closing may
+        // have run, so an idle one is retired at half the time after which the real server closes it.
+        this.retireAfter = Math.max(1, keepAlive / 2000);
+        this.mailbox = new Mailbox("real server " + uid, pool);
+    }
+
+    /** What the service entry says of it now. */
+    void update(ServiceEntry.Entry entry) {
+        mailbox.post(() -> {
+            boolean moved = entry.address() != null && !entry.address().equals(address);
+            if (moved || entry.bootMicros() != bootMicros || entry.state() == ServiceEntry.State.GONE) {
+                // Connections to a former address or life are of no more use; those at work end by themselves.
+                links.forEach(link -> link.retired = true);
+                while (!idle.isEmpty()) {
+                    idle.poll().shut();
+                }
+            }
+            address = entry.address() != null ? entry.address() : address;
+            bootMicros = entry.bootMicros();
+            state = entry.state();
+        });
+    }
+
+    /** The service entry no longer lists it. */
+    void gone() {
+        mailbox.post(() -> {
+            state = ServiceEntry.State.GONE;
+            while (!idle.isEmpty()) {
+                idle.poll().shut();
+            }
+        });
+    }
+
+    void schedule(Scheduling scheduling) {
+        mailbox.post(() -> {
+            Work work = new Work(scheduling, null);
+            works.put(scheduling, work);
+            start(work);
+        });
+    }
+
+    /** The scheduling is no longer waited for; its end, if still to come, is of no interest. */
+    void giveUp(Scheduling scheduling) {
+        mailbox.post(() -> {
+            Work work = works.remove(scheduling);
+            if (work != null) {
+                work.over = true;
+                if (work.link != null) {
+                    work.link.shut();
+                }
+            }
+        });
+    }
+
+    void probe(long timeoutMillis, Probe probe) {
+        mailbox.post(() -> {
+            Work work = new Work(null, probe);
+            work.timer = timers.schedule(() -> mailbox.post(() -> {
+                if (!work.over) {
+                    work.end(Status.TIMEOUT, null, null);
+                    if (work.link != null) {
+                        work.link.shut();
+                    }
+                }
+            }), timeoutMillis, TimeUnit.MILLISECONDS);
+            start(work);
+        });
+    }
+
+    private void start(Work work) {
+        Link link;
+        while ((link = idle.pollLast()) != null) {
+            if (!link.brokenWhileIdle()) {
+                link.carry(work);
+                return;
+            }
+            link.shut();
+        }
+        if (address == null) {
+            work.end(Status.CONNECT_FAILED, null, null);
+            return;
+        }
+        if (links.size() + dialing >= most) {
+            work.end(Status.FULL, null, null);   // shed before descriptors run out; it has not been sent
+            return;
+        }
+        dialing++;
+        boolean started = dialer.dial(address, new Dialer.Opener() {
+            @Override
+            public Connection apply(EndPoint endPoint) {
+                return new Link(endPoint, work);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                mailbox.post(() -> {
+                    dialing--;
+                    work.end(Status.CONNECT_FAILED, null, null);
+                });
+            }
+        });
+        if (!started) {
+            dialing--;
+            work.end(Status.FULL, null, null);
+        }
+    }
+
+    /** What a connection carries: a scheduling or a probe, and whether its one end has been told. */
+    private final class Work {
+        final Scheduling scheduling;
+        final Probe probe;
+        Scheduler.Task timer;
+        Link link;
+        boolean over;
+
+        Work(Scheduling scheduling, Probe probe) {
+            this.scheduling = scheduling;
+            this.probe = probe;
+        }
+
+        void end(Status status, Load load, byte[] result) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (probe != null) {
+                timer.cancel();
+                probe.ended(status, load);
+            } else {
+                works.remove(scheduling);
+                scheduling.ended(status, load, result);
+            }
+        }
+    }
+
+    /** A load report; what it does not tell is NaN, what is no report is null. */
+    static Load load(Object json) {
+        return json instanceof Map<?, ?> map && !map.isEmpty()
+                ? new Load(number(map, "inflight"), number(map, "queue"), number(map, "x0")) : null;
+    }
+
+    private static double number(Map<?, ?> map, String name) {
+        return map.get(name) instanceof Number n ? n.doubleValue() : Double.NaN;
+    }
+
+    private static Object jsonOrNull(String text) {
+        try {
+            return Config.json(text);
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    /** One connection: idle, or carrying one piece of work. */
+    private final class Link extends HttpLink implements HttpParser.ResponseHandler {
+        private Work work;
+        private LineBuffer lines;
+        private StringBuilder body;
+        private boolean written;
+        private boolean persistent;
+        private boolean retired;
+        private int status;
+        private boolean notProcessed;
+        private Load load;
+
+        Link(EndPoint endPoint, Work first) {
+            super(endPoint, RealServer.this.mailbox);
+            this.work = first;
+            parser = new HttpParser((HttpParser.ResponseHandler) this);
+        }
+
+        @Override
+        void begin() {
+            dialing--;
+            links.add(this);
+            Work first = work;
+            work = null;
+            if (first.over) {
+                rest();   // given up while the connection came up; the next scheduling can have it
+            } else {
+                carry(first);
+            }
+            read();
+        }
+
+        private void rest() {
+            if (retired || state == ServiceEntry.State.GONE || hasUnread()) {
+                shut();
+                return;
+            }
+            getEndPoint().setIdleTimeout(retireAfter);
+            idle.addLast(this);
+        }
+
+        void carry(Work next) {
+            Scheduling scheduling = next.scheduling;
+            // Guards the drain rule: connecting took time, so the state is looked at again as the first byte goes.
+            if (state != ServiceEntry.State.READY || scheduling != null && scheduling.left() <= 0) {
+                next.end(Status.FULL, null, null);
+                rest();
+                return;
+            }
+            work = next;
+            next.link = this;
+            written = notProcessed = false;
+            status = 0;
+            load = null;
+            lines = null;
+            body = null;
+            persistent = true;
+            getEndPoint().setIdleTimeout(0);
+            HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST,
+                    address.getHostString() + ":" + address.getPort());
+            if (scheduling == null) {
+                write(new MetaData.Request("GET", HttpURI.from("/-/load"), HttpVersion.HTTP_1_1, fields, 0), NO_BODY,
+                        () -> written = true);
+                return;
+            }
+            Flow flow = scheduling.flow();
+            fields.add("X-Request-ID", flow.id());
+            fields.add("X-Timeout-Ms", String.valueOf(Math.max(1, scheduling.left() / 1000)));
+            write(new MetaData.Request(flow.method(), HttpURI.from(flow.target()), HttpVersion.HTTP_1_1, fields,
+                    flow.body().length), flow.body(), () -> {
+                        if (work == next) {
+                            written = true;
+                        }
+                    });
+        }
+
+        @Override
+        boolean wantsBytes() {
+            return work != null;
+        }
+
+        @Override
+        void read() {
+            if (work == null && !isClosed() && brokenWhileIdle()) {
+                shut();   // bytes or an end where nothing was asked: notice it at once
+                return;
+            }
+            super.read();
+        }
+
+        @Override
+        public void startResponse(HttpVersion version, int code, String reason) {
+            status = code;
+            persistent = version == HttpVersion.HTTP_1_1;
+        }
+
+        @Override
+        public void parsedHeader(HttpField field) {
+            if (field.getHeader() == HttpHeader.CONNECTION && field.contains("close")) {
+                persistent = false;
+            } else if (field.is(NOT_PROCESSED_HEADER)) {
+                notProcessed = "1".equals(field.getValue());
+            } else if (field.is(LOAD_HEADER)) {
+                load = load(jsonOrNull(field.getValue()));
+            }
+        }
+
+        @Override
+        public boolean headerComplete() {
+            if (work.scheduling != null && status == 200) {
+                lines = new LineBuffer(LONGEST_LINE);
+            } else {
+                body = new StringBuilder();
+            }
+            return false;
+        }
+
+        @Override
+        public boolean content(ByteBuffer bytes) {
+            if (lines != null) {
+                lines.add(bytes, this::line);
+            } else if (body.length() < LONGEST_LINE) {
+                body.append(StandardCharsets.UTF_8.decode(bytes));
+            }
+            return false;
+        }
+
+        private void line(String text) {
+            if (text.isBlank() || work.over) {
+                return;
+            }
+            if (!(jsonOrNull(text) instanceof Map<?, ?> map) || !work.scheduling.flow().id().equals(map.get("id"))) {
+                // Not an answer to this flow: nothing on this connection can be trusted any more.
+                work.end(Status.RESET, null, null);
+                mailbox.post(this::shut);
+                return;
+            }
+            Load told = load(map.get("load"));
+            switch (String.valueOf(map.get("state"))) {
+                case "started" -> work.scheduling.noted(Note.STARTED, 0);
+                case "running" -> work.scheduling.noted(Note.PROGRESS,
+                        map.get("share") instanceof Number n ? n.doubleValue() : 0);
+                case "done" -> last(Status.OK, told, String.valueOf(map.get("result")).getBytes(StandardCharsets.UTF_8));
+                case "failed" -> last(Status.ERROR, told, null);
+                case "returned" -> last(Status.FULL, told, null);
+                case "lost" -> last(Status.RESET, told, null);
+                default -> { }
+            }
+        }
+
+        private void last(Status end, Load told, byte[] result) {
+            work.end(end, told, result);
+            getEndPoint().setIdleTimeout(TAIL);
+        }
+
+        @Override
+        public boolean messageComplete() {
+            if (lines != null) {
+                // A stream without a last line is a reset: the job may have run.
+                work.end(Status.RESET, load, null);
+            } else if (work.probe != null) {
+                Load told = load(jsonOrNull(body.toString()));
+                work.end(status == 200 ? Status.OK : Status.ERROR, told != null ? told : load, null);
+            } else {
+                work.end(notProcessed && (status == 503 || status == 504) ? Status.FULL : Status.ERROR, load, null);
+            }
+            work = null;
+            parser.reset();
+            if (persistent && written) {
+                rest();
+            } else {
+                shut();
+            }
+            return true;
+        }
+
+        @Override
+        void onEnd(Throwable cause) {
+            links.remove(this);
+            idle.remove(this);
+            if (work != null) {
+                // Only a request whose last byte was not written is known not to have run.
+                work.end(written ? Status.RESET : Status.CONNECT_FAILED, null, null);
+                work = null;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/net/ServiceEntry.java
@@ -0,0 +1,192 @@
+package barrowshore.net;
+
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * The service entry: discovery's list of real servers, followed by a watch that is reopened whenever it breaks or falls
+ * silent. An actor; it owns the watch's connection, its timers and the version of the list last heard. It must never
+ * judge a real server: what it reads goes on to the module actor whole, in order.
+ */
+final class ServiceEntry {
+    private static final System.Logger LOG = System.getLogger(ServiceEntry.class.getName());
+    private static final long FIRST_PAUSE = 50;
+    private static final long LONGEST_PAUSE = 1000;
+    /** An empty line comes every 2 s; a watch that misses three of them is taken for broken. */
+    private static final long SILENCE = 7000;
+
+    enum State { READY, TERMINATING, GONE }
+
+    /** One entry of the list; bootMicros 0: long ago. */
+    record Entry(String uid, String endpoint, InetSocketAddress address, int zone, int kind, int cell, State state,
+                 double hint, long bootMicros) { }
+
+    /** A version of the list: all of it, or what changed. */
+    record Update(long rev, boolean all, List<Entry> entries) { }
+
+    /** The settings' names for zones and kinds, by position. */
+    record Names(List<String> zones, List<String> kinds) { }
+
+    private final Dialer dialer;
+    private final Scheduler timers;
+    private final InetSocketAddress address;
+    private final Names names;
+    private final Consumer<Update> listener;
+    private final Mailbox mailbox;
+    private long rev;
+    private long pause = FIRST_PAUSE;
+    private Scheduler.Task silence;
+
+    ServiceEntry(Config config, Executor pool, Dialer dialer, Scheduler timers, Consumer<Update> listener) {
+        this.dialer = dialer;
+        this.timers = timers;
+        this.address = config.discovery();
+        this.names = config.names();
+        this.listener = listener;
+        this.rev = config.known().rev();
+        this.mailbox = new Mailbox("the service entry", pool);
+    }
+
+    void open() {
+        mailbox.post(this::dial);
+    }
+
+    private void dial() {
+        boolean started = dialer.dial(address, new Dialer.Opener() {
+            @Override
+            public Connection apply(EndPoint endPoint) {
+                return new Watch(endPoint);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                mailbox.post(ServiceEntry.this::again);
+            }
+        });
+        if (!started) {
+            again();
+        }
+    }
+
+    private void again() {
+        timers.schedule(this::open, pause, TimeUnit.MILLISECONDS);
+        pause = Math.min(LONGEST_PAUSE, pause * 2);
+    }
+
+    /** Reads a list in discovery's form; an IllegalArgumentException names what is wrong. */
+    static Update update(Map<?, ?> json, Names names) {
+        if (!(json.get("targets") instanceof List<?> targets)) {
+            throw new IllegalArgumentException("targets is missing or not a list");
+        }
+        List<Entry> entries = new ArrayList<>();
+        for (Object target : targets) {
+            if (!(target instanceof Map<?, ?> t) || !(t.get("uid") instanceof String uid)
+                    || !(t.get("state") instanceof String state)) {
+                throw new IllegalArgumentException("a target lacks its uid or state");
+            }
+            String endpoint = t.get("endpoint") instanceof String s ? s : "";
+            int kind = names.kinds().indexOf(String.valueOf(t.get("model")));
+            if (kind < 0 && !names.kinds().isEmpty()) {
+                // Guards the module against a kind that its settings do not name.
+                LOG.log(Level.WARNING, "real server {0} is of an unknown model, left out", uid);
+                continue;
+            }
+            entries.add(new Entry(uid, endpoint, endpoint.isEmpty() ? null : Config.address(endpoint, "endpoint"),
+                    names.zones().indexOf(String.valueOf(t.get("az"))), Math.max(0, kind),
+                    (int) number(t.get("pod_group"), 0), switch (state) {
+                        case "Ready" -> State.READY;
+                        case "Gone" -> State.GONE;
+                        default -> State.TERMINATING;   // the careful reading of a word not known
+                    }, number(t.get("capacity_hint"), 1), (long) number(t.get("boot_ms"), 0) * 1000));
+        }
+        return new Update((long) number(json.get("rev"), 0), Boolean.TRUE.equals(json.get("all")), entries);
+    }
+
+    private static double number(Object value, double otherwise) {
+        return value instanceof Number n ? n.doubleValue() : otherwise;
+    }
+
+    /** The connection of one watch. */
+    private final class Watch extends HttpLink implements HttpParser.ResponseHandler {
+        private final LineBuffer lines = new LineBuffer(1 << 20);
+
+        Watch(EndPoint endPoint) {
+            super(endPoint, ServiceEntry.this.mailbox);
+            parser = new HttpParser((HttpParser.ResponseHandler) this);
+        }
+
+        @Override
+        void begin() {
+            HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":"
+                    + address.getPort());
+            write(new MetaData.Request("GET", HttpURI.from("/api/targets?watch=1&after=" + rev), HttpVersion.HTTP_1_1,
+                    fields, 0), new byte[0], () -> { });
+            heard();
+            read();
+        }
+
+        private void heard() {
+            if (silence != null) {
+                silence.cancel();
+            }
+            silence = timers.schedule(() -> mailbox.post(this::shut), SILENCE, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void startResponse(HttpVersion version, int status, String reason) {
+            if (status != 200) {
+                LOG.log(Level.WARNING, "the watch was answered {0}", status);
+                mailbox.post(this::shut);
+            }
+        }
+
+        @Override
+        public boolean content(ByteBuffer bytes) {
+            heard();
+            lines.add(bytes, line -> {
+                if (line.isBlank()) {
+                    return;
+                }
+                try {
+                    Update update = update((Map<?, ?>) Config.json(line), names);
+                    rev = update.rev();
+                    pause = FIRST_PAUSE;
+                    listener.accept(update);
+                } catch (IllegalArgumentException | ClassCastException | ConfigException e) {
+                    // A line that cannot be read is a gap: the watch starts over from the version before it.
+                    LOG.log(Level.WARNING, "the watch sent what is no list: {0}", e.getMessage());
+                    shut();
+                }
+            });
+            return false;
+        }
+
+        @Override
+        public boolean messageComplete() {
+            mailbox.post(this::shut);
+            return true;
+        }
+
+        @Override
+        void onEnd(Throwable cause) {
+            silence.cancel();
+            again();
+        }
+    }
+}
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -1,15 +1,22 @@
 package barrowshore.wire;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import barrowshore.DispatchApi.Effect;
 import barrowshore.DispatchApi.JobClass;
 import barrowshore.DispatchApi.Reports;
 import barrowshore.DispatchApi.Scope;
 import barrowshore.DispatchApi.Settings;
 
-/** Reads the wire's path=value pairs into settings; unknown keys are skipped, absent ones keep their defaults. */
-final class SettingsReader {
+/**
+ * Reads path=value pairs into settings; unknown keys are skipped, absent ones keep their defaults. The simulator sends
+ * the pairs as text, a real scheduler finds them nested in its configuration: {@link #of} flattens those into the same
+ * pairs, so that both readings end in one place.
+ */
+public final class SettingsReader {
     private final Map<String, String> pairs = new HashMap<>();
 
     private SettingsReader(String conf) {
@@ -23,11 +30,58 @@
         }
     }
 
+    private SettingsReader(Map<?, ?> nested) {
+        flatten("", nested);
+    }
+
+    /** A reader of nested settings, as JSON gives them: maps, lists and plain values. */
+    public static SettingsReader of(Map<?, ?> nested) {
+        return new SettingsReader(nested);
+    }
+
+    private void flatten(String path, Map<?, ?> nested) {
+        nested.forEach((key, value) -> flatten(path + key, value));
+    }
+
+    private void flatten(String path, Object value) {
+        if (value instanceof Map<?, ?> map) {
+            flatten(path + ".", map);
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
+            pairs.put(path + ".count", String.valueOf(list.size()));
+            for (int k = 0; k < list.size(); k++) {
+                flatten(path + "." + k, list.get(k));
+            }
+        } else if (value instanceof List<?> list) {
+            pairs.put(path, list.stream().map(SettingsReader::plain).collect(Collectors.joining(",")));
+        } else {
+            pairs.put(path, plain(value));
+        }
+    }
+
+    private static String plain(Object value) {
+        return value == null ? "" : value.toString().replaceAll("[ ,]", "_");
+    }
+
+    /** The items of a list of plain values. */
+    public List<String> items(String key) {
+        return List.of(list(key));
+    }
+
+    /** The field {@code name} of each item of a list of objects. */
+    public List<String> names(String key) {
+        List<String> names = new ArrayList<>();
+        for (int k = 0; k < (int) number(key + ".count", 0); k++) {
+            names.add(pairs.getOrDefault(key + "." + k + ".name", ""));
+        }
+        return names;
+    }
+
     static Settings read(long seed, String conf) {
         return new SettingsReader(conf).settings(seed);
     }
 
-    private Settings settings(long seed) {
+    /** The module's settings; a value that cannot be read gets an IllegalArgumentException that names it. */
+    public Settings settings(long seed) {
         Settings s = new Settings();
         s.seed = seed;
         s.dispatchers = (int) number("groupSize", s.dispatchers);
@@ -91,7 +145,8 @@
         };
     }
 
-    private double number(String key, double otherwise) {
+    /** A number, or the other value where the key is absent. */
+    public double number(String key, double otherwise) {
         String value = pairs.get(key);
         return value == null || value.isEmpty() || value.equals("-") ? otherwise : parse(key, value);
     }
--- a/src/main/java/barrowshore/wire/WireHost.java
+++ b/src/main/java/barrowshore/wire/WireHost.java
@@ -20,14 +20,15 @@
 import barrowshore.Dispatcher;
 
 /** Hosts many dispatchers on the wire: turns its lines into calls and their actions into lines. Decides nothing. */
-final class WireHost {
+public final class WireHost {
     private final Line line;
     private final OutputStream out;
     private final StringBuilder reply = new StringBuilder(1 << 14);
     private final Map<Integer, Instance> instances = new HashMap<>();
     private long now;
 
-    WireHost(InputStream in, OutputStream out) {
+    /** A host that reads batches from one stream and writes its replies to the other. */
+    public WireHost(InputStream in, OutputStream out) {
         this.line = new Line(in);
         this.out = out;
     }
@@ -87,7 +88,7 @@
     }
 
     /** Answers batch after batch until the input ends. */
-    void run() throws IOException {
+    public void run() throws IOException {
         while (line.advance()) {
             String word = line.text("message");
             if (!word.equals("FRAME")) {
