Tell a time to come back with every turn-down, whatever the site's setting

The module passed 0 where policyLimits.retryAfter is false (Dispatcher.answer), so that clients got a 503 without Retry-After.

Settings.refusalDelays had no other reader and is gone.

--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -68,7 +68,6 @@
         public boolean secondCopies;
         public boolean mayCancel;
         public boolean mayProbe;
-        public boolean refusalDelays;
         public long maxRetryAfter = 1_000_000;
         /** Whether the list comes only when asked for. */
         public boolean askForList;
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -177,7 +177,7 @@
         if (!job.mayHaveRun || job.jobClass.effect() == Effect.SAFE
                 || job.jobClass.effect() == Effect.KEYED && job.jobClass.scope() == Scope.ALL) {
             long delay = (long) Math.min(set.maxRetryAfter, mean.work * (1 + rng.next()));
-            act.refuse(job.id, set.refusalDelays ? delay : 0);
+            act.refuse(job.id, delay);   // told also where the site's clients may not heed it
         } else {
             act.fail(job.id);
         }
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -94,7 +94,6 @@
         s.secondCopies = flag("policyLimits.secondCopies", s.secondCopies);
         s.mayCancel = flag("policyLimits.cancel", s.mayCancel);
         s.mayProbe = flag("policyLimits.probing", s.mayProbe);
-        s.refusalDelays = flag("policyLimits.retryAfter", s.refusalDelays);
         s.maxRetryAfter = (long) number("policyLimits.maxRetryAfter", s.maxRetryAfter);
         s.askForList = "subscribe".equals(pairs.get("discovery"));
         s.askEvery = (long) number("rules.askEvery", s.askEvery);
