Play recorded byte exchanges against the scheduler; bound bodies and idleness

Guards that came with them: request bodies held at once are bounded (14 MiB) so that many large ones are shed before the heap is full; a client connection is read from only once the client side has admitted it, so that it is settled whether its answers end it; connections to a real server that drains are ended as soon as they are idle; time limits of connections run on the scheduler's own timers instead of Jetty's idle clock, which a test cannot set; any Throwable in a message leaves its actor running; with discovery silent at a start, the list known from before will do after a second.

--- a/src/main/java/barrowshore/net/ClientSide.java
+++ b/src/main/java/barrowshore/net/ClientSide.java
@@ -1,12 +1,14 @@
 package barrowshore.net;
 
-import java.nio.ByteBuffer;
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.Semaphore;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
@@ -17,6 +19,7 @@
 import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * The clients' HTTP side: turns requests into flows and final answers into responses. An actor that owns the set of
@@ -30,13 +33,19 @@
     private static final long MARGIN = 25_000;
     /** How long a connection may stand idle or a request dribble in. */
     private static final long IDLE = 120_000;
+    /** What a client is told to wait, in microseconds, that is shed before the module sees it. */
+    private static final long SHED_DELAY = 1_000_000;
     /** How long a client may take to read the last answer and close. */
     private static final long LINGER = 1_000;
+    /** Bytes of request bodies held at once, over all connections: a quarter of the heap. */
+    private static final int MOST_BYTES = 14 << 20;
     private static final byte[] NOTHING = new byte[0];
 
     private final Clock clock;
     private final Executor pool;
+    private final Scheduler timers;
     private final ModuleActor module;
+    private final Semaphore bytes = new Semaphore(MOST_BYTES);
     private final List<String> classes;
     private final List<String> tenants;
     private final int most;
@@ -45,9 +54,10 @@
     private boolean draining;
     private Runnable whenEmpty;
 
-    ClientSide(Config config, Clock clock, Executor pool, ModuleActor module, int most) {
+    ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, ModuleActor module, int most) {
         this.clock = clock;
         this.pool = pool;
+        this.timers = timers;
         this.module = module;
         this.classes = config.classes();
         this.tenants = config.tenants();
@@ -56,7 +66,6 @@
     }
 
     Connection accept(EndPoint endPoint) {
-        endPoint.setIdleTimeout(IDLE);
         return new ClientLink(endPoint);
     }
 
@@ -65,7 +74,8 @@
         mailbox.post(() -> {
             draining = true;
             whenEmpty = message;
-            links.forEach(link -> link.drain(true));
+            links.forEach(ClientLink::drain);
+            links.forEach(link -> link.closeIfIdle(null));
             tellIfEmpty();
         });
     }
@@ -74,11 +84,14 @@
         mailbox.post(() -> {
             links.add(link);
             if (draining) {
-                link.drain(false);
+                link.drain();
             } else if (links.size() > most) {
                 // Guards the limit on descriptors: a connection above it gets one answer, a turn-down, and ends.
+                // Idle ones are closed to make room, which a client is told to expect between requests.
                 link.shed();
+                links.forEach(other -> other.closeIfIdle(link));
             }
+            link.admitted();
         });
     }
 
@@ -118,23 +131,32 @@
         private boolean draining;
         private boolean shedding;
         private long firstByteAt;
+        private int held;
         private Flow flow;
 
         ClientLink(EndPoint endPoint) {
-            super(endPoint, new Mailbox("a client", pool));
+            super(endPoint, new Mailbox("a client", pool), timers);
             parser = new HttpParser((HttpParser.RequestHandler) this, MAX_HEADERS, HttpCompliance.RFC9110);
         }
 
         @Override
         void begin() {
+            limit(IDLE);
             opened(this);
-            super.begin();
         }
 
-        private void drain(boolean closeIdle) {
+        /** Read from only now, when it is known how its answers are to end. */
+        private void admitted() {
+            mailbox.post(this::read);
+        }
+
+        private void drain() {
+            mailbox.post(() -> draining = true);
+        }
+
+        private void closeIfIdle(ClientLink but) {
             mailbox.post(() -> {
-                draining = true;
-                if (closeIdle && !busy && parser.isStart() && !hasUnread() && !brokenWhileIdle()) {
+                if (this != but && !busy && parser.isStart() && !hasUnread() && !brokenWhileIdle()) {
                     shut();
                 }
             });
@@ -180,20 +202,34 @@
         }
 
         @Override
-        public boolean content(ByteBuffer bytes) {
+        public boolean content(ByteBuffer piece) {
             if (busy) {
                 return true;
             }
-            if (body.size() + bytes.remaining() > MAX_BODY) {
+            int more = piece.remaining();
+            if (body.size() + more > MAX_BODY) {
                 tooLarge();
                 return true;
             }
-            byte[] piece = new byte[bytes.remaining()];
-            bytes.get(piece);
-            body.writeBytes(piece);
+            if (!bytes.tryAcquire(more)) {
+                // Guards the limit on memory: many large bodies at once are shed before the heap is full.
+                persistent = false;
+                busy = true;
+                answer(new Flow.TurnDown(SHED_DELAY));
+                return true;
+            }
+            held += more;
+            byte[] copy = new byte[more];
+            piece.get(copy);
+            body.writeBytes(copy);
             return false;
         }
 
+        private void release() {
+            bytes.release(held);
+            held = 0;
+        }
+
         private void tooLarge() {
             persistent = false;   // the rest of the body is not read
             busy = true;
@@ -206,6 +242,7 @@
                 return true;
             }
             busy = true;
+            limit(0);
             try {
                 if (target.equals("/-/ready")) {
                     module.ready(ready -> mailbox.post(() -> plain(ready ? 200 : 503, ready ? "ready" : "not ready")));
@@ -214,7 +251,7 @@
                 Flow read = flow();
                 if (shedding) {
                     persistent = false;
-                    answer(new Flow.TurnDown(1_000_000));
+                    answer(new Flow.TurnDown(SHED_DELAY));
                     return true;
                 }
                 flow = read;
@@ -304,10 +341,11 @@
             if (status == 405) {
                 extra.add(HttpHeader.ALLOW, "POST");
             }
-            respond(status, extra, (text + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8));
+            respond(status, extra, (text + "\n").getBytes(StandardCharsets.UTF_8));
         }
 
         private void respond(int status, HttpFields.Mutable extra, byte[] content) {
+            release();
             if (isClosed()) {
                 return;
             }
@@ -321,6 +359,7 @@
                 } else {
                     busy = false;
                     parser.reset();
+                    limit(IDLE);
                     read();
                 }
             });
@@ -338,6 +377,7 @@
         @Override
         void onEnd(Throwable cause) {
             closed(this);
+            release();
             if (flow != null) {
                 module.clientGone(flow);
                 flow = null;
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.TimeoutException;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpGenerator;
@@ -13,10 +13,11 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * One HTTP/1.1 connection of any peer: bytes in through Jetty's parser, messages out through its generator. It owns its
- * end point and the read buffer and is the one place that closes them; all of it runs in the mailbox of the actor it
+ * end point, its read buffer and the timer that limits it, and is the one place that gives them back; all of it runs in the mailbox of the actor it
  * belongs to. It must never resend anything, and never read further ahead than one buffer.
  */
 abstract class HttpLink extends AbstractConnection implements HttpParser.HttpHandler {
@@ -25,15 +26,18 @@
     private static final int MAX_HEADER = 16384;
 
     final Mailbox mailbox;
+    private final Scheduler timers;
+    private Scheduler.Task limit;
     private final ByteBuffer in = BufferUtil.allocate(READ_BUFFER);
     /** Set by the subclass's constructor; it needs the subclass as its handler. */
     HttpParser parser;
     private boolean closed;
     private boolean discarding;
 
-    HttpLink(EndPoint endPoint, Mailbox mailbox) {
+    HttpLink(EndPoint endPoint, Mailbox mailbox, Scheduler timers) {
         super(endPoint, Runnable::run);
         this.mailbox = mailbox;
+        this.timers = timers;
     }
 
     /** The peer has closed, the connection broke, or we closed it: called once, always. */
@@ -60,9 +64,13 @@
         mailbox.post(() -> end(cause));
     }
 
-    @Override
-    protected boolean onReadTimeout(TimeoutException timeout) {
-        return true;
+    /** Ends the connection after so long, unless another limit or none (0) is set before. */
+    void limit(long millis) {
+        if (limit != null) {
+            limit.cancel();
+        }
+        limit = millis > 0 && !closed
+                ? timers.schedule(() -> mailbox.post(this::shut), millis, TimeUnit.MILLISECONDS) : null;
     }
 
     /** Reads and parses until there is nothing more, or the subclass stops it by {@link #wantsBytes}. */
@@ -123,7 +131,7 @@
      */
     void finish(long millis) {
         discarding = true;
-        getEndPoint().setIdleTimeout(millis);
+        limit(millis);
         getEndPoint().shutdownOutput();
         read();
     }
@@ -145,6 +153,7 @@
     private void end(Throwable cause) {
         if (!closed) {
             closed = true;
+            limit(0);
             getEndPoint().close(cause);
             onEnd(cause);
         }
--- a/src/main/java/barrowshore/net/Mailbox.java
+++ b/src/main/java/barrowshore/net/Mailbox.java
@@ -43,7 +43,7 @@
             done++;
             try {
                 message.run();
-            } catch (RuntimeException | StackOverflowError e) {
+            } catch (Throwable e) {   // guards the actor: a message that dies must not wedge the mailbox
                 LOG.log(Level.ERROR, "a message to " + name + " failed", e);
             }
         }
--- a/src/main/java/barrowshore/net/ModuleActor.java
+++ b/src/main/java/barrowshore/net/ModuleActor.java
@@ -32,6 +32,9 @@
     /** A probe that has told nothing by then tells nothing of the present any more. */
     private static final long PROBE_MILLIS = 1000;
 
+    /** How long a start waits for discovery before the list known from before will do. */
+    private static final long LIST_MILLIS = 1000;
+
     private final Clock clock;
     private final Scheduler timers;
     private final Mailbox mailbox;
@@ -118,6 +121,8 @@
         mailbox.post(() -> {
             guarded(null, () -> module.start(now()));
             list(known, ListKind.INITIAL);
+            // Discovery may be down at a restart: what was known then has to do.
+            timers.schedule(() -> mailbox.post(() -> told |= !listed.isEmpty()), LIST_MILLIS, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -130,7 +135,7 @@
 
     /** Answers whether the list has come and the tables are built. */
     void ready(Consumer<Boolean> asker) {
-        mailbox.post(() -> asker.accept(told && !listed.isEmpty()));
+        mailbox.post(() -> asker.accept(told));
     }
 
     /** Runs the message once no flow is open. */
--- a/src/main/java/barrowshore/net/Node.java
+++ b/src/main/java/barrowshore/net/Node.java
@@ -1,15 +1,21 @@
 package barrowshore.net;
 
+import barrowshore.DispatchApi;
 import barrowshore.Dispatcher;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * One scheduler, put together. It owns the pool, the timers' thread, the dialer and the listening socket, and the order
@@ -29,23 +35,24 @@
     private static final long STAY = 700;
 
     private final ExecutorService pool = Executors.newFixedThreadPool(THREADS);
-    private final ScheduledExecutorScheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
+    private final Scheduler timers;
     private final ModuleActor module;
     private final ClientSide clients;
     private final ServiceEntry entry;
     private final Dialer dialer;
     private final ServerSocketChannel server;
 
-    private Node(Config config) throws Exception {
-        Clock clock = Clock.system();
+    /** Starts a scheduler; the timers are started by the caller and stopped with the node. */
+    Node(Config config, Clock clock, Scheduler timers, Function<DispatchApi.Actions, DispatchApi> newModule)
+            throws Exception {
+        this.timers = timers;
         int usable = config.sockets() - RESERVED;
         int outgoing = (int) (usable * OUTGOING);
-        timers.start();
         dialer = new Dialer(pool, timers, outgoing, config.settings().connectTimeout / 1000, this::accepted);
         module = new ModuleActor(clock, pool, timers, config.settings().maxAttempts,
                 uid -> new RealServer(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
-                actions -> new Dispatcher(config.settings(), actions));
-        clients = new ClientSide(config, clock, pool, module, (int) ((usable - outgoing) * 0.9));
+                newModule);
+        clients = new ClientSide(config, clock, pool, timers, module, (int) ((usable - outgoing) * 0.9));
         entry = new ServiceEntry(config, pool, dialer, timers, module::update);
         dialer.start();
         module.start(config.known());
@@ -55,14 +62,14 @@
         LOG.log(Level.INFO, config.summary());
     }
 
-    private org.eclipse.jetty.io.Connection accepted(org.eclipse.jetty.io.EndPoint endPoint) {
+    private Connection accepted(EndPoint endPoint) {
         return clients.accept(endPoint);
     }
 
     private static ServerSocketChannel listen(InetSocketAddress address) throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         try {
-            server.setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true);
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             return server.bind(address, 512);
         } catch (IOException | RuntimeException e) {
             server.close();
@@ -72,12 +79,17 @@
 
     /** Serves until SIGTERM; then goes on until all is answered and the clients' connections are gone. */
     public static void serve(Config config) throws Exception {
-        Node node = new Node(config);
-        Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+        Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
+        timers.start();
+        Node node = new Node(config, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            node.drain();
+            Runtime.getRuntime().halt(0);
+        }, "drain"));
         new CountDownLatch(1).await();
     }
 
-    private void drain() {
+    void drain() {
         CountDownLatch ended = new CountDownLatch(3);
         timers.schedule(() -> {
             clients.drain(ended::countDown);
@@ -89,6 +101,17 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        Runtime.getRuntime().halt(0);
+    }
+
+    InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) server.getLocalAddress();
+    }
+
+    /** Stops at once; what is open is lost. */
+    void stop() throws Exception {
+        server.close();
+        dialer.stop();
+        timers.stop();
+        pool.shutdownNow();
     }
 }
--- a/src/main/java/barrowshore/net/RealServer.java
+++ b/src/main/java/barrowshore/net/RealServer.java
@@ -36,7 +36,8 @@
     private static final byte[] NO_BODY = new byte[0];
     /** How long an answer's tail may take after its last line, before the connection is given up. */
     private static final long TAIL = 1000;
-    private static final int LONGEST_LINE = 1 << 20;
+    /** A result of 64 KiB with every byte escaped, and what stands round it. */
+    private static final int LONGEST_LINE = 400 * 1024;
 
     /** One scheduling, as the module actor knows it; it gets one end. */
     interface Scheduling {
@@ -84,12 +85,8 @@
     void update(ServiceEntry.Entry entry) {
         mailbox.post(() -> {
             boolean moved = entry.address() != null && !entry.address().equals(address);
-            if (moved || entry.bootMicros() != bootMicros || entry.state() == ServiceEntry.State.GONE) {
-                // Connections to a former address or life are of no more use; those at work end by themselves.
-                links.forEach(link -> link.retired = true);
-                while (!idle.isEmpty()) {
-                    idle.poll().shut();
-                }
+            if (moved || entry.bootMicros() != bootMicros || entry.state() != ServiceEntry.State.READY) {
+                retire();
             }
             address = entry.address() != null ? entry.address() : address;
             bootMicros = entry.bootMicros();
@@ -101,12 +98,18 @@
     void gone() {
         mailbox.post(() -> {
             state = ServiceEntry.State.GONE;
-            while (!idle.isEmpty()) {
-                idle.poll().shut();
-            }
+            retire();
         });
     }
 
+    /** Connections to a former address or life, or to one that drains, end: idle ones now, those at work after it. */
+    private void retire() {
+        links.forEach(link -> link.retired = true);
+        while (!idle.isEmpty()) {
+            idle.poll().shut();
+        }
+    }
+
     void schedule(Scheduling scheduling) {
         mailbox.post(() -> {
             Work work = new Work(scheduling, null);
@@ -240,7 +243,7 @@
         private Load load;
 
         Link(EndPoint endPoint, Work first) {
-            super(endPoint, RealServer.this.mailbox);
+            super(endPoint, RealServer.this.mailbox, timers);
             this.work = first;
             parser = new HttpParser((HttpParser.ResponseHandler) this);
         }
@@ -260,11 +263,11 @@
         }
 
         private void rest() {
-            if (retired || state == ServiceEntry.State.GONE || hasUnread()) {
+            if (retired || state != ServiceEntry.State.READY || hasUnread()) {
                 shut();
                 return;
             }
-            getEndPoint().setIdleTimeout(retireAfter);
+            limit(retireAfter);
             idle.addLast(this);
         }
 
@@ -284,7 +287,7 @@
             lines = null;
             body = null;
             persistent = true;
-            getEndPoint().setIdleTimeout(0);
+            limit(0);
             HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST,
                     address.getHostString() + ":" + address.getPort());
             if (scheduling == null) {
@@ -379,7 +382,7 @@
 
         private void last(Status end, Load told, byte[] result) {
             work.end(end, told, result);
-            getEndPoint().setIdleTimeout(TAIL);
+            limit(TAIL);
         }
 
         @Override
--- a/src/main/java/barrowshore/net/ServiceEntry.java
+++ b/src/main/java/barrowshore/net/ServiceEntry.java
@@ -51,7 +51,6 @@
     private final Mailbox mailbox;
     private long rev;
     private long pause = FIRST_PAUSE;
-    private Scheduler.Task silence;
 
     ServiceEntry(Config config, Executor pool, Dialer dialer, Scheduler timers, Consumer<Update> listener) {
         this.dialer = dialer;
@@ -127,27 +126,20 @@
         private final LineBuffer lines = new LineBuffer(1 << 20);
 
         Watch(EndPoint endPoint) {
-            super(endPoint, ServiceEntry.this.mailbox);
+            super(endPoint, ServiceEntry.this.mailbox, timers);
             parser = new HttpParser((HttpParser.ResponseHandler) this);
         }
 
         @Override
         void begin() {
+            limit(SILENCE);
             HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":"
                     + address.getPort());
             write(new MetaData.Request("GET", HttpURI.from("/api/targets?watch=1&after=" + rev), HttpVersion.HTTP_1_1,
                     fields, 0), new byte[0], () -> { });
-            heard();
             read();
         }
 
-        private void heard() {
-            if (silence != null) {
-                silence.cancel();
-            }
-            silence = timers.schedule(() -> mailbox.post(this::shut), SILENCE, TimeUnit.MILLISECONDS);
-        }
-
         @Override
         public void startResponse(HttpVersion version, int status, String reason) {
             if (status != 200) {
@@ -158,7 +150,7 @@
 
         @Override
         public boolean content(ByteBuffer bytes) {
-            heard();
+            limit(SILENCE);
             lines.add(bytes, line -> {
                 if (line.isBlank()) {
                     return;
@@ -185,7 +177,6 @@
 
         @Override
         void onEnd(Throwable cause) {
-            silence.cancel();
             again();
         }
     }
--- /dev/null
+++ b/src/test/java/barrowshore/net/ExchangeTest.java
@@ -0,0 +1,317 @@
+package barrowshore.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import barrowshore.DispatchApi;
+import barrowshore.Dispatcher;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PushbackInputStream;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.eclipse.jetty.util.component.AbstractLifeCycle;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Plays recorded byte exchanges against a whole scheduler on loopback sockets. Each file under {@code exchanges} is a
+ * script of blocks: a line {@code == WHO DOES}, then the bytes, whose lines end in CR LF unless a backslash ends them.
+ * C1, C2.. are clients, S1, S2.. the connections that the one real server accepts, in order, D1, D2.. discovery's.
+ * Time stands still but for {@code == time MILLIS}; nothing here waits for a clock.
+ */
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ExchangeTest {
+    private static final Path FILES = Path.of("src/test/resources/exchanges");
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final String LIST = "{\"rev\":7,\"all\":true,\"targets\":[{\"uid\":\"s-1\",\"endpoint\":\"$S\","
+            + "\"az\":\"a\",\"model\":\"m\",\"pod_group\":0,\"state\":\"Ready\",\"capacity_hint\":1.0,\"boot_ms\":0}]}";
+
+    static Stream<String> files() throws IOException {
+        try (Stream<Path> all = Files.list(FILES)) {
+            return all.map(p -> p.getFileName().toString()).filter(n -> n.endsWith(".txt")).sorted().toList().stream();
+        }
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("files")
+    void plays(String file) throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.play(Files.readString(FILES.resolve(file)));
+        }
+    }
+
+    /** Time that moves only when told; timers run in the mover's thread. */
+    private static final class GivenTime extends AbstractLifeCycle implements Scheduler {
+        private record Entry(long at, long order, Runnable run) { }
+
+        private final PriorityQueue<Entry> entries = new PriorityQueue<>((a, b) ->
+                a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+        private long nanos;
+        private long order;
+
+        @Override
+        public synchronized Task schedule(Runnable run, long delay, TimeUnit unit) {
+            Entry entry = new Entry(nanos + unit.toNanos(delay), order++, run);
+            entries.add(entry);
+            return () -> {
+                synchronized (this) {
+                    return entries.remove(entry);
+                }
+            };
+        }
+
+        synchronized long nanos() {
+            return nanos;
+        }
+
+        void advance(long millis) {
+            long until = nanos() + TimeUnit.MILLISECONDS.toNanos(millis);
+            for (Entry due = next(until); due != null; due = next(until)) {
+                due.run.run();
+            }
+        }
+
+        private synchronized Entry next(long until) {
+            Entry due = entries.peek();
+            boolean now = due != null && due.at <= until;
+            nanos = now ? Math.max(nanos, due.at) : until;
+            return now ? entries.poll() : null;
+        }
+    }
+
+    /** The scheduler and its scripted peers. */
+    private static final class Stage implements AutoCloseable {
+        private final GivenTime time = new GivenTime();
+        private final ServerSocket servers = new ServerSocket(0, 50, LOOPBACK);
+        private final ServerSocket discovery = new ServerSocket(0, 50, LOOPBACK);
+        private final Map<String, Socket> peers = new HashMap<>();
+        private String config = Files.readString(FILES.resolve("config.json"));
+        private String module = "real";
+        private Node node;
+        private Thread draining;
+
+        Stage() throws IOException { }
+
+        void play(String script) throws Exception {
+            for (String block : script.split("(?m)^== ")) {
+                int end = block.indexOf('\n');
+                String[] words = block.substring(0, end).strip().split(" ");
+                String text = block.substring(end + 1);
+                if (words[0].startsWith("#")) {
+                    continue;   // the opening remark
+                }
+                step(words, text.replace("\n", "\r\n").replace("\\\r\n", "").replace("\\n", "\n")
+                        .replace("$S", "127.0.0.1:" + servers.getLocalPort())
+                        .replace("$D", "127.0.0.1:" + discovery.getLocalPort()), text);
+            }
+        }
+
+        private void step(String[] words, String bytes, String text) throws Exception {
+            switch (words[0]) {
+                case "config" -> config = config.replace(words[1], words[2]);
+                case "module" -> module = words[1];
+                case "start" -> start();
+                case "ready" -> {
+                    start();
+                    list("D1", LIST);
+                    untilReady(0);
+                }
+                case "until-ready" -> untilReady(0);
+                case "until-ready-in-time" -> untilReady(100);
+                case "term" -> {
+                    draining = new Thread(node::drain);
+                    draining.start();
+                }
+                case "gone" -> {
+                    while (draining.isAlive()) {
+                        time.advance(100);
+                        draining.join(1);
+                    }
+                }
+                case "time" -> time.advance(Long.parseLong(words[1]));
+                case "no-more" -> {
+                    servers.setSoTimeout(1);
+                    assertThatThrownBy(servers::accept)
+                            .isInstanceOf(SocketTimeoutException.class);
+                }
+                default -> act(words[0], words[1], bytes, text);
+            }
+        }
+
+        private void act(String who, String does, String bytes, String text) throws Exception {
+            Socket peer = peer(who, does.equals("reopens"));
+            switch (does) {
+                case "connects", "reopens" -> { }
+                case "ends-in-time", "gets-in-time" -> {
+                    // Time moves on until there is something to read, since nothing else shows that a timer is set.
+                    PushbackInputStream in = new PushbackInputStream(peer.getInputStream());
+                    peer.setSoTimeout(1);
+                    int first = -2;
+                    while (first == -2) {
+                        time.advance(25);
+                        try {
+                            first = in.read();
+                        } catch (SocketTimeoutException e) {
+                            continue;
+                        }
+                    }
+                    if (does.equals("ends-in-time")) {
+                        assertThat(first).as(who + " ends").isEqualTo(-1);
+                    } else {
+                        peer.setSoTimeout(0);
+                        in.unread(first);
+                        assertThat(message(in)).as(who + " gets").isEqualTo(bytes);
+                    }
+                }
+                case "sends" -> send(peer, bytes);
+                case "chunks" -> {
+                    for (String line : text.strip().split("\n")) {
+                        send(peer, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+                    }
+                }
+                case "lists" -> list(who, text.strip());
+                case "gets" -> assertThat(message(peer.getInputStream())).as(who + " gets").isEqualTo(bytes);
+                case "ends" -> assertThat(atEnd(peer)).as(who + " ends").isTrue();
+                case "closes" -> peer.close();
+                case "resets" -> {
+                    peer.setSoLinger(true, 0);
+                    peer.close();
+                }
+                default -> throw new IllegalArgumentException("no such step: " + does);
+            }
+        }
+
+        private void start() throws Exception {
+            config = config.replace("$S", "127.0.0.1:" + servers.getLocalPort())
+                    .replace("$D", "127.0.0.1:" + discovery.getLocalPort());
+            Config read = Config.parse(config);
+            node = new Node(read, new Clock(1_700_000_000_000L, time::nanos), time, actions -> switch (module) {
+                case "silent" -> faulty(false);
+                case "broken" -> faulty(true);
+                default -> new Dispatcher(read.settings(), actions);
+            });
+        }
+
+        /** A module that never orders anything, or throws at each request. */
+        private static DispatchApi faulty(boolean throwing) {
+            return (DispatchApi) Proxy.newProxyInstance(DispatchApi.class.getClassLoader(),
+                    new Class<?>[] {DispatchApi.class}, (proxy, method, args) -> {
+                        if (throwing && method.getName().equals("request")) {
+                            throw new IllegalStateException("broken on purpose");
+                        }
+                        return null;
+                    });
+        }
+
+        private Socket peer(String name, boolean inTime) throws IOException {
+            Socket known = peers.get(name);
+            if (known == null) {
+                known = switch (name.charAt(0)) {
+                    case 'C' -> new Socket(LOOPBACK, node.address().getPort());
+                    case 'S' -> servers.accept();
+                    case 'D' -> inTime ? acceptInTime() : discovery.accept();
+                    default -> throw new IllegalArgumentException("no such peer: " + name);
+                };
+                known.setTcpNoDelay(true);
+                peers.put(name, known);
+            }
+            return known;
+        }
+
+        private Socket acceptInTime() throws IOException {
+            discovery.setSoTimeout(1);
+            while (true) {
+                time.advance(10);
+                try {
+                    return discovery.accept();
+                } catch (SocketTimeoutException e) {
+                    continue;
+                }
+            }
+        }
+
+        private void list(String who, String line) throws IOException {
+            Socket watch = peer(who, false);
+            String head = "";
+            if (!line.startsWith("+")) {
+                message(watch.getInputStream());
+                head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            }
+            String json = line.replaceFirst("^\\+", "").replace("$S", "127.0.0.1:" + servers.getLocalPort()) + "\n";
+            // In two chunks that end mid-line: boundaries may fall anywhere.
+            String one = json.substring(0, json.length() / 2), two = json.substring(json.length() / 2);
+            send(watch, head + Integer.toHexString(one.length()) + "\r\n" + one + "\r\n"
+                    + Integer.toHexString(two.length()) + "\r\n" + two + "\r\n");
+        }
+
+        private void untilReady(long step) throws IOException {
+            try (Socket asker = new Socket(LOOPBACK, node.address().getPort())) {
+                String answer;
+                do {
+                    time.advance(step);
+                    send(asker, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                    answer = message(asker.getInputStream());
+                } while (!answer.startsWith("HTTP/1.1 200"));
+            }
+        }
+
+        private static void send(Socket to, String bytes) throws IOException {
+            to.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            to.getOutputStream().flush();
+        }
+
+        /** One message, framed by its Content-Length; the time to come back at is only seen to be one. */
+        private static String message(InputStream in) throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int b = in.read();
+                if (b < 0) {
+                    return head + "(end)";
+                }
+                head.append((char) b);
+            }
+            List<String> lines = new ArrayList<>(List.of(head.toString().split("\r\n")));
+            int length = lines.stream().filter(l -> l.startsWith("Content-Length: "))
+                    .mapToInt(l -> Integer.parseInt(l.substring(16))).findFirst().orElse(0);
+            String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+            return head.toString().replaceAll("Retry-After: (0\\.0*[1-9][0-9]*|[1-9][0-9.]*)", "Retry-After: ~") + body;
+        }
+
+        private static boolean atEnd(Socket peer) throws IOException {
+            try {
+                return peer.getInputStream().read() < 0;
+            } catch (SocketException e) {
+                return true;   // a reset ends a connection too
+            }
+        }
+
+        @Override
+        public void close() throws Exception {
+            for (Socket peer : peers.values()) {
+                peer.close();
+            }
+            if (node != null) {
+                node.stop();
+            }
+            servers.close();
+            discovery.close();
+        }
+    }
+}
