--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -77,7 +77,7 @@
 
     private static Config read(Path file) {
         String path = file != null ? file.toString() : System.getenv("GW_CONFIG");
-        if (path == null) {
+        if (path == null || path.isEmpty()) {
             throw new ConfigException("GW_CONFIG is not set and no --config is given");
         }
         return Config.read(Path.of(path));
--- a/src/main/java/barrowshore/net/Config.java
+++ b/src/main/java/barrowshore/net/Config.java
@@ -31,7 +31,12 @@
     }
 
     static Config parse(String text) {
-        Map<?, ?> root = map(json(text), "configuration");
+        Map<?, ?> root;
+        try {
+            root = map(json(text), "configuration");
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException("configuration is " + e.getMessage());
+        }
         Map<?, ?> nested = map(root.get("settings"), "settings");
         SettingsReader reader = SettingsReader.of(nested);
         ServiceEntry.Names names = new ServiceEntry.Names(reader.items("zones"), reader.items("kinds"));
@@ -59,6 +64,11 @@
                 throw new ConfigException("known: " + e.getMessage());
             }
         }
+        for (String list : List.of("lanes", "tenants")) {
+            if (reader.names(list).contains("")) {
+                throw new ConfigException("settings: " + list + "." + reader.names(list).indexOf("") + ".name is missing");
+            }
+        }
         return new Config(text(root, "name"), address(text(root, "listen"), "listen"),
                 address(text(root, "discovery"), "discovery"), sockets, settings, keepAlive, reader.names("lanes"),
                 reader.names("tenants"), names, known);
@@ -77,7 +87,7 @@
         try {
             return json.fromJSON(text);
         } catch (RuntimeException e) {
-            throw new IllegalArgumentException("not JSON: " + e.getMessage());
+            throw new IllegalArgumentException("not JSON: " + String.valueOf(e.getMessage()).replace('\n', ' '), e);
         }
     }
 
--- /dev/null
+++ b/src/test/java/barrowshore/net/ConfigTest.java
@@ -0,0 +1,64 @@
+package barrowshore.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import barrowshore.DispatchApi.Effect;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The configuration: what is read, and that what is wrong is named on one line. */
+class ConfigTest {
+    private static String good() throws IOException {
+        return Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replace("$S", "127.0.0.1:7").replace("$D", "127.0.0.1:9");
+    }
+
+    @Test
+    void readsNestedSettingsAndTheKnownList() throws IOException {
+        Config config = Config.parse(good());
+        assertThat(config.settings().seed).isEqualTo(0x8c1f30d27a5be964L);
+        assertThat(config.classes()).containsExactly("menu", "order");
+        assertThat(config.settings().classes[0].effect()).isEqualTo(Effect.SAFE);
+        assertThat(config.settings().classes[1].effect()).isEqualTo(Effect.UNSAFE);
+        assertThat(config.settings().connectTimeout).isEqualTo(250_000);
+        assertThat(config.keepAlive()).isEqualTo(60_000_000);
+        assertThat(config.known().rev()).isEqualTo(5);
+        assertThat(config.known().entries()).singleElement().satisfies(e -> {
+            assertThat(e.uid()).isEqualTo("s-1");
+            assertThat(e.state()).isEqualTo(ServiceEntry.State.READY);
+        });
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            "seed":"8c1f30d27a5be964" | "seed":"xyz"        | seed is not a hexadecimal number: xyz
+            "listen":"127.0.0.1:0"    | "listen":"here"     | listen is not address:port: here
+            "discovery":"127.0.0.1:9" | "discover":1        | discovery is missing or not a text
+            "sockets":1024            | "sockets":"many"    | limits.sockets must be a number of at least 64
+            "settings":               | "settinks":         | settings is missing or not an object
+            "aim":120000              | "aim":"soon"        | settings: setting lanes.0.aim is not a number: soon
+            "tick":5000               | "tick":0            | settings: tick must be positive
+            {"name":"menu",           | {                   | settings: lanes.0.name is missing
+            "targets":                | "target":           | known: targets is missing or not a list
+            "name":"n0"               | oops                | configuration is not JSON
+            """)
+    void namesWhatIsWrong(String part, String instead, String message) throws IOException {
+        String bad = good().replace(part, instead);
+        assertThatThrownBy(() -> Config.parse(bad)).isInstanceOf(ConfigException.class)
+                .hasMessageStartingWith(message).message().doesNotContain("\n");
+    }
+
+    @Test
+    void theClockIsAnchoredOnce() {
+        AtomicLong nanos = new AtomicLong(-5_000);
+        Clock clock = new Clock(1_700_000_000_000L, nanos::get);
+        nanos.addAndGet(2_500_000);
+        assertThat(clock.micros()).isEqualTo(1_700_000_000_002_500L);
+    }
+}
