Leave clients in the backlog above their part of the descriptors

Seen: with `ulimit -n 1024`, 1,200 idle connections opened in one go made Jetty's acceptor log "Too many open files": they came faster than the client side closed idle ones, and for that moment nothing could have been dialed to a real server or to discovery either. The program recovered, no flow was lost.

Dialer.doAccept now takes a permit of the clients' part first; the rest wait in the backlog.

--- a/src/main/java/barrowshore/net/Config.java
+++ b/src/main/java/barrowshore/net/Config.java
@@ -51,8 +51,8 @@
         }
         int sockets = 1024;
         if (root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") != null) {
-            if (!(limits.get("sockets") instanceof Number n) || n.intValue() < 64) {
-                throw new ConfigException("limits.sockets must be a number of at least 64");
+            if (!(limits.get("sockets") instanceof Number n) || n.intValue() < 128) {
+                throw new ConfigException("limits.sockets must be a number of at least 128");
             }
             sockets = n.intValue();
         }
--- a/src/main/java/barrowshore/net/Dialer.java
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -19,8 +19,9 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Opens and accepts every socket. It owns the selector and the budget of descriptors for outgoing connections: a permit
- * is taken when a dial starts and given back in one place, when its end point is closed or the dial fails. It must
+ * Opens and accepts every socket. It owns the selector and the budgets of descriptors for clients' and for outgoing
+ * connections: a permit is taken when an accept or a dial starts and given back in one place, when the end point is
+ * closed, or else when the dial fails. It must
  * never know what is spoken on a connection.
  */
 final class Dialer extends SelectorManager {
@@ -31,12 +32,14 @@
     }
 
     private final Semaphore budget;
+    private final Semaphore clients;
     private final Function<EndPoint, Connection> accepted;
 
-    Dialer(Executor pool, Scheduler scheduler, int outgoing, long connectMillis,
+    Dialer(Executor pool, Scheduler scheduler, int outgoing, int clients, long connectMillis,
            Function<EndPoint, Connection> accepted) {
         super(pool, scheduler, 1);
         this.budget = new Semaphore(outgoing);
+        this.clients = new Semaphore(clients);
         this.accepted = accepted;
         setConnectTimeout(connectMillis);
     }
@@ -69,6 +72,26 @@
         acceptor(server);
     }
 
+    /**
+     * Guards the descriptors: 1,200 idle connections in a burst once used them all up before the client side had closed
+     * any, and nothing could be dialed. Above the clients' part the rest wait in the backlog until one has ended.
+     */
+    @Override
+    protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
+        if (!clients.tryAcquire()) {
+            return null;
+        }
+        SelectableChannel channel = null;
+        try {
+            channel = super.doAccept(server);
+            return channel;
+        } finally {
+            if (channel == null) {
+                clients.release();
+            }
+        }
+    }
+
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
         channel.configureBlocking(false);
@@ -89,9 +112,7 @@
     @Override
     public void connectionClosed(Connection connection, Throwable cause) {
         super.connectionClosed(connection, cause);
-        if (!(connection instanceof ClientSide.ClientLink)) {
-            budget.release();
-        }
+        (connection instanceof ClientSide.ClientLink ? clients : budget).release();
     }
 
     @Override
--- a/src/main/java/barrowshore/net/Node.java
+++ b/src/main/java/barrowshore/net/Node.java
@@ -48,7 +48,8 @@
         this.timers = timers;
         int usable = config.sockets() - RESERVED;
         int outgoing = (int) (usable * OUTGOING);
-        dialer = new Dialer(pool, timers, outgoing, config.settings().connectTimeout / 1000, this::accepted);
+        dialer = new Dialer(pool, timers, outgoing, usable - outgoing, config.settings().connectTimeout / 1000,
+                this::accepted);
         module = new ModuleActor(clock, pool, timers, config.settings().maxAttempts,
                 uid -> new RealServer(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
                 newModule);
--- a/src/test/java/barrowshore/net/ConfigTest.java
+++ b/src/test/java/barrowshore/net/ConfigTest.java
@@ -40,7 +40,7 @@
             "seed":"8c1f30d27a5be964" | "seed":"xyz"        | seed is not a hexadecimal number: xyz
             "listen":"127.0.0.1:0"    | "listen":"here"     | listen is not address:port: here
             "discovery":"127.0.0.1:9" | "discover":1        | discovery is missing or not a text
-            "sockets":1024            | "sockets":"many"    | limits.sockets must be a number of at least 64
+            "sockets":1024            | "sockets":"many"    | limits.sockets must be a number of at least 128
             "settings":               | "settinks":         | settings is missing or not an object
             "aim":120000              | "aim":"soon"        | settings: setting lanes.0.aim is not a number: soon
             "tick":5000               | "tick":0            | settings: tick must be positive
--- a/src/test/java/barrowshore/net/ExchangeTest.java
+++ b/src/test/java/barrowshore/net/ExchangeTest.java
@@ -135,6 +135,13 @@
                 }
                 case "until-ready" -> untilReady(0);
                 case "until-ready-in-time" -> untilReady(100);
+                case "idle" -> {
+                    for (int k = 1; k <= Integer.parseInt(words[1]); k++) {
+                        Socket idle = peer("C-idle" + k, false);
+                        send(idle, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                        assertThat(message(idle.getInputStream())).startsWith("HTTP/1.1 200");
+                    }
+                }
                 case "term" -> {
                     draining = new Thread(node::drain);
                     draining.start();
