--- a/src/main/java/barrowshore/net/ClientSide.java
+++ b/src/main/java/barrowshore/net/ClientSide.java
@@ -1,5 +1,6 @@
 package barrowshore.net;
 
+import barrowshore.wire.SettingsReader;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -156,7 +157,12 @@
 
         private void closeIfIdle(ClientLink but) {
             mailbox.post(() -> {
-                if (this != but && !busy && parser.isStart() && !hasUnread() && !brokenWhileIdle()) {
+                if (this == but || busy || !parser.isStart()) {
+                    return;
+                }
+                if (hasUnread() || brokenWhileIdle()) {
+                    read();   // what the look took from the socket is a request; nothing else would wake us for it
+                } else {
                     shut();
                 }
             });
@@ -275,7 +281,7 @@
             if (!header("X-Priority-Class").equals(path)) {
                 throw new BadRequest(400, "X-Priority-Class is not the path's class");
             }
-            int tenant = tenants.isEmpty() ? -1 : tenants.indexOf(header("X-Tenant-Id"));
+            int tenant = tenants.isEmpty() ? -1 : tenants.indexOf(SettingsReader.plain(header("X-Tenant-Id")));
             if (tenant < 0 && !tenants.isEmpty()) {
                 throw new BadRequest(400, "X-Tenant-Id is not known");
             }
--- a/src/main/java/barrowshore/net/ModuleActor.java
+++ b/src/main/java/barrowshore/net/ModuleActor.java
@@ -210,10 +210,7 @@
             return;
         }
         for (Attempt a : List.copyOf(open.attempts)) {
-            if (!a.ended) {
-                a.server.giveUp(a);
-                conclude(a, Status.TIMEOUT, null, null);
-            }
+            giveUp(a, Status.TIMEOUT);
         }
         if (!open.answered) {
             // Guards against a module that fell silent: the client still waits, and a rule is at stake.
@@ -223,6 +220,16 @@
         }
     }
 
+    /** Stops waiting for a scheduling; one that was never sent has no real server to tell. */
+    private void giveUp(Attempt a, Status status) {
+        if (!a.ended) {
+            if (a.server != null) {
+                a.server.giveUp(a);
+            }
+            conclude(a, status, null, null);
+        }
+    }
+
     private void conclude(Attempt a, Status status, Load load, byte[] result) {
         if (a.ended) {
             return;
@@ -299,12 +306,8 @@
             return;
         }
         if (timeout > 0) {
-            a.timer = timers.schedule(() -> mailbox.post(() -> {
-                if (!a.ended) {
-                    server.giveUp(a);
-                    conclude(a, Status.TIMEOUT, null, null);
-                }
-            }), timeout, TimeUnit.MICROSECONDS);
+            a.timer = timers.schedule(() -> mailbox.post(() -> giveUp(a, Status.TIMEOUT)), timeout,
+                    TimeUnit.MICROSECONDS);
         }
         server.schedule(a);
     }
@@ -331,9 +334,8 @@
     public void cancel(String id, int attempt) {
         OpenFlow open = flows.get(id);
         if (open != null && attempt >= 0 && attempt < open.attempts.size()) {
-            Attempt a = open.attempts.get(attempt);
-            a.server.giveUp(a);
-            a.ended(Status.CANCELLED, null, null);
+            // After the call that orders it: the module is not told of an end while it is at work on another.
+            mailbox.post(() -> giveUp(open.attempts.get(attempt), Status.CANCELLED));
         }
     }
 
--- a/src/main/java/barrowshore/net/ServiceEntry.java
+++ b/src/main/java/barrowshore/net/ServiceEntry.java
@@ -1,5 +1,6 @@
 package barrowshore.net;
 
+import barrowshore.wire.SettingsReader;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -100,14 +101,14 @@
                 throw new IllegalArgumentException("a target lacks its uid or state");
             }
             String endpoint = t.get("endpoint") instanceof String s ? s : "";
-            int kind = names.kinds().indexOf(String.valueOf(t.get("model")));
+            int kind = names.kinds().indexOf(SettingsReader.plain(t.get("model")));
             if (kind < 0 && !names.kinds().isEmpty()) {
                 // Guards the module against a kind that its settings do not name.
                 LOG.log(Level.WARNING, "real server {0} is of an unknown model, left out", uid);
                 continue;
             }
             entries.add(new Entry(uid, endpoint, endpoint.isEmpty() ? null : Config.address(endpoint, "endpoint"),
-                    names.zones().indexOf(String.valueOf(t.get("az"))), Math.max(0, kind),
+                    names.zones().indexOf(SettingsReader.plain(t.get("az"))), Math.max(0, kind),
                     (int) number(t.get("pod_group"), 0), switch (state) {
                         case "Ready" -> State.READY;
                         case "Gone" -> State.GONE;
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -58,7 +58,8 @@
         }
     }
 
-    private static String plain(Object value) {
+    /** A name as the pairs have it, without spaces and commas; names from elsewhere are compared in this form. */
+    public static String plain(Object value) {
         return value == null ? "" : value.toString().replaceAll("[ ,]", "_");
     }
 
