--- a/src/test/java/barrowshore/net/ExchangeTest.java
+++ b/src/test/java/barrowshore/net/ExchangeTest.java
@@ -32,9 +32,10 @@
 
 /**
  * Plays recorded byte exchanges against a whole scheduler on loopback sockets. Each file under {@code exchanges} is a
- * script of blocks: a line {@code == WHO DOES}, then the bytes, whose lines end in CR LF unless a backslash ends them.
- * C1, C2.. are clients, S1, S2.. the connections that the one real server accepts, in order, D1, D2.. discovery's.
- * Time stands still but for {@code == time MILLIS}; nothing here waits for a clock.
+ * script of blocks: a line {@code == WHO DOES}, then the bytes, whose lines end in CR LF unless a backslash ends them;
+ * {@code @NAME ARGUMENTS} behind it stands for the bytes in {@code messages/NAME}. C1, C2.. are clients, S1, S2.. the
+ * connections that the one real server accepts, in order, D1, D2.. discovery's. Time stands still but for
+ * {@code == time MILLIS} and the steps that move it on until something comes; nothing here waits for a clock.
  */
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class ExchangeTest {
@@ -114,10 +115,17 @@
                 int end = block.indexOf('\n');
                 String[] words = block.substring(0, end).strip().split(" ");
                 String text = block.substring(end + 1);
+                if (words.length > 2 && words[2].startsWith("@")) {
+                    text = Files.readString(FILES.resolve("messages").resolve(words[2].substring(1)));
+                    for (int k = 3; k < words.length; k++) {
+                        text = text.replace("$" + (k - 2), words[k]);
+                    }
+                }
                 if (words[0].startsWith("#")) {
                     continue;   // the opening remark
                 }
                 step(words, text.replace("\n", "\r\n").replace("\\\r\n", "").replace("\\n", "\n")
+                        .replace("$64K", "x".repeat(65536))
                         .replace("$S", "127.0.0.1:" + servers.getLocalPort())
                         .replace("$D", "127.0.0.1:" + discovery.getLocalPort()), text);
             }
