Know that a request is written before anything can be read back

Cause: RealServer.Link learned by a message to its mailbox that its last byte was written. In the turn that follows a dial (begin: carry, then read) an answer or a reset already there was read before that message ran, so that `written` was still false: a whole answer cost its connection, and a reset was reported as CONNECT_FAILED, 'never ran', for a job that may have run. For a class that must never run twice that allowed a second send. The order of messages from the selector was checked and ruled out: only the same turn could overtake it.

The writer now sets a volatile flag of the work itself.

--- a/src/main/java/barrowshore/net/ClientSide.java
+++ b/src/main/java/barrowshore/net/ClientSide.java
@@ -359,7 +359,7 @@
             if (last) {
                 extra.add(HttpHeader.CONNECTION, "close");
             }
-            write(new MetaData.Response(status, null, HttpVersion.HTTP_1_1, extra, content.length), content, () -> {
+            write(new MetaData.Response(status, null, HttpVersion.HTTP_1_1, extra, content.length), content, () -> mailbox.post(() -> {
                 if (last) {
                     finish(LINGER);
                 } else {
@@ -368,7 +368,7 @@
                     limit(IDLE);
                     read();
                 }
-            });
+            }));
         }
 
         @Override
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -159,11 +159,14 @@
         }
     }
 
-    /** Writes a whole message; the result comes back through the mailbox. */
+    /**
+     * Writes a whole message. The runnable is run by whoever writes the last byte, before anything that comes back can
+     * be read; it may only post or set a flag meant for that. A failure ends the connection, through the mailbox.
+     */
     void write(MetaData message, byte[] body, Runnable written) {
         ByteBuffer content = body.length == 0 ? null : ByteBuffer.wrap(body);
         ByteBuffer header = header(message, content);
-        Callback callback = Callback.from(() -> mailbox.post(written), cause -> mailbox.post(() -> end(cause)));
+        Callback callback = Callback.from(written::run, cause -> mailbox.post(() -> end(cause)));
         if (content == null) {
             getEndPoint().write(callback, header);
         } else {
--- a/src/main/java/barrowshore/net/RealServer.java
+++ b/src/main/java/barrowshore/net/RealServer.java
@@ -191,6 +191,12 @@
         Scheduler.Task timer;
         Link link;
         boolean over;
+        /**
+         * Whether the last byte has been written. Set by the writer itself, the one thing here that does not come by
+         * the mailbox: it once did, and a reset read in the same turn as the write overtook it, so that a request
+         * written whole was reported as never run.
+         */
+        volatile boolean written;
 
         Work(Scheduling scheduling, Probe probe) {
             this.scheduling = scheduling;
@@ -235,7 +241,6 @@
         private Work work;
         private LineBuffer lines;
         private StringBuilder body;
-        private boolean written;
         private boolean persistent;
         private boolean retired;
         private int status;
@@ -281,7 +286,7 @@
             }
             work = next;
             next.link = this;
-            written = notProcessed = false;
+            notProcessed = false;
             status = 0;
             load = null;
             lines = null;
@@ -292,18 +297,14 @@
                     address.getHostString() + ":" + address.getPort());
             if (scheduling == null) {
                 write(new MetaData.Request("GET", HttpURI.from("/-/load"), HttpVersion.HTTP_1_1, fields, 0), NO_BODY,
-                        () -> written = true);
+                        () -> next.written = true);
                 return;
             }
             Flow flow = scheduling.flow();
             fields.add("X-Request-ID", flow.id());
             fields.add("X-Timeout-Ms", String.valueOf(Math.max(1, scheduling.left() / 1000)));
             write(new MetaData.Request(flow.method(), HttpURI.from(flow.target()), HttpVersion.HTTP_1_1, fields,
-                    flow.body().length), flow.body(), () -> {
-                        if (work == next) {
-                            written = true;
-                        }
-                    });
+                    flow.body().length), flow.body(), () -> next.written = true);
         }
 
         @Override
@@ -396,9 +397,10 @@
             } else {
                 work.end(notProcessed && (status == 503 || status == 504) ? Status.FULL : Status.ERROR, load, null);
             }
+            boolean reusable = persistent && work.written;
             work = null;
             parser.reset();
-            if (persistent && written) {
+            if (reusable) {
                 rest();
             } else {
                 shut();
@@ -412,7 +414,7 @@
             idle.remove(this);
             if (work != null) {
                 // Only a request whose last byte was not written is known not to have run.
-                work.end(written ? Status.RESET : Status.CONNECT_FAILED, null, null);
+                work.end(work.written ? Status.RESET : Status.CONNECT_FAILED, null, null);
                 work = null;
             }
         }
