Read the configuration again on SIGHUP, and take discovery's list whole where it moved

ServiceEntry held one fixed address and asked after a version of another history. Now: a handler before anything is started, files read in a mailbox of their own, ServiceEntry.move. Descriptors are left to the service entry when real servers use up the rest. The log has one line a message. Tests fail without it: the signal ends the test JVM, and the exchanges wait for a new watch for ever.

--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -24,6 +24,8 @@
  * flows, and never write to standard output while {@code drill} runs, whose replies go there.
  */
 public final class Main {
+    private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
+
     /** A sub-command. */
     interface Command {
         void run() throws Exception;
@@ -36,7 +38,7 @@
 
         @Override
         public void run() throws Exception {
-            Node.serve(read(config));
+            Node.serve(() -> read(config));
         }
     }
 
@@ -84,6 +86,10 @@
     }
 
     public static void main(String[] args) throws Exception {
+        // One line a message: what is read beside a pager must not need two.
+        if (System.getProperty(LOG_FORMAT) == null) {
+            System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
+        }
         System.exit(run(args));
     }
 
--- a/src/main/java/barrowshore/net/Config.java
+++ b/src/main/java/barrowshore/net/Config.java
@@ -7,18 +7,24 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
 import org.eclipse.jetty.util.ajax.JSON;
 
 /**
- * What a scheduler is told at its start. It owns the reading of the configuration file and of nothing else: each field
+ * What a scheduler is told at its start and again on SIGHUP. It owns the reading of the configuration file and of nothing else: each field
  * is checked here, once, and a wrong one gets a {@link ConfigException} that names it. It must never guess a value that
  * is required, and never open a socket.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, Settings settings,
                      long keepAlive, List<String> classes, List<String> tenants, ServiceEntry.Names names,
-                     ServiceEntry.Update known) {
+                     ServiceEntry.Update known, Map<String, Object> fixed) {
+    /** The fields that a running scheduler takes over, and those that matter only to a fresh one. */
+    private static final Set<String> LIVE = Set.of("discovery", "known", "seed");
 
     public static Config read(Path file) {
         String text;
@@ -69,9 +75,20 @@
                 throw new ConfigException("settings: " + list + "." + reader.names(list).indexOf("") + ".name is missing");
             }
         }
+        Map<String, Object> fixed = new HashMap<>();
+        root.forEach((field, value) -> fixed.put(String.valueOf(field), value));
+        fixed.keySet().removeAll(LIVE);
         return new Config(text(root, "name"), address(text(root, "listen"), "listen"),
                 address(text(root, "discovery"), "discovery"), sockets, settings, keepAlive, reader.names("lanes"),
-                reader.names("tenants"), names, known);
+                reader.names("tenants"), names, known, fixed);
+    }
+
+    /** The fields that differ from another configuration's and are taken over only at a start. */
+    List<String> differing(Config other) {
+        Set<String> all = new TreeSet<>(fixed.keySet());
+        all.addAll(other.fixed.keySet());
+        all.removeIf(field -> Objects.equals(fixed.get(field), other.fixed.get(field)));
+        return List.copyOf(all);
     }
 
     /** One line for a person. */
--- a/src/main/java/barrowshore/net/Dialer.java
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -44,11 +44,12 @@
         setConnectTimeout(connectMillis);
     }
 
-    /** Dials; false if the budget of descriptors is used up, in which case the opener hears nothing. */
-    boolean dial(InetSocketAddress address, Opener opener) {
-        if (!budget.tryAcquire()) {
+    /** Dials; false if that would not leave so many descriptors to others, in which case the opener hears nothing. */
+    boolean dial(InetSocketAddress address, int leave, Opener opener) {
+        if (!budget.tryAcquire(1 + leave)) {
             return false;
         }
+        budget.release(leave);
         SocketChannel channel = null;
         try {
             channel = SocketChannel.open();
--- a/src/main/java/barrowshore/net/LineBuffer.java
+++ b/src/main/java/barrowshore/net/LineBuffer.java
@@ -23,9 +23,7 @@
         while (piece.hasRemaining()) {
             byte b = piece.get();
             if (b == '\n') {
-                String line = new String(held, 0, length, StandardCharsets.UTF_8);
-                length = 0;
-                taker.accept(line);
+                end(taker);
             } else {
                 if (length == bound) {
                     throw new IllegalStateException("a line is longer than " + bound + " bytes");
@@ -37,4 +35,11 @@
             }
         }
     }
+
+    /** What is held is a whole line, though nothing ends it: its message is complete. */
+    void end(Consumer<String> taker) {
+        String line = new String(held, 0, length, StandardCharsets.UTF_8);
+        length = 0;
+        taker.accept(line);
+    }
 }
--- a/src/main/java/barrowshore/net/Node.java
+++ b/src/main/java/barrowshore/net/Node.java
@@ -7,11 +7,14 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -41,10 +44,14 @@
     private final ServiceEntry entry;
     private final Dialer dialer;
     private final ServerSocketChannel server;
+    /** What is read again runs here, one file after the other. */
+    private final Mailbox configuration = new Mailbox("the configuration", pool);
+    private final Config config;
 
     /** Starts a scheduler; the timers are started by the caller and stopped with the node. */
     Node(Config config, Clock clock, Scheduler timers, Function<DispatchApi.Actions, DispatchApi> newModule)
             throws Exception {
+        this.config = config;
         this.timers = timers;
         int usable = config.sockets() - RESERVED;
         int outgoing = (int) (usable * OUTGOING);
@@ -79,7 +86,11 @@
     }
 
     /** Serves until SIGTERM; then goes on until all is answered and the clients' connections are gone. */
-    public static void serve(Config config) throws Exception {
+    public static void serve(Supplier<Config> source) throws Exception {
+        CompletableFuture<Node> started = new CompletableFuture<>();
+        // Guards against the JVM's own way with SIGHUP, which is to end: in place before there is anything to end.
+        onHangUp(() -> started.thenAccept(node -> node.reload(source)));
+        Config config = source.get();
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
         Node node = new Node(config, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
@@ -87,9 +98,33 @@
             node.drain();
             Runtime.getRuntime().halt(0);
         }, "drain"));
+        started.complete(node);
         new CountDownLatch(1).await();
     }
 
+    /** The JDK has no other way to take a signal; a shutdown hook hears of SIGHUP too, but cannot stop the end. */
+    @SuppressWarnings("sunapi")
+    static void onHangUp(Runnable run) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> run.run());
+    }
+
+    /** Reads the configuration again and takes over what may change while flows are open; a bad one changes nothing. */
+    void reload(Supplier<Config> source) {
+        configuration.post(() -> {
+            try {
+                Config read = source.get();
+                LOG.log(Level.INFO, "configuration read again: discovery {0}", read.discovery());
+                List<String> later = config.differing(read);
+                if (!later.isEmpty()) {
+                    LOG.log(Level.WARNING, "changed, but taken over only at a start: {0}", String.join(", ", later));
+                }
+                entry.move(read.discovery());
+            } catch (ConfigException e) {
+                LOG.log(Level.WARNING, "configuration not taken over: {0}", e.getMessage());
+            }
+        });
+    }
+
     void drain() {
         CountDownLatch ended = new CountDownLatch(3);
         timers.schedule(() -> {
--- a/src/main/java/barrowshore/net/RealServer.java
+++ b/src/main/java/barrowshore/net/RealServer.java
@@ -33,6 +33,8 @@
 final class RealServer {
     private static final String LOAD_HEADER = "X-Server-Load";
     private static final String NOT_PROCESSED_HEADER = "X-Not-Processed";
+    /** Descriptors left to the service entry: busy real servers must not keep it from being heard. */
+    private static final int ENTRY = 2;
     private static final byte[] NO_BODY = new byte[0];
     /** How long an answer's tail may take after its last line, before the connection is given up. */
     private static final long TAIL = 1000;
@@ -164,7 +166,7 @@
             return;
         }
         dialing++;
-        boolean started = dialer.dial(address, new Dialer.Opener() {
+        boolean started = dialer.dial(address, ENTRY, new Dialer.Opener() {
             @Override
             public Connection apply(EndPoint endPoint) {
                 return new Link(endPoint, work);
--- a/src/main/java/barrowshore/net/ServiceEntry.java
+++ b/src/main/java/barrowshore/net/ServiceEntry.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
@@ -22,15 +23,19 @@
 
 /**
  * The service entry: discovery's list of real servers, followed by a watch that is reopened whenever it breaks or falls
- * silent. An actor; it owns the watch's connection, its timers and the version of the list last heard. It must never
- * judge a real server: what it reads goes on to the module actor whole, in order.
+ * silent, at an address that may change while it runs. An actor; it owns the watch's connection, its timers and the
+ * version of the list last heard. It must never judge a real server: what it reads goes on to the module actor whole,
+ * in order, and it must never ask one address for what has changed since another's version.
  */
 final class ServiceEntry {
     private static final System.Logger LOG = System.getLogger(ServiceEntry.class.getName());
+    private static final int LONGEST_LINE = 1 << 20;
     private static final long FIRST_PAUSE = 50;
     private static final long LONGEST_PAUSE = 1000;
     /** An empty line comes every 2 s; a watch that misses three of them is taken for broken. */
     private static final long SILENCE = 7000;
+    /** The whole list is answered at once, or else discovery is silent just now and is asked again. */
+    private static final long ANSWER = 1000;
 
     enum State { READY, TERMINATING, GONE }
 
@@ -46,12 +51,18 @@
 
     private final Dialer dialer;
     private final Scheduler timers;
-    private final InetSocketAddress address;
     private final Names names;
     private final Consumer<Update> listener;
     private final Mailbox mailbox;
+    private InetSocketAddress address;
+    /** Counts the addresses: what belongs to an earlier one is told by it. */
+    private int life;
+    /** Whether this address has told its whole list; until then its versions mean nothing to us. */
+    private boolean whole;
     private long rev;
     private long pause = FIRST_PAUSE;
+    /** The watch whose changes count; it may be of the former address until the present one has told its list. */
+    private Watch heard;
 
     ServiceEntry(Config config, Executor pool, Dialer dialer, Scheduler timers, Consumer<Update> listener) {
         this.dialer = dialer;
@@ -59,34 +70,54 @@
         this.address = config.discovery();
         this.names = config.names();
         this.listener = listener;
-        this.rev = config.known().rev();
         this.mailbox = new Mailbox("the service entry", pool);
     }
 
     void open() {
-        mailbox.post(this::dial);
+        mailbox.post(() -> dial(life));
     }
 
-    private void dial() {
-        boolean started = dialer.dial(address, new Dialer.Opener() {
+    /**
+     * Discovery is elsewhere from now on. The former watch is heard until the new address has told its list, which is
+     * another history: it is taken whole, since a version of the one says nothing about the other.
+     */
+    void move(InetSocketAddress to) {
+        mailbox.post(() -> {
+            if (!to.equals(address)) {
+                address = to;
+                life++;
+                whole = false;
+                pause = FIRST_PAUSE;
+                dial(life);
+            }
+        });
+    }
+
+    private void dial(int of) {
+        if (of != life) {
+            return;
+        }
+        boolean started = dialer.dial(address, 0, new Dialer.Opener() {
             @Override
             public Connection apply(EndPoint endPoint) {
-                return new Watch(endPoint);
+                return new Watch(endPoint, of);
             }
 
             @Override
             public void failed(Throwable cause) {
-                mailbox.post(ServiceEntry.this::again);
+                mailbox.post(() -> again(of));
             }
         });
         if (!started) {
-            again();
+            again(of);
         }
     }
 
-    private void again() {
-        timers.schedule(this::open, pause, TimeUnit.MILLISECONDS);
-        pause = Math.min(LONGEST_PAUSE, pause * 2);
+    private void again(int of) {
+        if (of == life) {
+            timers.schedule(() -> mailbox.post(() -> dial(of)), pause, TimeUnit.MILLISECONDS);
+            pause = Math.min(LONGEST_PAUSE, pause * 2);
+        }
     }
 
     /** Reads a list in discovery's form; an IllegalArgumentException names what is wrong. */
@@ -122,63 +153,111 @@
         return value instanceof Number n ? n.doubleValue() : otherwise;
     }
 
-    /** The connection of one watch. */
+    /** The connection of one watch; the first at an address asks for the whole list before it watches. */
     private final class Watch extends HttpLink implements HttpParser.ResponseHandler {
-        private final LineBuffer lines = new LineBuffer(1 << 20);
+        private final int of;
+        private final LineBuffer lines = new LineBuffer(LONGEST_LINE);
+        private boolean listing;
+        private boolean persistent;
 
-        Watch(EndPoint endPoint) {
+        Watch(EndPoint endPoint, int of) {
             super(endPoint, ServiceEntry.this.mailbox, timers);
+            this.of = of;
             parser = new HttpParser((HttpParser.ResponseHandler) this);
         }
 
         @Override
         void begin() {
-            limit(SILENCE);
+            if (of != life) {
+                shut();   // moved on while it came up
+                return;
+            }
+            ask();
+            read();
+        }
+
+        private void ask() {
+            listing = !whole;
+            limit(listing ? ANSWER : SILENCE);
+            persistent = true;
             HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":"
                     + address.getPort());
-            write(new MetaData.Request("GET", HttpURI.from("/api/targets?watch=1&after=" + rev), HttpVersion.HTTP_1_1,
-                    fields, 0), new byte[0], () -> { });
-            read();
+            String target = listing ? "/api/targets" : "/api/targets?watch=1&after=" + rev;
+            write(new MetaData.Request("GET", HttpURI.from(target), HttpVersion.HTTP_1_1, fields, 0), new byte[0],
+                    () -> { });
         }
 
         @Override
         public void startResponse(HttpVersion version, int status, String reason) {
+            persistent = version == HttpVersion.HTTP_1_1;
             if (status != 200) {
-                LOG.log(Level.WARNING, "the watch was answered {0}", status);
+                LOG.log(Level.WARNING, "discovery answered {0}", status);
                 mailbox.post(this::shut);
             }
         }
 
+        @Override
+        public void parsedHeader(HttpField field) {
+            if (field.getHeader() == HttpHeader.CONNECTION && field.contains("close")) {
+                persistent = false;
+            }
+        }
+
         @Override
         public boolean content(ByteBuffer bytes) {
-            limit(SILENCE);
-            lines.add(bytes, line -> {
-                if (line.isBlank()) {
-                    return;
-                }
-                try {
-                    Update update = update((Map<?, ?>) Config.json(line), names);
+            if (!listing) {
+                limit(SILENCE);
+            }
+            lines.add(bytes, this::take);
+            return false;
+        }
+
+        private void take(String line) {
+            if (line.isBlank() || of != life && this != heard) {
+                return;
+            }
+            try {
+                Update update = update((Map<?, ?>) Config.json(line), names);
+                listener.accept(listing ? new Update(update.rev(), true, update.entries()) : update);
+                if (of == life) {
                     rev = update.rev();
+                    whole = true;
                     pause = FIRST_PAUSE;
-                    listener.accept(update);
-                } catch (IllegalArgumentException | ClassCastException | ConfigException e) {
-                    // A line that cannot be read is a gap: the watch starts over from the version before it.
-                    LOG.log(Level.WARNING, "the watch sent what is no list: {0}", e.getMessage());
-                    shut();
+                    hear();
                 }
-            });
-            return false;
+            } catch (IllegalArgumentException | ClassCastException | ConfigException e) {
+                // A line that cannot be read is a gap: the watch starts over from the version before it.
+                LOG.log(Level.WARNING, "the watch sent what is no list: {0}", e.getMessage());
+                shut();
+            }
+        }
+
+        private void hear() {
+            Watch former = heard;
+            heard = this;
+            if (former != null && former != this) {
+                former.shut();
+            }
         }
 
         @Override
         public boolean messageComplete() {
-            mailbox.post(this::shut);
+            if (listing) {
+                lines.end(this::take);   // the list need not end in a line's end
+            }
+            if (listing && whole && persistent && of == life) {
+                parser.reset();
+                ask();
+            } else {
+                mailbox.post(this::shut);
+            }
             return true;
         }
 
         @Override
         void onEnd(Throwable cause) {
-            again();
+            heard = heard == this ? null : heard;
+            again(of);
         }
     }
 }
--- a/src/test/java/barrowshore/net/ConfigTest.java
+++ b/src/test/java/barrowshore/net/ConfigTest.java
@@ -7,8 +7,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -54,6 +56,25 @@
                 .hasMessageStartingWith(message).message().doesNotContain("\n");
     }
 
+    @Test
+    void tellsWhatOnlyAStartTakesOver() throws IOException {
+        Config other = Config.parse(good().replace("127.0.0.1:9", "127.0.0.1:10").replace("8c1f", "9c1f")
+                .replace("\"rev\":5", "\"rev\":6").replace("\"sockets\":1024", "\"sockets\":512"));
+        assertThat(other.discovery().getPort()).isEqualTo(10);
+        assertThat(Config.parse(good()).differing(other)).containsExactly("limits");
+    }
+
+    /** Without the handler the signal ends the JVM that runs this. */
+    @Test
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    @SuppressWarnings("sunapi")
+    void sigHupIsHandled() throws InterruptedException {
+        CountDownLatch heard = new CountDownLatch(1);
+        Node.onHangUp(heard::countDown);
+        sun.misc.Signal.raise(new sun.misc.Signal("HUP"));
+        heard.await();
+    }
+
     @Test
     void theClockIsAnchoredOnce() {
         AtomicLong nanos = new AtomicLong(-5_000);
--- a/src/test/java/barrowshore/net/ExchangeTest.java
+++ b/src/test/java/barrowshore/net/ExchangeTest.java
@@ -34,7 +34,7 @@
  * Plays recorded byte exchanges against a whole scheduler on loopback sockets. Each file under {@code exchanges} is a
  * script of blocks: a line {@code == WHO DOES}, then the bytes, whose lines end in CR LF unless a backslash ends them;
  * {@code @NAME ARGUMENTS} behind it stands for the bytes in {@code messages/NAME}. C1, C2.. are clients, S1, S2.. the
- * connections that the one real server accepts, in order, D1, D2.. discovery's. Time stands still but for
+ * connections that the one real server accepts, in order, D1, D2.. discovery's, E1, E2.. those of a second discovery. Time stands still but for
  * {@code == time MILLIS} and the steps that move it on until something comes; nothing here waits for a clock.
  */
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -102,6 +102,7 @@
         private final GivenTime time = new GivenTime();
         private final ServerSocket servers = new ServerSocket(0, 50, LOOPBACK);
         private final ServerSocket discovery = new ServerSocket(0, 50, LOOPBACK);
+        private final ServerSocket elsewhere = new ServerSocket(0, 50, LOOPBACK);
         private final Map<String, Socket> peers = new HashMap<>();
         private String config = Files.readString(FILES.resolve("config.json"));
         private String module = "real";
@@ -124,16 +125,26 @@
                 if (words[0].startsWith("#")) {
                     continue;   // the opening remark
                 }
-                step(words, text.replace("\n", "\r\n").replace("\\\r\n", "").replace("\\n", "\n")
-                        .replace("$64K", "x".repeat(65536))
-                        .replace("$S", "127.0.0.1:" + servers.getLocalPort())
-                        .replace("$D", "127.0.0.1:" + discovery.getLocalPort()), text);
+                step(words, named(text.replace("\n", "\r\n").replace("\\\r\n", "").replace("\\n", "\n")
+                        .replace("$64K", "x".repeat(65536))), text);
             }
         }
 
+        /** Puts in the addresses of this run. */
+        private String named(String text) {
+            return text.replace("$S", "127.0.0.1:" + servers.getLocalPort())
+                    .replace("$D", "127.0.0.1:" + discovery.getLocalPort())
+                    .replace("$E", "127.0.0.1:" + elsewhere.getLocalPort());
+        }
+
         private void step(String[] words, String bytes, String text) throws Exception {
             switch (words[0]) {
                 case "config" -> config = config.replace(words[1], words[2]);
+                case "reload" -> {
+                    config = config.replace(named(words[1]), named(words[2]));
+                    String file = config;
+                    node.reload(() -> Config.parse(file));
+                }
                 case "module" -> module = words[1];
                 case "start" -> start();
                 case "ready" -> {
@@ -214,8 +225,7 @@
         }
 
         private void start() throws Exception {
-            config = config.replace("$S", "127.0.0.1:" + servers.getLocalPort())
-                    .replace("$D", "127.0.0.1:" + discovery.getLocalPort());
+            config = named(config);
             Config read = Config.parse(config);
             node = new Node(read, new Clock(1_700_000_000_000L, time::nanos), time, actions -> switch (module) {
                 case "silent" -> faulty(false);
@@ -242,6 +252,7 @@
                     case 'C' -> new Socket(LOOPBACK, node.address().getPort());
                     case 'S' -> servers.accept();
                     case 'D' -> inTime ? acceptInTime() : discovery.accept();
+                    case 'E' -> elsewhere.accept();
                     default -> throw new IllegalArgumentException("no such peer: " + name);
                 };
                 known.setTcpNoDelay(true);
@@ -262,17 +273,21 @@
             }
         }
 
+        /** Tells the whole list, asked for first, and opens the watch; or (+) tells a line of the watch. */
         private void list(String who, String line) throws IOException {
             Socket watch = peer(who, false);
-            String head = "";
             if (!line.startsWith("+")) {
-                message(watch.getInputStream());
-                head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                assertThat(message(watch.getInputStream())).startsWith("GET /api/targets HTTP/1.1\r\n");
+                String list = named(line);
+                send(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+                assertThat(message(watch.getInputStream())).startsWith("GET /api/targets?watch=1&after=");
+                send(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                return;
             }
-            String json = line.replaceFirst("^\\+", "").replace("$S", "127.0.0.1:" + servers.getLocalPort()) + "\n";
+            String json = named(line.substring(1)) + "\n";
             // In two chunks that end mid-line: boundaries may fall anywhere.
             String one = json.substring(0, json.length() / 2), two = json.substring(json.length() / 2);
-            send(watch, head + Integer.toHexString(one.length()) + "\r\n" + one + "\r\n"
+            send(watch, Integer.toHexString(one.length()) + "\r\n" + one + "\r\n"
                     + Integer.toHexString(two.length()) + "\r\n" + two + "\r\n");
         }
 
@@ -327,6 +342,7 @@
             }
             servers.close();
             discovery.close();
+            elsewhere.close();
         }
     }
 }
