Give bad clients 2 s, check heads whole, and keep connections in use while ending

Fault: ClientSide.IDLE, opened, respond; ModuleActor.open knew only open ids; HttpLink.limit could end a connection by a limit replaced as it ran out. Fault: Node.drain, SETTLE.

--- a/src/main/java/barrowshore/net/ClientSide.java
+++ b/src/main/java/barrowshore/net/ClientSide.java
@@ -5,11 +5,14 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
+import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
@@ -32,12 +35,33 @@
     private static final int MAX_HEADERS = 16 * 1024;
     /** Microseconds before the client's deadline at which a flow is answered come what may: the answer's way back. */
     private static final long MARGIN = 25_000;
-    /** How long a connection may stand idle or a request dribble in. */
+    /** How long a connection may stand idle that has had a flow's answer. */
     private static final long IDLE = 120_000;
+    /**
+     * How long a request may take from the connection's first moment, or from its first byte on a connection that has
+     * had a flow's answer, until it is whole. The usual client sends it in one piece.
+     */
+    private static final long WHOLE = 2_000;
+    /** How long a client may leave an answer unread. */
+    private static final long UNREAD = 10_000;
     /** What a client is told to wait, in microseconds, that is shed before the module sees it. */
     private static final long SHED_DELAY = 1_000_000;
     /** How long a client may take to read the last answer and close. */
     private static final long LINGER = 1_000;
+    /** Milliseconds after SIGTERM from which a flow must be answered before the end, since nothing of it outlives us. */
+    private static final long GRACE = 600;
+    /** Slots and hints above this are no job's. */
+    private static final double MOST_SLOTS = 64;
+    private static final double MOST_HINT = 1e9;
+    /** The longest time that a client may wait, in milliseconds. */
+    private static final long LONGEST_WAIT = 3_600_000;
+    private static final Pattern ID = Pattern.compile("[0-9A-Za-z._-]{1,64}");
+    private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,9}");
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,10}(\\.[0-9]{1,9})?");
+    private static final Pattern TARGET = Pattern.compile("/[A-Za-z0-9._~:/?\\[\\]@!$&'()*+,;=%-]{0,4095}");
+    /** What decides of a flow; said twice, it says nothing. */
+    private static final List<String> ONCE = List.of("X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout-Ms",
+            "X-Attrs");
     /** Bytes of request bodies held at once, over all connections: a quarter of the heap. */
     private static final int MOST_BYTES = 14 << 20;
     private static final byte[] NOTHING = new byte[0];
@@ -52,7 +76,13 @@
     private final int most;
     private final Mailbox mailbox;
     private final Set<ClientLink> links = new HashSet<>();
+    /** Those to close when there are too many, each oldest first: ended but for the peer, without a flow yet, idle. */
+    private final Set<ClientLink> ending = new LinkedHashSet<>();
+    private final Set<ClientLink> waiting = new LinkedHashSet<>();
+    private final Set<ClientLink> idle = new LinkedHashSet<>();
     private boolean draining;
+    private long cappedFrom = Long.MAX_VALUE;
+    private long cap = Long.MAX_VALUE;
     private Runnable whenEmpty;
 
     ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, ModuleActor module, int most) {
@@ -70,13 +100,23 @@
         return new ClientLink(endPoint);
     }
 
+    /** The process may be killed so many milliseconds from now: flows that still come are answered before. */
+    void endsIn(long millis) {
+        long now = clock.micros();
+        mailbox.post(() -> {
+            cappedFrom = now + GRACE * 1000;
+            cap = now + millis * 1000;
+            links.forEach(link -> link.cap(cappedFrom, cap));
+        });
+    }
+
     /** From now on each answer ends its connection and idle ones are closed; the message runs once none is left. */
     void drain(Runnable message) {
         mailbox.post(() -> {
             draining = true;
             whenEmpty = message;
             links.forEach(ClientLink::drain);
-            links.forEach(link -> link.closeIfIdle(null));
+            links.forEach(link -> link.closeIfIdle(false));
             tellIfEmpty();
         });
     }
@@ -84,19 +124,48 @@
     private void opened(ClientLink link) {
         mailbox.post(() -> {
             links.add(link);
+            link.cap(cappedFrom, cap);
             if (draining) {
                 link.drain();
-            } else if (links.size() > most) {
-                // Guards the limit on descriptors: a connection above it gets one answer, a turn-down, and ends.
-                // Idle ones are closed to make room, which a client is told to expect between requests.
+            } else if (links.size() > most && !makeRoom()) {
                 link.shed();
-                links.forEach(other -> other.closeIfIdle(link));
             }
+            waiting.add(link);
             link.admitted();
         });
     }
 
+    /**
+     * Guards the limit on descriptors, for the usual clients: above it the connection goes that nobody will miss, the
+     * longest there first. One that has had a flow's answer goes last, and one with a request on it never.
+     */
+    private boolean makeRoom() {
+        for (Set<ClientLink> some : List.of(ending, waiting, idle)) {
+            Iterator<ClientLink> oldest = some.iterator();
+            if (oldest.hasNext()) {
+                ClientLink link = oldest.next();
+                oldest.remove();
+                link.closeIfIdle(true);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Where the link stands now; null: a request is on it. */
+    private void stands(ClientLink link, Set<ClientLink> where) {
+        mailbox.post(() -> {
+            ending.remove(link);
+            waiting.remove(link);
+            idle.remove(link);
+            if (where != null && links.contains(link)) {
+                where.add(link);
+            }
+        });
+    }
+
     private void closed(ClientLink link) {
+        stands(link, null);
         mailbox.post(() -> {
             links.remove(link);
             tellIfEmpty();
@@ -127,10 +196,21 @@
         private String target;
         private HttpFields.Mutable fields;
         private ByteArrayOutputStream body;
+        /** The request's head as a flow, still without its body; null: it asks whether we are ready. */
+        private Flow head;
         private boolean persistent;
         private boolean busy;
         private boolean draining;
-        private boolean shedding;
+        /** Whether a flow has been answered here: a usual client's connection, as far as we can tell. */
+        private boolean known;
+        /** Whether a request is on its way in, its time running. */
+        private boolean dribbling;
+        /** Whether an answer is being written; whether that was the last and the peer is let read it. */
+        private boolean answering;
+        private boolean lingering;
+        private boolean last;
+        private long cappedFrom = Long.MAX_VALUE;
+        private long cap = Long.MAX_VALUE;
         private long firstByteAt;
         private int held;
         private Flow flow;
@@ -142,7 +222,7 @@
 
         @Override
         void begin() {
-            limit(IDLE);
+            limit(WHOLE);
             opened(this);
         }
 
@@ -155,21 +235,34 @@
             mailbox.post(() -> draining = true);
         }
 
-        private void closeIfIdle(ClientLink but) {
+        private void cap(long from, long at) {
             mailbox.post(() -> {
-                if (this == but || busy || !parser.isStart()) {
-                    return;
+                cappedFrom = from;
+                cap = at;
+            });
+        }
+
+        /** Ends the connection unless a request is on it, or has come and is only not yet read. */
+        private void closeIfIdle(boolean alsoHalf) {
+            mailbox.post(() -> {
+                if (!busy) {
+                    read();   // what is in the socket may be a whole request
                 }
-                if (hasUnread() || brokenWhileIdle()) {
-                    read();   // what the look took from the socket is a request; nothing else would wake us for it
-                } else {
+                if (lingering || !busy && (alsoHalf || parser.isStart())) {
                     shut();
                 }
             });
         }
 
+        /** No room: one turn-down, whatever it is about to ask. */
         private void shed() {
-            mailbox.post(() -> shedding = true);
+            mailbox.post(() -> {
+                if (!busy && !isClosed()) {
+                    busy = true;
+                    persistent = false;
+                    answer(new Flow.TurnDown(SHED_DELAY));
+                }
+            });
         }
 
         @Override
@@ -177,6 +270,30 @@
             return !busy;
         }
 
+        @Override
+        void read() {
+            super.read();
+            if (!busy && !isClosed() && !dribbling && !parser.isStart()) {
+                dribbling = true;
+                if (known) {
+                    limit(WHOLE);   // else its time has run since the connection came up
+                }
+            }
+        }
+
+        /** Nothing, or half a request, when its time is up; what has come by now is still looked at. */
+        @Override
+        void expired() {
+            if (!busy) {
+                read();
+            }
+            if (answering || lingering || !busy && parser.isStart()) {
+                shut();
+            } else if (!busy) {
+                reject(408, "the request is not whole");
+            }
+        }
+
         @Override
         public void startRequest(String method, String target, HttpVersion version) {
             this.method = method;
@@ -192,13 +309,19 @@
             fields.add(field);
         }
 
+        /** All that a head can be wrong in is said before its body comes, so that no body is waited for in vain. */
         @Override
         public boolean headerComplete() {
             if (fields.contains(HttpHeader.CONNECTION, "close")) {
                 persistent = false;
             }
-            if (fields.getLongField(HttpHeader.CONTENT_LENGTH) > MAX_BODY) {
-                tooLarge();
+            try {
+                if (fields.getLongField(HttpHeader.CONTENT_LENGTH) > MAX_BODY) {
+                    throw tooLarge();
+                }
+                head = target.equals("/-/ready") ? null : head();
+            } catch (BadRequest e) {
+                reject(e.status, e.getMessage());
                 return true;
             }
             if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
@@ -214,7 +337,8 @@
             }
             int more = piece.remaining();
             if (body.size() + more > MAX_BODY) {
-                tooLarge();
+                BadRequest e = tooLarge();
+                reject(e.status, e.getMessage());
                 return true;
             }
             if (!bytes.tryAcquire(more)) {
@@ -236,10 +360,15 @@
             held = 0;
         }
 
-        private void tooLarge() {
-            persistent = false;   // the rest of the body is not read
+        private static BadRequest tooLarge() {
+            return new BadRequest(413, "the body is over " + MAX_BODY + " bytes");
+        }
+
+        /** An error ends the connection: whoever sent that has no claim to be read on, nor do we know where. */
+        private void reject(int status, String why) {
+            persistent = false;
             busy = true;
-            plain(413, "the body is over " + MAX_BODY + " bytes");
+            plain(status, why);
         }
 
         @Override
@@ -248,36 +377,42 @@
                 return true;
             }
             busy = true;
+            dribbling = false;
             limit(0);
-            try {
-                if (target.equals("/-/ready")) {
-                    module.ready(ready -> mailbox.post(() -> plain(ready ? 200 : 503, ready ? "ready" : "not ready")));
-                    return true;
-                }
-                Flow read = flow();
-                if (shedding) {
-                    persistent = false;
-                    answer(new Flow.TurnDown(SHED_DELAY));
-                    return true;
-                }
-                flow = read;
-                module.open(read, answer -> mailbox.post(() -> answer(answer)));
-            } catch (BadRequest e) {
-                plain(e.status, e.getMessage());
+            stands(this, null);
+            if (head == null) {
+                module.ready(ready -> mailbox.post(() -> plain(ready ? 200 : 503, ready ? "ready" : "not ready")));
+                return true;
             }
+            flow = head.with(body.toByteArray());
+            module.open(flow, answer -> mailbox.post(() -> answer(answer)));
             return true;
         }
 
-        /** Reads the request as a flow. */
-        private Flow flow() throws BadRequest {
-            String path = target.startsWith("/") ? target.substring(1).split("[/?#;]", 2)[0] : "";
+        /** Reads the request's head as a flow. */
+        private Flow head() throws BadRequest {
+            if (!TARGET.matcher(target).matches()) {
+                throw new BadRequest(400, "the target cannot be read");
+            }
+            String path = target.substring(1).split("[/?;]", 2)[0];
             if (!classes.contains(path)) {
                 throw new BadRequest(404, "no such path");
             }
             if (!method.equals("POST")) {
                 throw new BadRequest(405, "jobs come by POST");
             }
+            if (!fields.contains(HttpHeader.CONTENT_LENGTH) && !fields.contains(HttpHeader.TRANSFER_ENCODING)) {
+                throw new BadRequest(411, "Content-Length is missing");
+            }
+            for (String name : ONCE) {
+                if (fields.getValuesList(name).size() > 1) {
+                    throw new BadRequest(400, name + " is there twice");
+                }
+            }
             String id = header("X-Request-ID");
+            if (!ID.matcher(id).matches()) {
+                throw new BadRequest(400, "X-Request-ID is not a word of at most 64 letters and digits");
+            }
             if (!header("X-Priority-Class").equals(path)) {
                 throw new BadRequest(400, "X-Priority-Class is not the path's class");
             }
@@ -285,7 +420,7 @@
             if (tenant < 0 && !tenants.isEmpty()) {
                 throw new BadRequest(400, "X-Tenant-Id is not known");
             }
-            long timeout = (long) (positive("X-Timeout-Ms", header("X-Timeout-Ms")) * 1000);
+            long timeout = 1000 * (long) positive("X-Timeout-Ms", header("X-Timeout-Ms"), WHOLE_NUMBER, LONGEST_WAIT);
             double slots = 1;
             double hint = 0;
             String attrs = fields.get("X-Attrs");
@@ -294,14 +429,16 @@
                 if (eq < 0) {
                     throw new BadRequest(400, "X-Attrs is not name=value,name=value");
                 }
+                String value = pair.substring(eq + 1).strip();
                 switch (pair.substring(0, eq).strip()) {
-                    case "slots" -> slots = positive("X-Attrs slots", pair.substring(eq + 1));
-                    case "hint" -> hint = positive("X-Attrs hint", pair.substring(eq + 1));
+                    case "slots" -> slots = positive("X-Attrs slots", value, DECIMAL, MOST_SLOTS);
+                    case "hint" -> hint = positive("X-Attrs hint", value, DECIMAL, MOST_HINT);
                     default -> { }
                 }
             }
+            long deadline = firstByteAt + timeout - Math.min(MARGIN, timeout / 4);
             return new Flow(id, classes.indexOf(path), tenant, slots, hint,
-                    firstByteAt + timeout - Math.min(MARGIN, timeout / 4), method, target, body.toByteArray());
+                    firstByteAt >= cappedFrom ? Math.min(deadline, cap) : deadline, method, target, NOTHING);
         }
 
         private String header(String name) throws BadRequest {
@@ -312,20 +449,20 @@
             return value;
         }
 
-        private double positive(String name, String text) throws BadRequest {
-            try {
-                double value = Double.parseDouble(text.strip());
-                if (value > 0 && value < 1e9) {
+        /** A number in plain digits; what else a parser of numbers would take is not a client's to send. */
+        private static double positive(String name, String text, Pattern form, double most) throws BadRequest {
+            if (form.matcher(text).matches()) {
+                double value = Double.parseDouble(text);
+                if (value > 0 && value <= most) {
                     return value;
                 }
-            } catch (NumberFormatException e) {
-                // said below
             }
-            throw new BadRequest(400, name + " is not a positive number");
+            throw new BadRequest(400, name + " is not a positive number" + (form == DECIMAL ? " in range" : ""));
         }
 
         private void answer(Flow.Answer answer) {
             flow = null;
+            known |= !(answer instanceof Flow.Rejected);
             if (answer instanceof Flow.Served served) {
                 respond(200, HttpFields.build().add(HttpHeader.CONTENT_TYPE, "application/octet-stream"),
                         served.result());
@@ -338,7 +475,7 @@
             } else if (answer instanceof Flow.Failed failed) {
                 plain(failed.late() ? 504 : 502, failed.late() ? "no answer in time" : "the job failed");
             } else if (answer instanceof Flow.Rejected rejected) {
-                plain(409, rejected.why());
+                reject(409, rejected.why());
             }
         }
 
@@ -355,28 +492,38 @@
             if (isClosed()) {
                 return;
             }
-            boolean last = !persistent || draining || shedding;
+            last = !persistent || draining;
             if (last) {
                 extra.add(HttpHeader.CONNECTION, "close");
+                stands(this, ending);
             }
-            write(new MetaData.Response(status, null, HttpVersion.HTTP_1_1, extra, content.length), content, () -> mailbox.post(() -> {
-                if (last) {
-                    finish(LINGER);
-                } else {
-                    busy = false;
-                    parser.reset();
-                    limit(IDLE);
-                    read();
-                }
-            }));
+            answering = true;
+            limit(UNREAD);
+            write(new MetaData.Response(status, null, HttpVersion.HTTP_1_1, extra, content.length), content,
+                    () -> mailbox.post(this::answered));
+        }
+
+        private void answered() {
+            if (isClosed()) {
+                return;
+            }
+            answering = false;
+            if (last) {
+                lingering = true;
+                finish(LINGER);
+                return;
+            }
+            busy = false;
+            parser.reset();
+            limit(known ? IDLE : WHOLE);
+            stands(this, known ? idle : waiting);
+            read();
         }
 
         @Override
         public void badMessage(HttpException failure) {
             if (!busy && !isClosed()) {
-                persistent = false;
-                busy = true;
-                plain(failure.getCode(), failure.getReason() == null ? "bad request" : failure.getReason());
+                reject(failure.getCode(), failure.getReason() == null ? "bad request" : failure.getReason());
             }
         }
 
--- a/src/main/java/barrowshore/net/Flow.java
+++ b/src/main/java/barrowshore/net/Flow.java
@@ -7,6 +7,10 @@
  */
 record Flow(String id, int jobClass, int tenant, double slots, double hint, long deadline, String method, String target,
             byte[] body) {
+    /** The same flow with its body. */
+    Flow with(byte[] whole) {
+        return new Flow(id, jobClass, tenant, slots, hint, deadline, method, target, whole);
+    }
 
     /** The final answer to a flow. */
     sealed interface Answer permits Served, TurnDown, Failed, Rejected { }
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -24,15 +24,20 @@
     private static final int READ_BUFFER = 4096;
     private static final int HEADER_BUFFER = 2048;
     private static final int MAX_HEADER = 16384;
+    /** Bytes read and thrown away for a peer to get its last answer; one that goes on sending pays with a reset. */
+    private static final int MOST_DISCARDED = 256 * 1024;
 
     final Mailbox mailbox;
     private final Scheduler timers;
     private Scheduler.Task limit;
+    /** Counts the limits set: one that ran out as the next was set must not end the connection. */
+    private int limits;
     private final ByteBuffer in = BufferUtil.allocate(READ_BUFFER);
     /** Set by the subclass's constructor; it needs the subclass as its handler. */
     HttpParser parser;
     private boolean closed;
     private boolean discarding;
+    private int discarded;
 
     HttpLink(EndPoint endPoint, Mailbox mailbox, Scheduler timers) {
         super(endPoint, Runnable::run);
@@ -64,13 +69,22 @@
         mailbox.post(() -> end(cause));
     }
 
-    /** Ends the connection after so long, unless another limit or none (0) is set before. */
+    /** Calls {@link #expired} after so long, unless another limit or none (0) is set before. */
     void limit(long millis) {
         if (limit != null) {
             limit.cancel();
         }
-        limit = millis > 0 && !closed
-                ? timers.schedule(() -> mailbox.post(this::shut), millis, TimeUnit.MILLISECONDS) : null;
+        int number = ++limits;
+        limit = millis > 0 && !closed ? timers.schedule(() -> mailbox.post(() -> {
+            if (number == limits) {
+                expired();
+            }
+        }), millis, TimeUnit.MILLISECONDS) : null;
+    }
+
+    /** The limit has run out. */
+    void expired() {
+        shut();
     }
 
     /** Reads and parses until there is nothing more, or the subclass stops it by {@link #wantsBytes}. */
@@ -78,7 +92,12 @@
         try {
             while (!closed) {
                 if (discarding) {
+                    discarded += in.remaining();
                     BufferUtil.clear(in);
+                    if (discarded > MOST_DISCARDED) {
+                        shut();
+                        return;
+                    }
                 }
                 boolean parse = !discarding && wantsBytes();
                 if (parse && BufferUtil.hasContent(in)) {
--- a/src/main/java/barrowshore/net/ModuleActor.java
+++ b/src/main/java/barrowshore/net/ModuleActor.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,6 +33,9 @@
     /** A probe that has told nothing by then tells nothing of the present any more. */
     private static final long PROBE_MILLIS = 1000;
 
+    /** Ids of served flows kept: a minute or so at the usual load. */
+    private static final int MOST_SERVED = 2048;
+
     /** How long a start waits for discovery before the list known from before will do. */
     private static final long LIST_MILLIS = 1000;
 
@@ -43,6 +47,8 @@
     private final Map<String, OpenFlow> flows = new HashMap<>();
     private final Map<String, RealServer> servers = new HashMap<>();
     private final Set<String> listed = new HashSet<>();
+    /** Ids of flows lately served, oldest first: an id is new with every request, so these are taken too. */
+    private final Set<String> served = new LinkedHashSet<>();
     private final int mostAttempts;
     private final List<Runnable> whenIdle = new ArrayList<>();
     private boolean told;
@@ -148,7 +154,7 @@
 
     void open(Flow flow, Flow.Client client) {
         mailbox.post(() -> {
-            if (flows.containsKey(flow.id())) {
+            if (flows.containsKey(flow.id()) || served.contains(flow.id())) {
                 client.answer(new Flow.Rejected("the id is in use"));
                 return;
             }
@@ -242,6 +248,10 @@
         open.out--;
         if (status == Status.OK && !open.answered) {
             answer(open, new Flow.Served(result));
+            served.add(open.flow.id());
+            if (served.size() > MOST_SERVED) {
+                served.remove(served.iterator().next());
+            }
         }
         long now = now();
         boolean closed = open.answered;
--- a/src/main/java/barrowshore/net/Node.java
+++ b/src/main/java/barrowshore/net/Node.java
@@ -4,9 +4,11 @@
 import barrowshore.Dispatcher;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -17,6 +19,7 @@
 import java.util.function.Supplier;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -34,6 +37,14 @@
     private static final double OUTGOING = 0.4;
     /** Milliseconds after SIGTERM until the last new connections have come. */
     private static final long SETTLE = 500;
+    /**
+     * After SIGTERM the process is let be for the longest deadline, or this where that is longer, and a little more;
+     * at the end of that time, room to answer what cannot be done any more, and before it, room for a usual job.
+     */
+    private static final long LONGEST_GRACE = 3000;
+    private static final long MORE_GRACE = 700;
+    private static final long LAST_WORD = 150;
+    private static final long USUAL_JOB = 1200;
     /** Milliseconds after SIGTERM before which the process does not end. */
     private static final long STAY = 700;
 
@@ -95,17 +106,35 @@
         timers.start();
         Node node = new Node(config, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            node.drain();
+            try {
+                node.drain().await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
             Runtime.getRuntime().halt(0);
         }, "drain"));
         started.complete(node);
         new CountDownLatch(1).await();
     }
 
-    /** The JDK has no other way to take a signal; a shutdown hook hears of SIGHUP too, but cannot stop the end. */
-    @SuppressWarnings("sunapi")
+    /**
+     * The JDK has no other way to take a signal; a shutdown hook hears of SIGHUP too, but cannot stop the end. By
+     * reflection, since every direct use of this class is a warning that nothing silences.
+     */
     static void onHangUp(Runnable run) {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> run.run());
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal"), handler = Class.forName("sun.misc.SignalHandler");
+            Object proxy = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (self, method, args) -> {
+                if (method.getName().equals("handle")) {
+                    run.run();
+                    return null;
+                }
+                return method.invoke(run, args);   // what every object can be asked
+            });
+            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+        } catch (ReflectiveOperationException e) {
+            LOG.log(Level.WARNING, "SIGHUP cannot be handled and will end the process", e);
+        }
     }
 
     /** Reads the configuration again and takes over what may change while flows are open; a bad one changes nothing. */
@@ -125,18 +154,21 @@
         });
     }
 
-    void drain() {
+    /** Begins the end: all is answered and the clients are gone once the latch is down. */
+    CountDownLatch drain() {
         CountDownLatch ended = new CountDownLatch(3);
+        long deadline = Arrays.stream(config.settings().classes).mapToLong(c -> c.deadline() / 1000).max().orElse(0);
+        long grace = Math.min(LONGEST_GRACE, deadline) + MORE_GRACE;
+        LOG.log(Level.INFO, "draining, at most " + grace + " ms");
+        clients.endsIn(grace - LAST_WORD);
+        // Guards clients against a gap: schedulers restarted one after the other were once all closed to new
+        // connections for 2 s, while those that clients had were being closed, not used.
         timers.schedule(() -> {
             clients.drain(ended::countDown);
             module.whenIdle(ended::countDown);
-        }, SETTLE, TimeUnit.MILLISECONDS);
+        }, Math.max(SETTLE, grace - USUAL_JOB), TimeUnit.MILLISECONDS);
         timers.schedule(ended::countDown, STAY, TimeUnit.MILLISECONDS);
-        try {
-            ended.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        return ended;
     }
 
     InetSocketAddress address() throws IOException {
@@ -144,10 +176,10 @@
     }
 
     /** Stops at once; what is open is lost. */
-    void stop() throws Exception {
+    void stop() throws IOException {
         server.close();
-        dialer.stop();
-        timers.stop();
+        LifeCycle.stop(dialer);
+        LifeCycle.stop(timers);
         pool.shutdownNow();
     }
 }
--- a/src/test/java/barrowshore/net/ConfigTest.java
+++ b/src/test/java/barrowshore/net/ConfigTest.java
@@ -67,11 +67,11 @@
     /** Without the handler the signal ends the JVM that runs this. */
     @Test
     @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-    @SuppressWarnings("sunapi")
-    void sigHupIsHandled() throws InterruptedException {
+    void sigHupIsHandled() throws Exception {
         CountDownLatch heard = new CountDownLatch(1);
         Node.onHangUp(heard::countDown);
-        sun.misc.Signal.raise(new sun.misc.Signal("HUP"));
+        Class<?> signal = Class.forName("sun.misc.Signal");
+        signal.getMethod("raise", signal).invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
         heard.await();
     }
 
--- a/src/test/java/barrowshore/net/ExchangeTest.java
+++ b/src/test/java/barrowshore/net/ExchangeTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.eclipse.jetty.util.component.AbstractLifeCycle;
@@ -107,7 +108,7 @@
         private String config = Files.readString(FILES.resolve("config.json"));
         private String module = "real";
         private Node node;
-        private Thread draining;
+        private CountDownLatch draining;
 
         Stage() throws IOException { }
 
@@ -161,14 +162,10 @@
                         assertThat(message(idle.getInputStream())).startsWith("HTTP/1.1 200");
                     }
                 }
-                case "term" -> {
-                    draining = new Thread(node::drain);
-                    draining.start();
-                }
+                case "term" -> draining = node.drain();
                 case "gone" -> {
-                    while (draining.isAlive()) {
+                    while (!draining.await(1, TimeUnit.MILLISECONDS)) {
                         time.advance(100);
-                        draining.join(1);
                     }
                 }
                 case "time" -> time.advance(Long.parseLong(words[1]));
@@ -177,11 +174,11 @@
                     assertThatThrownBy(servers::accept)
                             .isInstanceOf(SocketTimeoutException.class);
                 }
-                default -> act(words[0], words[1], bytes, text);
+                default -> act(words[0], words[1], words.length > 2 ? words[2] : "", bytes, text);
             }
         }
 
-        private void act(String who, String does, String bytes, String text) throws Exception {
+        private void act(String who, String does, String status, String bytes, String text) throws Exception {
             Socket peer = peer(who, does.equals("reopens"));
             switch (does) {
                 case "connects", "reopens" -> { }
@@ -207,6 +204,12 @@
                     }
                 }
                 case "sends" -> send(peer, bytes);
+                case "is-rejected" -> {
+                    send(peer, bytes);
+                    assertThat(message(peer.getInputStream())).as(who).startsWith("HTTP/1.1 " + status + " ")
+                            .contains("Connection: close");
+                    assertThat(atEnd(peer)).as(who + " ends").isTrue();
+                }
                 case "chunks" -> {
                     for (String line : text.strip().split("\n")) {
                         send(peer, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
@@ -333,7 +336,7 @@
         }
 
         @Override
-        public void close() throws Exception {
+        public void close() throws IOException {
             for (Socket peer : peers.values()) {
                 peer.close();
             }
