Tell the other schedulers what is in flight at each worker, and give up earlier

One dispatcher sees its own jobs only; reports are 0.5 to 1.8 s old, and Dispatcher.report subtracts jobs of now from them. Now: Peers, the books of what each told; DispatchApi.tell and peer; SAY and PEER_DATA on the wire; PeerSide on UDP. The new tests do not compile, or fail, without it.

--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -54,6 +54,8 @@
     final class Settings {
         public long seed = 1;
         public int dispatchers = 1;
+        /** This dispatcher's number among them, from 0. */
+        public int me;
         public int zone;
         /** How many machine kinds there are. */
         public int kinds = 1;
@@ -68,6 +70,8 @@
         public boolean secondCopies;
         public boolean mayCancel;
         public boolean mayProbe;
+        /** Whether dispatchers may send one another short messages. */
+        public boolean mayTell;
         public long maxRetryAfter = 1_000_000;
         /** Whether the list comes only when asked for. */
         public boolean askForList;
@@ -142,6 +146,9 @@
 
     void probed(long now, String worker, Status status, long latency, Load load);
 
+    /** Another dispatcher has told us something; it may come late, twice, out of order or not at all. */
+    void peer(long now, int from, byte[] message);
+
     void timer(long now, String token);
 
     /** Actions out. */
@@ -159,6 +166,9 @@
 
         void probe(String worker);
 
+        /** Tells every other dispatcher; at most 256 bytes. */
+        void tell(byte[] message);
+
         void timer(long delay, String token);
 
         /** Asks for the list's changes from now on. */
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -16,7 +16,7 @@
     private static final int DEPTH = 6;   // table depth in slots: none waits longer than that
     private static final int REFRESH_TICKS = 16;   // between refreshes, before jitter: far under a job's time
     private static final double TIE = 0.05;   // indices within this share are a tie, broken at random
-    private static final double PATIENCE = 8;   // mean aims that a job of mean worth is worth waiting: R
+    private static final double PATIENCE = 2;   // mean aims that a job of mean worth is worth waiting: R
     private static final double SILENT = 4, MAX_ASIDE = 0.4;   // due times without a sign; share held silent
     private static final double ASIDE = 4;   // connect time-outs aside, at first, for a broken worker
     private static final double ERROR_COST = 3;   // mean aims that an error costs: the job is lost or redone
@@ -27,6 +27,8 @@
     private static final double TRUST = 0.3;   // in a fresh report against the level: it came late
     private static final double CROSSING = 3;   // mean aims of delay worth a point for crossing zones
     private static final double QUOTA_SECONDS = 1;   // of its quota that a tenant may save up
+    private static final int TELL_REFRESHES = 6;   // refreshes between two tellings of all our slots
+    private static final double PEER_FRESH = 4;   // such tellings after which a silent peer is guessed at again
 
     private final Settings set;
     private final Actions act;
@@ -35,12 +37,13 @@
     private final Ledger ledger;
     private final Traffic mean;
     private final Kind[] kinds;
+    private final Peers peers;
     private final TokenBucket[] quotas;
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
     private final Map<Integer, IndexTable> tables = new HashMap<>();
-    private double loadOthers, loadAll, pressure = 1;
+    private double loadOthers, loadAll, missing = 1, pressure = 1;
     private long creditAt, loadAt;
-    private int askFailures, topPriority, probeNext;
+    private int askFailures, topPriority, probeNext, refreshes;
     private boolean high, asking;
 
     /** A dispatcher that decides by the settings and orders through the actions; call start first. */
@@ -53,6 +56,7 @@
         mean = new Traffic(set);
         kinds = new Kind[set.kinds];
         Arrays.setAll(kinds, k -> new Kind(mean.work));
+        peers = new Peers(set.dispatchers, set.me, (int) (rng.next() * (1 << 16)));
         quotas = new TokenBucket[set.tenantQuota.length];
         Arrays.setAll(quotas, t -> new TokenBucket(Math.max(2, quota(t) * QUOTA_SECONDS), 1));
         for (JobClass type : set.classes) {
@@ -117,6 +121,7 @@
         Worker w = job.attempts.size() < set.maxAttempts && now < job.answerBy ? pick(now, job) : null;
         if (w == null) { answer(now, job); return; }
         ledger.enter(job, w, now);
+        tell(w);
         // Departure, on kinds that a class names: there a job that could go elsewhere pays for those that
         // cannot, so the wait that it causes counts by their worth against its own.
         kinds[w.kind].worth += LEARN * job.slots * (mean.value(job) - kinds[w.kind].worth);
@@ -189,6 +194,7 @@
         if (a == null) { return; }
         Job job = a.job;
         ledger.leave(a, status.neverRan());
+        tell(a.worker);
         learn(now, a, status, latency);
         if (load != null) { report(now, a.worker, load); }
         price(now, a.worker);
@@ -284,9 +290,30 @@
         }
     }
 
+    /** Others are told what we have in flight, so that a full worker is not found out by waiting there. */
+    private void tell(Worker w) {
+        if (set.mayTell && set.dispatchers > 1) { act.tell(peers.message(w)); }
+    }
+
+    @Override public void peer(long now, int from, byte[] message) {
+        peers.heard(now, from, message);
+        for (Worker w : roster.ready) {
+            double told = peers.slots(w, now - fresh());
+            if (told != w.told) {
+                w.told = told;
+                price(now, w);
+            }
+        }
+    }
+
+    private long fresh() { return (long) (PEER_FRESH * TELL_REFRESHES * REFRESH_TICKS * set.tick); }
+
     @Override public void timer(long now, String token) {
         if (token.equals("refresh")) {
             refresh(now);
+            if (set.mayTell && set.dispatchers > 1 && ++refreshes % TELL_REFRESHES == 0) {
+                act.tell(peers.message(Arrays.stream(roster.ready).filter(w -> w.own > 0).toList(), true));
+            }
             act.timer((long) (REFRESH_TICKS * set.tick * (0.75 + rng.next() / 2)), "refresh");
         } else if (token.equals("ask") && asking) { ask(); }
     }
@@ -301,7 +328,7 @@
 
     /** What one more mean job waits there and makes others wait: the index above an idle worker's. */
     private double waiting(Worker w, double more) {
-        double above = w.table.expected(w.own + more, w.others) - w.table.idle();
+        double above = w.table.expected(w.own + w.told + more, w.others) - w.table.idle();
         return above * mean.work / (w.speed * w.warmth);
     }
 
@@ -315,9 +342,11 @@
         double keep = Math.pow(0.5, (now - loadAt) / (LOAD_JOBS * mean.work));
         double bound = Arrays.stream(ledger.named).sum(), capacity = 0, speed = 0, aside = 0;
         loadAt = now;
-        double free = Math.max(0, ledger.slots - bound) * (set.dispatchers - 1);
+        double free = Math.max(0, ledger.slots - bound) * (set.dispatchers - 1), told = 0;
+        missing = set.mayTell ? peers.missing(now - fresh()) : 1;
+        for (Worker w : roster.ready) { told += w.told = peers.slots(w, now - fresh()); }
         loadOthers = keep * loadOthers + (1 - keep) * free;
-        loadAll = keep * loadAll + (1 - keep) * ledger.slots * set.dispatchers;
+        loadAll = keep * loadAll + (1 - keep) * (told + ledger.slots * (1 + missing * (set.dispatchers - 1)));
         for (Worker w : roster.ready) {
             w.warmth = w.warmth(now, set);
             w.table = table(w);
@@ -355,13 +384,13 @@
     private void fill(long now) {
         for (Worker w : roster.ready) { w.others = 0; }
         for (int k = 0; k < kinds.length; k++) {
-            if (ledger.named[k] > 0) { level(now, k, ledger.named[k] * (set.dispatchers - 1)); }
+            if (ledger.named[k] > 0) { level(now, k, missing * ledger.named[k] * (set.dispatchers - 1)); }
         }
-        level(now, -1, loadOthers);
+        level(now, -1, missing * loadOthers);
         for (Worker w : roster.ready) {
             // A report tells more than the level, for about the time that a job takes.
             double trust = TRUST * Math.pow(0.5, (now - w.reportedAt) / (2 * mean.work));
-            w.others += w.reportedAt == 0 ? 0 : trust * (w.reported - w.others);
+            w.others += w.reportedAt == 0 || missing == 0 ? 0 : trust * (w.reported - w.others);
         }
     }
 
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -22,9 +22,9 @@
     double rating;
     boolean listed, silent;
     long startedAt, heardAt, fullUntil, downUntil, reportedAt, decayedAt, nextCold;
-    /** Our attempts that are out; the slots they take; those of others, expected and reported. */
+    /** Our attempts that are out; the slots they take; those of others, expected, told by them, reported. */
     final ArrayList<Job.Attempt> out = new ArrayList<>();
-    double own, others, reported, overdue;
+    double own, others, told, reported, overdue;
     /** As of the last refresh: speed, warm share, what a job waits and makes wait, cost of errors. */
     double speed = 1, warmth = 1, wait, charge;
     IndexTable table;
--- a/src/main/java/barrowshore/net/Config.java
+++ b/src/main/java/barrowshore/net/Config.java
@@ -22,7 +22,7 @@
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, Settings settings,
                      long keepAlive, List<String> classes, List<String> tenants, ServiceEntry.Names names,
-                     ServiceEntry.Update known, Map<String, Object> fixed) {
+                     ServiceEntry.Update known, PeerSide.Addresses peers, Map<String, Object> fixed) {
     /** The fields that a running scheduler takes over, and those that matter only to a fresh one. */
     private static final Set<String> LIVE = Set.of("discovery", "known", "seed");
 
@@ -80,7 +80,7 @@
         fixed.keySet().removeAll(LIVE);
         return new Config(text(root, "name"), address(text(root, "listen"), "listen"),
                 address(text(root, "discovery"), "discovery"), sockets, settings, keepAlive, reader.names("lanes"),
-                reader.names("tenants"), names, known, fixed);
+                reader.names("tenants"), names, known, peers(root), fixed);
     }
 
     /** The fields that differ from another configuration's and are taken over only at a start. */
@@ -117,6 +117,19 @@
         }
     }
 
+    /** Null where schedulers cannot reach one another. */
+    private static PeerSide.Addresses peers(Map<?, ?> root) {
+        if (root.get("peer_listen") == null) {
+            return null;
+        }
+        if (!(root.get("peers") instanceof List<?> list)) {
+            throw new ConfigException("peers is missing or not a list");
+        }
+        List<InetSocketAddress> peers = list.stream().map(peer -> address(String.valueOf(peer), "peers")).toList();
+        return new PeerSide.Addresses(address(text(root, "peer_listen"), "peer_listen"), peers,
+                address(text(root, "peers_all"), "peers_all"));
+    }
+
     private static long seed(String hex) {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/barrowshore/net/ModuleActor.java
+++ b/src/main/java/barrowshore/net/ModuleActor.java
@@ -44,6 +44,7 @@
     private final Mailbox mailbox;
     private final Function<String, RealServer> newServer;
     private final DispatchApi module;
+    private final Consumer<byte[]> tell;
     private final Map<String, OpenFlow> flows = new HashMap<>();
     private final Map<String, RealServer> servers = new HashMap<>();
     private final Set<String> listed = new HashSet<>();
@@ -55,12 +56,13 @@
     private long lastNow;
 
     ModuleActor(Clock clock, Executor pool, Scheduler timers, int mostAttempts,
-                Function<String, RealServer> newServer,
+                Function<String, RealServer> newServer, Consumer<byte[]> tell,
                 Function<DispatchApi.Actions, DispatchApi> newModule) {
         this.clock = clock;
         this.timers = timers;
         this.newServer = newServer;
         this.mostAttempts = mostAttempts;
+        this.tell = tell;
         this.mailbox = new Mailbox("the module", pool);
         this.module = newModule.apply(this);
     }
@@ -139,6 +141,11 @@
         });
     }
 
+    /** Another scheduler has told us something. */
+    void peer(int from, byte[] message) {
+        mailbox.post(() -> guarded(null, () -> module.peer(now(), from, message)));
+    }
+
     /** Answers whether the list has come and the tables are built. */
     void ready(Consumer<Boolean> asker) {
         mailbox.post(() -> asker.accept(told));
@@ -361,6 +368,11 @@
         }
     }
 
+    @Override
+    public void tell(byte[] message) {
+        tell.accept(message);
+    }
+
     @Override
     public void timer(long delay, String token) {
         timers.schedule(() -> mailbox.post(() -> guarded(null, () -> module.timer(now(), token))),
--- a/src/main/java/barrowshore/net/Node.java
+++ b/src/main/java/barrowshore/net/Node.java
@@ -53,6 +53,7 @@
     private final ModuleActor module;
     private final ClientSide clients;
     private final ServiceEntry entry;
+    private final PeerSide peers;
     private final Dialer dialer;
     private final ServerSocketChannel server;
     /** What is read again runs here, one file after the other. */
@@ -70,9 +71,10 @@
                 this::accepted);
         module = new ModuleActor(clock, pool, timers, config.settings().maxAttempts,
                 uid -> new RealServer(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
-                newModule);
+                this::tell, newModule);
         clients = new ClientSide(config, clock, pool, timers, module, (int) ((usable - outgoing) * 0.9));
         entry = new ServiceEntry(config, pool, dialer, timers, module::update);
+        peers = config.peers() == null ? null : new PeerSide(config.peers(), pool, module::peer);
         dialer.start();
         module.start(config.known());
         entry.open();
@@ -85,6 +87,12 @@
         return clients.accept(endPoint);
     }
 
+    private void tell(byte[] message) {
+        if (peers != null) {
+            peers.tell(message);
+        }
+    }
+
     private static ServerSocketChannel listen(InetSocketAddress address) throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         try {
@@ -178,6 +186,9 @@
     /** Stops at once; what is open is lost. */
     void stop() throws IOException {
         server.close();
+        if (peers != null) {
+            peers.stop();
+        }
         LifeCycle.stop(dialer);
         LifeCycle.stop(timers);
         pool.shutdownNow();
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -86,6 +86,7 @@
         Settings s = new Settings();
         s.seed = seed;
         s.dispatchers = (int) number("groupSize", s.dispatchers);
+        s.me = (int) number("me", s.me);
         s.zone = (int) number("zone", s.zone);
         s.kinds = Math.max(1, list("kinds").length);
         s.tick = (long) number("tick", s.tick);
@@ -95,6 +96,7 @@
         s.secondCopies = flag("policyLimits.secondCopies", s.secondCopies);
         s.mayCancel = flag("policyLimits.cancel", s.mayCancel);
         s.mayProbe = flag("policyLimits.probing", s.mayProbe);
+        s.mayTell = flag("policyLimits.mayTell", s.mayTell);
         s.maxRetryAfter = (long) number("policyLimits.maxRetryAfter", s.maxRetryAfter);
         s.askForList = "subscribe".equals(pairs.get("discovery"));
         s.askEvery = (long) number("rules.askEvery", s.askEvery);
--- a/src/main/java/barrowshore/wire/WireHost.java
+++ b/src/main/java/barrowshore/wire/WireHost.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import barrowshore.DispatchApi;
@@ -71,6 +72,11 @@
             action("PROBE").append(' ').append(worker).append('\n');
         }
 
+        @Override
+        public void tell(byte[] message) {
+            action("SAY").append(" -1 ").append(HexFormat.of().formatHex(message)).append('\n');
+        }
+
         @Override
         public void timer(long delay, String token) {
             action("TIMER").append(' ').append(Math.max(1, delay)).append(' ').append(token).append('\n');
@@ -180,11 +186,23 @@
                 to.probed(now, worker, status, latency, load());
             }
             case "STOP" -> instances.remove(number);
-            case "PEER_DATA", "ACCEPTED" -> { }
+            case "PEER_DATA" -> {
+                int from = (int) line.integer("originPeer");
+                to.peer(now, from, blob(line.text("blob")));
+            }
+            case "ACCEPTED" -> { }
             default -> throw line.wrong("unknown message " + word);
         }
     }
 
+    private byte[] blob(String hex) {
+        try {
+            return hex.equals("-") ? new byte[0] : HexFormat.of().parseHex(hex);
+        } catch (IllegalArgumentException e) {
+            throw line.wrong("the bytes are not hex: " + hex);
+        }
+    }
+
     private void members(DispatchApi to) throws IOException {
         String how = line.text("how");
         ListKind kind = switch (how) {
--- a/src/test/java/barrowshore/Bench.java
+++ b/src/test/java/barrowshore/Bench.java
@@ -24,6 +24,7 @@
     final List<String> actions = new ArrayList<>();
     final List<Due> timers = new ArrayList<>();
     final Map<String, List<String>> sends = new TreeMap<>();
+    final List<byte[]> told = new ArrayList<>();
     long now = 1_000_000_000L;
 
     Bench(Settings set) {
@@ -121,6 +122,11 @@
         actions.add("probe " + worker);
     }
 
+    @Override
+    public void tell(byte[] message) {
+        told.add(message);
+    }
+
     @Override
     public void timer(long delay, String token) {
         timers.add(new Due(now + Math.max(1, delay), token));
--- a/src/test/java/barrowshore/EmbeddingTest.java
+++ b/src/test/java/barrowshore/EmbeddingTest.java
@@ -49,6 +49,9 @@
             done.add("probe " + worker);
         }
 
+        @Override
+        public void tell(byte[] message) { }
+
         @Override
         public void timer(long delay, String token) {
             done.add("timer " + token);
--- /dev/null
+++ b/src/test/java/barrowshore/PeersTest.java
@@ -0,0 +1,71 @@
+package barrowshore;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What dispatchers tell one another, over a way that loses, doubles and reorders. */
+class PeersTest {
+    private final Peers ours = new Peers(3, 0, 7);
+    private final Peers first = new Peers(3, 1, 11);
+    private final Peers second = new Peers(3, 2, 12);
+
+    private static Worker worker(String id, double slots) {
+        Worker w = new Worker(id);
+        w.own = slots;
+        return w;
+    }
+
+    @Test
+    void sumsWhatAllHaveToldAndForgetsTheSilent() {
+        ours.heard(10, 1, first.message(worker("a", 3)));
+        ours.heard(20, 2, second.message(worker("a", 4)));
+        assertThat(ours.slots(worker("a", 0), 0)).isEqualTo(7);
+        assertThat(ours.slots(worker("a", 0), 15)).isEqualTo(4);
+        assertThat(ours.slots(worker("b", 0), 0)).isZero();
+        assertThat(ours.missing(0)).isZero();
+        assertThat(ours.missing(15)).isEqualTo(0.5);
+        assertThat(new Peers(1, 0, 7).missing(0)).isZero();
+    }
+
+    @Test
+    void dropsWhatWasOvertakenOrCameTwice() {
+        byte[] early = first.message(worker("a", 3)), late = first.message(worker("a", 1));
+        ours.heard(10, 1, late);
+        ours.heard(20, 1, early);
+        ours.heard(30, 1, late);
+        assertThat(ours.slots(worker("a", 0), 0)).isEqualTo(1);
+        assertThat(ours.missing(20)).as("heard of at 10 only").isEqualTo(1);
+    }
+
+    @Test
+    void theWholeStateCorrectsWhatWasLost() {
+        ours.heard(10, 1, first.message(worker("a", 3)));
+        first.message(worker("a", 0));   // lost
+        ours.heard(20, 1, first.message(List.of(worker("b", 2)), true));
+        assertThat(ours.slots(worker("a", 0), 0)).isZero();
+        assertThat(ours.slots(worker("b", 0), 0)).isEqualTo(2);
+    }
+
+    @Test
+    void aRestartedPeerBeginsAnew() {
+        first.message(worker("a", 1));
+        ours.heard(10, 1, first.message(worker("a", 3)));
+        ours.heard(20, 1, new Peers(3, 1, 99).message(worker("b", 2)));
+        assertThat(ours.slots(worker("a", 0), 0)).isZero();
+        assertThat(ours.slots(worker("b", 0), 0)).isEqualTo(2);
+    }
+
+    @Test
+    void dropsWhatNoPeerSends() {
+        byte[] good = first.message(worker("a", 3));
+        ours.heard(10, 0, good);
+        ours.heard(10, 3, good);
+        ours.heard(10, -1, good);
+        ours.heard(10, 1, new byte[0]);
+        ours.heard(10, 1, java.util.Arrays.copyOf(good, good.length - 1));
+        assertThat(ours.missing(0)).isEqualTo(1);
+        assertThat(first.message(java.util.Collections.nCopies(300, worker("a", 999)), true)).hasSizeLessThan(257);
+    }
+}
--- a/src/test/java/barrowshore/net/ConfigTest.java
+++ b/src/test/java/barrowshore/net/ConfigTest.java
@@ -48,6 +48,8 @@
             "tick":5000               | "tick":0            | settings: tick must be positive
             {"name":"menu",           | {                   | settings: lanes.0.name is missing
             "targets":                | "target":           | known: targets is missing or not a list
+            "name":"n0"               | "name":"n0","peer_listen":"127.0.0.1:1" | peers is missing or not a list
+            "name":"n0"               | "name":"n0","peer_listen":"127.0.0.1:1","peers":["a"] | peers is not address:port: a
             "name":"n0"               | oops                | configuration is not JSON
             """)
     void namesWhatIsWrong(String part, String instead, String message) throws IOException {
--- a/src/test/java/barrowshore/wire/WireHostTest.java
+++ b/src/test/java/barrowshore/wire/WireHostTest.java
@@ -39,6 +39,20 @@
         assertTrue(reply.endsWith("YIELD\nYIELD\n"), reply);
     }
 
+    @Test
+    void dispatchersTellOneAnotherWhatTheyHaveInFlight() throws IOException {
+        String start = "FRAME 5\n" + ATTACH.replace("tick", "policyLimits.mayTell=true me=1 tick") + LIST;
+        String told = run(start + "CALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n").lines()
+                .filter(l -> l.startsWith("SAY 3 -1 ")).findFirst().orElseThrow().substring(9);
+        String taken = run(start + "CALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n").contains("10.0.0.1:1")
+                ? "10.0.0.1:1" : "10.0.0.2:1";
+        // The other one told of 200 slots there in place of one: the next job goes elsewhere.
+        String full = told.substring(0, told.length() - 2) + "c8";
+        String reply = run(start + "PEER_DATA 3 0 " + full + "\nCALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n");
+        assertTrue(reply.contains("PLACE 3 rq_1 ") && !reply.contains("PLACE 3 rq_1 " + taken), reply);
+        assertTrue(run(start + "PEER_DATA 3 0 -\nOVER_TO_YOU\n").endsWith("YIELD\n"), "an empty message is dropped");
+    }
+
     @Test
     void aStoppedInstanceStartsAfreshInTheSameBatch() throws IOException {
         String reply = run("FRAME 5\n" + ATTACH + LIST + "STOP 3\n" + ATTACH + "CALL 3 rq_1 1 - 0 - 0 0 - 2000000\n"
@@ -63,6 +77,7 @@
         "FRAME 5~ATTACH~MEMBERS 3 F 1 1~X | line 4: expected M",
         "FRAME 5~ATTACH~VERDICT 3 rq 0 - 0 Maybe 1 w - | line 3: unknown outcome Maybe",
         "FRAME 5~ATTACH~PONG 3 1 Ok w inflight | line 3: the load report has no value",
+        "FRAME 5~ATTACH~PEER_DATA 3 0 xyz | line 3: the bytes are not hex",
         "FRAME 5 | the input ends"
     })
     void whatIsMalformedIsNamedByItsLine(String input, String message) {
