--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -28,7 +28,7 @@
     private static final double CROSSING = 3;   // mean aims of delay worth a point for crossing zones
     private static final double QUOTA_SECONDS = 1;   // of its quota that a tenant may save up
     private static final int TELL_REFRESHES = 6;   // refreshes between two tellings of all our slots
-    private static final double PEER_FRESH = 4;   // such tellings after which a silent peer is guessed at again
+    private static final double PEER_FRESH = 4;   // such tellings until a silent peer is guessed at
 
     private final Settings set;
     private final Actions act;
