Find silent workers by the notes they owe, and hold only their own words against them

Cause: Dispatcher.refresh held a worker silent after 4 x (job + 2 s) without a sign, 10 s against deadlines of 5 s, and a probe's answer, which shows only that the process runs, counted as one; learn did nothing on TIMEOUT; RealServer.carry and start said FULL for the scheduler's own reasons, which learn booked as the worker's. Now a free worker owes a start at once (0.75 s), a running job a share each 2 s (3 s); a struck worker gets one job until it serves; what may run twice gets a second copy; NOT_SENT goes elsewhere and teaches nothing.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -1,6 +1,7 @@
 // The decisions of one dispatcher. The whole interface of this module is one small file: DispatchApi.java.
 package barrowshore;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,7 +18,8 @@
     private static final int REFRESH_TICKS = 16;   // between refreshes, before jitter: far under a job's time
     private static final double TIE = 0.05;   // indices within this share are a tie, broken at random
     private static final double PATIENCE = 2;   // mean aims that a job of mean worth is worth waiting: R
-    private static final double SILENT = 4, MAX_ASIDE = 0.4;   // due times without a sign; share held silent
+    private static final double SILENT = 1.5, MAX_ASIDE = 0.4;   // due times without a sign; most silent
+    private static final double START = 2;   // connect time-outs that a free worker may take to tell a start
     private static final double ASIDE = 4;   // connect time-outs aside, at first, for a broken worker
     private static final double ERROR_COST = 3;   // mean aims that an error costs: the job is lost or redone
     private static final double LOAD_JOBS = 8;   // half-life of the fleet's load, in mean jobs
@@ -120,7 +122,8 @@
     private void dispatch(long now, Job job) {
         Worker w = job.attempts.size() < set.maxAttempts && now < job.answerBy ? pick(now, job) : null;
         if (w == null) { answer(now, job); return; }
-        ledger.enter(job, w, now);
+        double over = Math.max(0, w.own + w.told + w.others + job.slots - w.table.slots);
+        ledger.enter(job, w, now).wait = over / w.table.slots * mean.work / (w.speed * w.warmth);
         tell(w);
         // Departure, on kinds that a class names: there a job that could go elsewhere pays for those that
         // cannot, so the wait that it causes counts by their worth against its own.
@@ -139,7 +142,7 @@
         double running = job.work / (1 + job.jobClass.stretch());
         for (Worker w : roster.ready) {
             if (job.jobClass.kind() >= 0 && w.kind != job.jobClass.kind() || w.silent || now < w.fullUntil
-                    || now < w.downUntil || !mayGo(now, job, w)) { continue; }
+                    || now < w.downUntil || w.onTrial() || !mayGo(now, job, w)) { continue; }
             Kind k = kinds[w.kind];
             double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
             double cost = running / (w.speed * w.warmth) + wait * (k.named ? k.worth / mean.value(job) : 1);
@@ -199,7 +202,7 @@
         if (load != null) { report(now, a.worker, load); }
         price(now, a.worker);
         // The budget guards against retries that amplify an overload; what never ran may go on at once.
-        boolean again = status == Status.FULL || status == Status.CONNECT_FAILED || !status.neverRan()
+        boolean again = status.neverRan() || !status.neverRan()
                 && !closed && status != Status.CANCELLED && retries.take();
         if (closed || job.answered) {
             end(job);
@@ -222,6 +225,7 @@
         Worker w = a.worker;
         // Guards against taking a job pushed out by one of higher priority for a crash of the worker.
         boolean pushed = a.job.jobClass.effect() == Effect.SAFE && a.job.jobClass.priority() < topPriority;
+        if (status == Status.ERROR) { w.heardAt = now; }
         if (status == Status.OK) {
             w.served(now);
             speed(now, a, latency);
@@ -230,6 +234,8 @@
         }
         if (status == Status.CONNECT_FAILED) {
             w.strike(now, ASIDE * set.connectTimeout, rng);
+        } else if (status == Status.TIMEOUT && w.heardAt < a.sentAt && !w.silent) {
+            w.strike(now, ASIDE * set.connectTimeout, rng);   // not a word for all that time
         } else if (status == Status.FULL) {
             w.heardAt = now;
             // A full worker frees a slot about every 1/(s mu); jittered so that dispatchers come back apart.
@@ -257,7 +263,6 @@
     }
 
     private void report(long now, Worker w, Load load) {
-        w.heardAt = now;
         if (Double.isNaN(load.inFlight())) { return; }
         w.reported = Math.max(0, load.inFlight() - w.out.size());
         w.reportedAt = now;
@@ -342,6 +347,7 @@
         double keep = Math.pow(0.5, (now - loadAt) / (LOAD_JOBS * mean.work));
         double bound = Arrays.stream(ledger.named).sum(), capacity = 0, speed = 0, aside = 0;
         loadAt = now;
+        List<Job> late = new ArrayList<>();
         double free = Math.max(0, ledger.slots - bound) * (set.dispatchers - 1), told = 0;
         missing = set.mayTell ? peers.missing(now - fresh()) : 1;
         for (Worker w : roster.ready) { told += w.told = peers.slots(w, now - fresh()); }
@@ -351,17 +357,23 @@
             w.warmth = w.warmth(now, set);
             w.table = table(w);
             w.overdue = 0;
-            double oldest = 0;
+            boolean due = false;
             for (int i = 0; i < w.out.size(); i++) {
                 Job.Attempt a = w.out.get(i);
+                if (now - a.signAt() > patience(a)) { late.add(a.job); }
+                due |= now - Math.max(a.sentAt, w.heardAt) > patience(a);
                 double expected = a.job.work / (kinds[w.kind].speed * w.warmth);
                 w.overdue = Math.max(w.overdue, now - (a.startedAt > 0 ? a.startedAt : a.sentAt) - expected);
-                double quiet = now - Math.max(a.sentAt, w.heardAt);
-                oldest = Math.max(oldest, quiet / (expected + set.progressEvery));
             }
             w.speed = w.speed(kinds[w.kind].speed, mean.work);
             // Guards against machines that fall silent: their count would stand or drain and look cheap.
-            w.silent = oldest > SILENT && aside < MAX_ASIDE * roster.ready.length;
+            boolean was = w.silent;
+            w.silent = was ? w.heardAt <= w.silentAt && (!w.out.isEmpty() || now < w.downUntil)
+                    : due && aside + 0.5 < MAX_ASIDE * roster.ready.length;
+            if (w.silent && !was) {
+                w.silentAt = now;
+                w.strike(now, ASIDE * set.connectTimeout, rng);
+            }
             aside += w.silent ? 1 : 0;
             capacity += w.table.slots * w.warmth;
             speed += kinds[w.kind].speed / roster.ready.length;
@@ -374,6 +386,19 @@
         for (Kind k : kinds) { k.rescale(scale); }
         fill(now);
         for (Worker w : roster.ready) { price(now, w); }
+        // What may run twice does not wait for an attempt without a sign: its connection may be gone.
+        for (Job job : late) {
+            if (set.secondCopies && job.jobClass.effect() == Effect.SAFE && job.out == 1 && !job.answered
+                    && retries.take()) { dispatch(now, job); }
+        }
+    }
+
+    /** How long an attempt may go without a sign, where notes come at a start and then at intervals. */
+    private double patience(Job.Attempt a) {
+        double expected = a.job.work / (kinds[a.worker.kind].speed * a.worker.warmth);
+        if (!set.tellsStart || set.progressEvery == 0) { return 4 * (a.wait + expected + set.progressEvery); }
+        return SILENT * (a.startedAt > 0 ? set.progressEvery : a.wait + START * set.connectTimeout
+                + (a.wait > 0 ? set.progressEvery : 0));
     }
 
     /**
--- a/src/main/java/barrowshore/Job.java
+++ b/src/main/java/barrowshore/Job.java
@@ -15,10 +15,17 @@
         long startedAt;
         long progressAt;
         double progress;
+        /** How long it was expected to wait for its start when it was sent. */
+        double wait;
         boolean ended;
         /** Known not to have run. */
         boolean neverRan;
 
+        /** When it last gave a sign; its sending is the first. */
+        long signAt() {
+            return Math.max(sentAt, Math.max(startedAt, progressAt));
+        }
+
         Attempt(Job job, int number, Worker worker, long sentAt) {
             this.job = job;
             this.number = number;
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -21,7 +21,7 @@
     int kind, zone, cell, strikes;
     double rating;
     boolean listed, silent;
-    long startedAt, heardAt, fullUntil, downUntil, reportedAt, decayedAt, nextCold;
+    long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt, decayedAt, nextCold;
     /** Our attempts that are out; the slots they take; those of others, expected, told by them, reported. */
     final ArrayList<Job.Attempt> out = new ArrayList<>();
     double own, others, told, reported, overdue;
@@ -37,6 +37,7 @@
         downUntil = fullUntil = reportedAt = nextCold = 0;
         errors = ends = strikes = 0;
         heardAt = now;
+        silent = false;
     }
 
     private void decay(long now, Settings set) {
@@ -53,7 +54,6 @@
         heardAt = now;
         ends++;
         downUntil = strikes = 0;
-        silent = false;
     }
 
     /** Evidence of speed: a job's expected work at speed 1, and how long it ran. */
@@ -63,6 +63,9 @@
         this.took += took;
     }
 
+    /** Struck and not yet heard to serve: one job at a time finds out. */
+    boolean onTrial() { return strikes > 0 && !out.isEmpty(); }
+
     void failed() { ends++; errors++; }
 
     /** The share of jobs that fail here, a decaying estimate. */
--- a/src/main/java/barrowshore/net/RealServer.java
+++ b/src/main/java/barrowshore/net/RealServer.java
@@ -166,7 +166,7 @@
             return;
         }
         if (links.size() + dialing >= most) {
-            work.end(Status.FULL, null, null);   // shed before descriptors run out; it has not been sent
+            work.end(Status.NOT_SENT, null, null);   // shed before descriptors run out; it has not been sent
             return;
         }
         dialing++;
@@ -186,7 +186,7 @@
         });
         if (!started) {
             dialing--;
-            work.end(Status.FULL, null, null);
+            work.end(Status.NOT_SENT, null, null);
         }
     }
 
@@ -293,7 +293,7 @@
             Scheduling scheduling = next.scheduling;
             // Guards the drain rule: connecting took time, so the state is looked at again as the first byte goes.
             if (state != ServiceEntry.State.READY || scheduling != null && scheduling.left() <= 0) {
-                next.end(Status.FULL, null, null);
+                next.end(Status.NOT_SENT, null, null);   // our reason: it says nothing of the real server
                 rest();
                 return;
             }
--- a/src/test/java/barrowshore/TroubleTest.java
+++ b/src/test/java/barrowshore/TroubleTest.java
@@ -3,8 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import barrowshore.DispatchApi.Effect;
+import barrowshore.DispatchApi.JobClass;
+import barrowshore.DispatchApi.Note;
 import barrowshore.DispatchApi.Scope;
+import barrowshore.DispatchApi.Settings;
 import barrowshore.DispatchApi.Status;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Workers in trouble: what counts against them, and what does not. */
@@ -21,6 +25,75 @@
         assertThat(bench.request("s")).isEqualTo("w0");
     }
 
+    /** Starts are told at once, shares done every 2 s, as at sites with notes. */
+    private static Bench noting(Effect effect) {
+        Settings set = Bench.settings(effect, Scope.ALL);
+        set.classes = new JobClass[] {new JobClass(1_000_000, 0, 9_000_000, 1, 0, effect, Scope.ALL, 0, -1, 0)};
+        set.tellsStart = true;
+        set.progressEvery = 2_000_000;
+        set.secondCopies = true;
+        return new Bench(set).workers(3);
+    }
+
+    @Test
+    void aFreeWorkerThatTellsNoStartIsSetAsideUntilItGivesASign() {
+        Bench bench = noting(Effect.UNSAFE);
+        String silent = bench.request("r");
+        bench.until(bench.now + 1_000_000);
+        for (int i = 0; i < 20; i++) {
+            assertThat(bench.request("s" + i)).isNotEqualTo(silent);
+            bench.dispatcher.note(bench.now, "s" + i, 0, Note.STARTED, 0);
+        }
+        bench.dispatcher.note(bench.now, "r", 0, Note.STARTED, 0);
+        bench.outcome("r", Status.OK);
+        bench.until(bench.now + 200_000);
+        assertThat(bench.request("t")).isEqualTo(silent);
+    }
+
+    @Test
+    void oneThatTellsItsStartIsNot() {
+        Bench bench = noting(Effect.UNSAFE);
+        String worker = bench.request("r");
+        bench.dispatcher.note(bench.now, "r", 0, Note.STARTED, 0);
+        bench.until(bench.now + 1_000_000);
+        assertThat(IntStream.range(0, 20).mapToObj(i -> bench.request("s" + i))).contains(worker);
+    }
+
+    @Test
+    void aSecondCopyOfWhatMayRunTwiceFollowsAnAttemptWithoutASign() {
+        Bench safe = noting(Effect.SAFE), unsafe = noting(Effect.UNSAFE);
+        safe.request("r");
+        unsafe.request("r");
+        safe.until(safe.now + 1_000_000);
+        unsafe.until(unsafe.now + 1_000_000);
+        assertThat(safe.sends.get("r")).hasSize(2).doesNotHaveDuplicates();
+        assertThat(unsafe.attempts("r")).isEqualTo(1);
+    }
+
+    @Test
+    void afterATimeOutWithoutAWordOneJobTriesTheWorker() {
+        Bench bench = bench(1);
+        bench.request("r");
+        bench.until(bench.now + 100_000);
+        bench.outcome("r", Status.TIMEOUT);
+        assertThat(bench.request("s")).as("aside").isNull();
+        bench.until(bench.now + 5_000_000);
+        assertThat(bench.request("t")).isEqualTo("w0");
+        assertThat(bench.request("u")).as("one at a time until it serves").isNull();
+        bench.outcome("t", Status.OK);
+        assertThat(bench.request("v")).isEqualTo("w0");
+    }
+
+    @Test
+    void whatWasNotSentIsSentElsewhereAndNothingIsHeldAgainstTheWorker() {
+        Bench bench = bench(2);
+        String first = bench.request("r");
+        bench.outcome("r", Status.NOT_SENT);
+        assertThat(bench.sends.get("r")).hasSize(2).doesNotHaveDuplicates();
+        bench.outcome("r", Status.OK);
+        assertThat(IntStream.range(0, 20).mapToObj(i -> bench.request("s" + i))).contains(first);
+    }
+
     @Test
     void oneThatDoesNotComeUpDoes() {
         Bench bench = bench(1);
