Let the first scheduler's clients go early and keep the last one's, as peers say they are ending

The first node to end held its clients until the second one had closed to new connections too, and they had nobody until the first was back. Now: PeerSide.ending, a datagram of one byte, and Node.drain by its answer.

--- a/src/main/java/barrowshore/net/Config.java
+++ b/src/main/java/barrowshore/net/Config.java
@@ -80,7 +80,7 @@
         fixed.keySet().removeAll(LIVE);
         return new Config(text(root, "name"), address(text(root, "listen"), "listen"),
                 address(text(root, "discovery"), "discovery"), sockets, settings, keepAlive, reader.names("lanes"),
-                reader.names("tenants"), names, known, peers(root), fixed);
+                reader.names("tenants"), names, known, peers(root, settings.me), fixed);
     }
 
     /** The fields that differ from another configuration's and are taken over only at a start. */
@@ -118,7 +118,7 @@
     }
 
     /** Null where schedulers cannot reach one another. */
-    private static PeerSide.Addresses peers(Map<?, ?> root) {
+    private static PeerSide.Addresses peers(Map<?, ?> root, int me) {
         if (root.get("peer_listen") == null) {
             return null;
         }
@@ -126,7 +126,7 @@
             throw new ConfigException("peers is missing or not a list");
         }
         List<InetSocketAddress> peers = list.stream().map(peer -> address(String.valueOf(peer), "peers")).toList();
-        return new PeerSide.Addresses(address(text(root, "peer_listen"), "peer_listen"), peers,
+        return new PeerSide.Addresses(address(text(root, "peer_listen"), "peer_listen"), peers, me,
                 address(text(root, "peers_all"), "peers_all"));
     }
 
--- a/src/main/java/barrowshore/net/Node.java
+++ b/src/main/java/barrowshore/net/Node.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.eclipse.jetty.io.Connection;
@@ -76,7 +77,7 @@
                 this::tell, newModule);
         clients = new ClientSide(config, clock, pool, timers, module, (int) ((usable - outgoing) * 0.9));
         entry = new ServiceEntry(config, pool, dialer, timers, module::update);
-        peers = config.peers() == null ? null : new PeerSide(config.peers(), pool, module::peer);
+        peers = config.peers() == null ? null : new PeerSide(config.peers(), pool, clock, module::peer);
         dialer.start();
         module.start(config.known());
         entry.open();
@@ -188,11 +189,16 @@
         long grace = Math.min(LONGEST_GRACE, deadline) + MORE_GRACE;
         clients.endsIn(grace - LAST_WORD);
         // Guards clients against a gap: schedulers restarted one after the other were once all closed to new
-        // connections for 2 s, while those that clients had were being closed, not used.
-        timers.schedule(() -> {
+        // connections for 2 s. So the first one's clients go to the others in time, and the last one's stay.
+        Consumer<Boolean> release = othersServe -> timers.schedule(() -> {
             clients.drain(ended::countDown);
             module.whenIdle(ended::countDown);
-        }, Math.max(SETTLE, grace - USUAL_JOB), TimeUnit.MILLISECONDS);
+        }, othersServe ? SETTLE : Math.max(SETTLE, grace - USUAL_JOB), TimeUnit.MILLISECONDS);
+        if (peers == null) {
+            release.accept(false);
+        } else {
+            peers.ending(release);
+        }
         timers.schedule(ended::countDown, STAY, TimeUnit.MILLISECONDS);
         return ended;
     }
--- a/src/main/java/barrowshore/net/PeerSide.java
+++ b/src/main/java/barrowshore/net/PeerSide.java
@@ -6,30 +6,45 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * The other schedulers' side: datagrams out to all of them and in from each. An actor; it owns the one UDP socket and
- * the thread that waits on it. It must never wait for a peer, never read what a datagram says, and never hand one on
- * whose sender is not in the list of peers.
+ * the thread that waits on it. It must never wait for a peer, never read what the module's datagrams say, and never hand
+ * one on whose sender is not in the list of peers. One datagram is its own: a single byte says that its sender is ending,
+ * so that the others, told to end soon after, know that there is nobody yet for their clients to go to.
  */
 final class PeerSide {
     private static final System.Logger LOG = System.getLogger(PeerSide.class.getName());
+    private static final byte[] ENDING = {0};
+    /** Milliseconds in which a peer is heard of for sure; after which one that was ending is back. */
+    private static final long HEARD = 2_000;
+    private static final long BACK = 8_000;
+    /** Times that our end is told, since datagrams are lost. */
+    private static final int TOLD = 3;
     /** No datagram may be longer. */
     private static final int MOST = 256;
 
-    /** Where we are heard, the peers by their numbers, and the address that reaches them all. */
-    record Addresses(InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress all) { }
+    /** Where we are heard, the peers by their numbers, ours, and the address that reaches them all and us. */
+    record Addresses(InetSocketAddress listen, List<InetSocketAddress> peers, int me, InetSocketAddress all) { }
 
     private final Addresses addresses;
     private final DatagramChannel channel;
     private final Mailbox mailbox;
     private final BiConsumer<Integer, byte[]> listener;
+    private final Clock clock;
+    /** When each peer was heard last, and when it said that it is ending. */
+    private final Map<Integer, Long> heardAt = new HashMap<>();
+    private final Map<Integer, Long> endingAt = new HashMap<>();
 
-    PeerSide(Addresses addresses, Executor pool, BiConsumer<Integer, byte[]> listener) throws IOException {
+    PeerSide(Addresses addresses, Executor pool, Clock clock, BiConsumer<Integer, byte[]> listener) throws IOException {
         this.addresses = addresses;
+        this.clock = clock;
         this.listener = listener;
         this.mailbox = new Mailbox("the peers", pool);
         this.channel = DatagramChannel.open();
@@ -59,6 +74,28 @@
         });
     }
 
+    /** Tells the others that we are ending, and the asker whether one of them can take our clients. */
+    void ending(Consumer<Boolean> othersServe) {
+        for (int k = 0; k < TOLD; k++) {
+            tell(ENDING);
+        }
+        mailbox.post(() -> {
+            long now = clock.micros();
+            othersServe.accept(heardAt.entrySet().stream().anyMatch(peer -> peer.getKey() != addresses.me()
+                    && now - peer.getValue() <= HEARD * 1000
+                    && now - endingAt.getOrDefault(peer.getKey(), Long.MIN_VALUE / 2) > BACK * 1000));
+        });
+    }
+
+    private void heard(int from, byte[] message) {
+        heardAt.put(from, clock.micros());
+        if (message.length == ENDING.length) {
+            endingAt.put(from, clock.micros());
+        } else {
+            listener.accept(from, message);
+        }
+    }
+
     private void receive() {
         ByteBuffer in = ByteBuffer.allocate(MOST + 1);
         while (channel.isOpen()) {
@@ -69,7 +106,7 @@
                 if (from >= 0 && in.remaining() <= MOST) {
                     byte[] message = new byte[in.remaining()];
                     in.get(message);
-                    listener.accept(from, message);
+                    mailbox.post(() -> heard(from, message));
                 }
             } catch (ClosedChannelException e) {
                 return;
