--- a/src/main/java/barrowshore/net/ClientSide.java
+++ b/src/main/java/barrowshore/net/ClientSide.java
@@ -201,7 +201,6 @@
         private ByteArrayOutputStream body;
         /** The request's head as a flow, still without its body; null: it asks whether we are ready. */
         private Flow head;
-        private boolean persistent;
         private boolean busy;
         private boolean draining;
         /** Whether a flow has been answered here: a usual client's connection, as far as we can tell. */
@@ -309,15 +308,13 @@
 
         @Override
         public void parsedHeader(HttpField field) {
+            super.parsedHeader(field);
             fields.add(field);
         }
 
         /** All that a head can be wrong in is said before its body comes, so that no body is waited for in vain. */
         @Override
         public boolean headerComplete() {
-            if (fields.contains(HttpHeader.CONNECTION, "close")) {
-                persistent = false;
-            }
             try {
                 if (fields.getLongField(HttpHeader.CONTENT_LENGTH) > MAX_BODY) {
                     throw tooLarge();
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpGenerator;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.io.AbstractConnection;
@@ -35,6 +36,8 @@
     private final ByteBuffer in = BufferUtil.allocate(READ_BUFFER);
     /** Set by the subclass's constructor; it needs the subclass as its handler. */
     HttpParser parser;
+    /** Whether the message read last leaves the connection to the next one. */
+    boolean persistent;
     private boolean closed;
     private boolean discarding;
     private int discarded;
@@ -231,7 +234,11 @@
     }
 
     @Override
-    public void parsedHeader(HttpField field) { }
+    public void parsedHeader(HttpField field) {
+        if (field.getHeader() == HttpHeader.CONNECTION && field.contains("close")) {
+            persistent = false;
+        }
+    }
 
     @Override
     public void earlyEOF() { }
--- a/src/main/java/barrowshore/net/RealServer.java
+++ b/src/main/java/barrowshore/net/RealServer.java
@@ -251,7 +251,6 @@
         private Work work;
         private LineBuffer lines;
         private StringBuilder body;
-        private boolean persistent;
         private boolean retired;
         private int status;
         private boolean notProcessed;
@@ -342,9 +341,8 @@
 
         @Override
         public void parsedHeader(HttpField field) {
-            if (field.getHeader() == HttpHeader.CONNECTION && field.contains("close")) {
-                persistent = false;
-            } else if (field.is(NOT_PROCESSED_HEADER)) {
+            super.parsedHeader(field);
+            if (field.is(NOT_PROCESSED_HEADER)) {
                 notProcessed = "1".equals(field.getValue());
             } else if (field.is(LOAD_HEADER)) {
                 load = load(jsonOrNull(field.getValue()));
--- a/src/main/java/barrowshore/net/ServiceEntry.java
+++ b/src/main/java/barrowshore/net/ServiceEntry.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
@@ -158,7 +157,6 @@
         private final int of;
         private final LineBuffer lines = new LineBuffer(LONGEST_LINE);
         private boolean listing;
-        private boolean persistent;
 
         Watch(EndPoint endPoint, int of) {
             super(endPoint, ServiceEntry.this.mailbox, timers);
@@ -179,7 +177,6 @@
         private void ask() {
             listing = !whole;
             limit(listing ? ANSWER : SILENCE);
-            persistent = true;
             HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":"
                     + address.getPort());
             String target = listing ? "/api/targets" : "/api/targets?watch=1&after=" + rev;
@@ -196,13 +193,6 @@
             }
         }
 
-        @Override
-        public void parsedHeader(HttpField field) {
-            if (field.getHeader() == HttpHeader.CONNECTION && field.contains("close")) {
-                persistent = false;
-            }
-        }
-
         @Override
         public boolean content(ByteBuffer bytes) {
             if (!listing) {
