Split the scheduler on sockets into packages by concern, with data flowing one way

Need: halls, lists and an emulator are to stand beside the network code, which was one package whose parts used each other both ways: Config and ServiceEntry, RealServer and Config, ClientSide and the module's actor. Change: list holds what a list is, apart from who tells it; flow the records and the desk that clients hand flows to; wire reads JSON; net keeps clock, mailboxes, dialer and links; client, servers, peer and node hold the actors. A connection that was accepted says so itself (Dialer.Accepted). A wrong address in known is named with known: as the rest of the list is. No exchange was touched.

--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -1,8 +1,8 @@
 package barrowshore.cli;
 
-import barrowshore.net.Config;
-import barrowshore.net.ConfigException;
-import barrowshore.net.Node;
+import barrowshore.config.Config;
+import barrowshore.config.ConfigException;
+import barrowshore.node.Node;
 import barrowshore.wire.WireException;
 import barrowshore.wire.WireHost;
 import java.io.FileDescriptor;
--- a/src/main/java/barrowshore/net/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -1,6 +1,12 @@
-package barrowshore.net;
+package barrowshore.client;
 
 import barrowshore.DispatchApi;
+import barrowshore.config.Config;
+import barrowshore.flow.Flow;
+import barrowshore.net.Clock;
+import barrowshore.net.Dialer;
+import barrowshore.net.HttpLink;
+import barrowshore.net.Mailbox;
 import barrowshore.wire.SettingsReader;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -31,7 +37,7 @@
  * client connections and their limit; each connection is an actor of its own and owns at most one open flow. It must
  * never let a request that is not well formed reach the module, and never answer a flow twice.
  */
-final class ClientSide {
+public final class ClientSide {
     private static final int MAX_BODY = 64 * 1024;
     private static final int MAX_HEADERS = 16 * 1024;
     /** Microseconds before the client's deadline at which a flow is answered come what may: the answer's way back. */
@@ -70,7 +76,7 @@
     private final Clock clock;
     private final Executor pool;
     private final Scheduler timers;
-    private final ModuleActor module;
+    private final Flow.Desk desk;
     private final Semaphore bytes = new Semaphore(MOST_BYTES);
     private final List<String> classes;
     private final List<String> tenants;
@@ -87,11 +93,11 @@
     private long cap = Long.MAX_VALUE;
     private Runnable whenEmpty;
 
-    ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, ModuleActor module, int most) {
+    public ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, Flow.Desk desk, int most) {
         this.clock = clock;
         this.pool = pool;
         this.timers = timers;
-        this.module = module;
+        this.desk = desk;
         this.classes = config.classes();
         this.tenants = config.tenants();
         this.effects = config.settings().classes;
@@ -99,12 +105,12 @@
         this.mailbox = new Mailbox("the client side", pool);
     }
 
-    Connection accept(EndPoint endPoint) {
+    public Connection accept(EndPoint endPoint) {
         return new ClientLink(endPoint);
     }
 
     /** The process may be killed so many milliseconds from now: flows that still come are answered before. */
-    void endsIn(long millis) {
+    public void endsIn(long millis) {
         long now = clock.micros();
         mailbox.post(() -> {
             cappedFrom = now + GRACE * 1000;
@@ -114,7 +120,7 @@
     }
 
     /** From now on each answer ends its connection and idle ones are closed; the message runs once none is left. */
-    void drain(Runnable message) {
+    public void drain(Runnable message) {
         mailbox.post(() -> {
             draining = true;
             whenEmpty = message;
@@ -194,7 +200,7 @@
     }
 
     /** One client's connection. */
-    final class ClientLink extends HttpLink implements HttpParser.RequestHandler {
+    final class ClientLink extends HttpLink implements HttpParser.RequestHandler, Dialer.Accepted {
         private String method;
         private String target;
         private HttpFields.Mutable fields;
@@ -223,7 +229,7 @@
         }
 
         @Override
-        void begin() {
+        protected void begin() {
             limit(WHOLE);
             opened(this);
         }
@@ -268,12 +274,12 @@
         }
 
         @Override
-        boolean wantsBytes() {
+        protected boolean wantsBytes() {
             return !busy;
         }
 
         @Override
-        void read() {
+        protected void read() {
             super.read();
             if (!busy && !isClosed() && !dribbling && !parser.isStart()) {
                 dribbling = true;
@@ -285,7 +291,7 @@
 
         /** Nothing, or half a request, when its time is up; what has come by now is still looked at. */
         @Override
-        void expired() {
+        protected void expired() {
             if (!busy) {
                 read();
             }
@@ -381,11 +387,11 @@
             limit(0);
             stands(this, null);
             if (head == null) {
-                module.ready(ready -> mailbox.post(() -> plain(ready ? 200 : 503, ready ? "ready" : "not ready")));
+                desk.ready(ready -> mailbox.post(() -> plain(ready ? 200 : 503, ready ? "ready" : "not ready")));
                 return true;
             }
             flow = head.with(body.toByteArray());
-            module.open(flow, answer -> mailbox.post(() -> answer(answer)));
+            desk.open(flow, answer -> mailbox.post(() -> answer(answer)));
             return true;
         }
 
@@ -530,11 +536,11 @@
         }
 
         @Override
-        void onEnd(Throwable cause) {
+        protected void onEnd(Throwable cause) {
             closed(this);
             release();
             if (flow != null) {
-                module.clientGone(flow);
+                desk.clientGone(flow);
                 flow = null;
             }
         }
--- a/src/main/java/barrowshore/net/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -1,6 +1,8 @@
-package barrowshore.net;
+package barrowshore.config;
 
 import barrowshore.DispatchApi.Settings;
+import barrowshore.list.ServerList;
+import barrowshore.wire.Json;
 import barrowshore.wire.SettingsReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,16 +15,18 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
-import org.eclipse.jetty.util.ajax.JSON;
 
 /**
- * What a scheduler is told at its start and again on SIGHUP. It owns the reading of the configuration file and of nothing else: each field
- * is checked here, once, and a wrong one gets a {@link ConfigException} that names it. It must never guess a value that
- * is required, and never open a socket.
+ * What a scheduler is told at its start and again on SIGHUP. It owns the reading of the configuration file and of nothing
+ * else: each field is checked here, once, and a wrong one gets a {@link ConfigException} that names it. It must never
+ * guess a value that is required, and never open a socket.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, Settings settings,
-                     long keepAlive, List<String> classes, List<String> tenants, ServiceEntry.Names names,
-                     ServiceEntry.Update known, PeerSide.Addresses peers, Map<String, Object> fixed) {
+                     long keepAlive, List<String> classes, List<String> tenants, ServerList.Names names,
+                     ServerList.Update known, Peering peers, Map<String, Object> fixed) {
+    /** Where we are heard, the peers by their numbers, ours, and the address that reaches them all and us. */
+    public record Peering(InetSocketAddress listen, List<InetSocketAddress> peers, int me, InetSocketAddress all) { }
+
     /** The fields that a running scheduler takes over, and those that matter only to a fresh one. */
     private static final Set<String> LIVE = Set.of("discovery", "known", "seed");
 
@@ -36,20 +40,21 @@
         return parse(text);
     }
 
-    static Config parse(String text) {
+    public static Config parse(String text) {
         Map<?, ?> root;
         try {
-            root = map(json(text), "configuration");
+            root = map(Json.parse(text), "configuration");
         } catch (IllegalArgumentException e) {
             throw new ConfigException("configuration is " + e.getMessage());
         }
         Map<?, ?> nested = map(root.get("settings"), "settings");
         SettingsReader reader = SettingsReader.of(nested);
-        ServiceEntry.Names names = new ServiceEntry.Names(reader.items("zones"), reader.items("kinds"));
+        ServerList.Names names = new ServerList.Names(reader.items("zones"), reader.items("kinds"));
         Settings settings;
         long keepAlive;
+        long seed = seed(text(root, "seed"));
         try {
-            settings = reader.settings(seed(text(root, "seed")));
+            settings = reader.settings(seed);
             settings.validate();
             keepAlive = (long) reader.number("policyLimits.keepalive", 60e6);
         } catch (IllegalArgumentException e) {
@@ -62,10 +67,10 @@
             }
             sockets = n.intValue();
         }
-        ServiceEntry.Update known = new ServiceEntry.Update(0, true, List.of());
+        ServerList.Update known = new ServerList.Update(0, true, List.of());
         if (root.get("known") != null) {
             try {
-                known = ServiceEntry.update(map(root.get("known"), "known"), names);
+                known = ServerList.read(map(root.get("known"), "known"), names);
             } catch (IllegalArgumentException e) {
                 throw new ConfigException("known: " + e.getMessage());
             }
@@ -84,7 +89,7 @@
     }
 
     /** The fields that differ from another configuration's and are taken over only at a start. */
-    List<String> differing(Config other) {
+    public List<String> differing(Config other) {
         Set<String> all = new TreeSet<>(fixed.keySet());
         all.addAll(other.fixed.keySet());
         all.removeIf(field -> Objects.equals(fixed.get(field), other.fixed.get(field)));
@@ -97,28 +102,8 @@
                 + tenants.size() + " tenants, " + known.entries().size() + " known real servers";
     }
 
-    /** Parses JSON with lists as {@link List}; an IllegalArgumentException tells that it is none. */
-    static Object json(String text) {
-        JSON json = new JSON();
-        json.setArrayConverter(list -> list);
-        try {
-            return json.fromJSON(text);
-        } catch (RuntimeException e) {
-            throw new IllegalArgumentException("not JSON: " + String.valueOf(e.getMessage()).replace('\n', ' '), e);
-        }
-    }
-
-    static InetSocketAddress address(String text, String field) {
-        int colon = text.lastIndexOf(':');
-        try {
-            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-        } catch (RuntimeException e) {
-            throw new ConfigException(field + " is not address:port: " + text);
-        }
-    }
-
     /** Null where schedulers cannot reach one another. */
-    private static PeerSide.Addresses peers(Map<?, ?> root, int me) {
+    private static Peering peers(Map<?, ?> root, int me) {
         if (root.get("peer_listen") == null) {
             return null;
         }
@@ -126,10 +111,18 @@
             throw new ConfigException("peers is missing or not a list");
         }
         List<InetSocketAddress> peers = list.stream().map(peer -> address(String.valueOf(peer), "peers")).toList();
-        return new PeerSide.Addresses(address(text(root, "peer_listen"), "peer_listen"), peers, me,
+        return new Peering(address(text(root, "peer_listen"), "peer_listen"), peers, me,
                 address(text(root, "peers_all"), "peers_all"));
     }
 
+    private static InetSocketAddress address(String text, String field) {
+        try {
+            return Json.address(text, field);
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException(e.getMessage());
+        }
+    }
+
     private static long seed(String hex) {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/barrowshore/net/ConfigException.java
+++ b/src/main/java/barrowshore/config/ConfigException.java
@@ -1,7 +1,7 @@
-package barrowshore.net;
+package barrowshore.config;
 
 /** A configuration that cannot be used; the text names the field and what is wrong with it, on one line. */
-public final class ConfigException extends RuntimeException {
+public final class ConfigException extends IllegalArgumentException {
     private static final long serialVersionUID = 1;
 
     public ConfigException(String message) {
--- /dev/null
+++ b/src/main/java/barrowshore/flow/Flow.java
@@ -0,0 +1,47 @@
+package barrowshore.flow;
+
+import java.util.function.Consumer;
+
+/**
+ * What any client protocol hands to the desk that serves it, and the one final answer that it takes back. These records own no
+ * resource and know no protocol: a second protocol beside HTTP brings its flows in this form. Times in microseconds of
+ * the scheduler's clock; {@code deadline} is when the answer must have been given;
+ * {@code repeatable}: it does no harm if it runs twice.
+ */
+public record Flow(String id, int jobClass, int tenant, double slots, double hint, long deadline, boolean repeatable,
+            String method, String target, byte[] body) {
+    /** The same flow with its body. */
+    public Flow with(byte[] whole) {
+        return new Flow(id, jobClass, tenant, slots, hint, deadline, repeatable, method, target, whole);
+    }
+
+    /** The final answer to a flow. */
+    public sealed interface Answer permits Served, TurnDown, Failed, Rejected { }
+
+    /** A real server's result. */
+    public record Served(byte[] result) implements Answer { }
+
+    /** Harmless to try again, after so long. */
+    public record TurnDown(long retryAfter) implements Answer { }
+
+    /** No promise; late: its time ran out. */
+    public record Failed(boolean late) implements Answer { }
+
+    /** The flow never came to the module: its id is in use. */
+    public record Rejected(String why) implements Answer { }
+
+    /** Takes the final answer; called once. */
+    public interface Client {
+        void answer(Answer answer);
+    }
+
+    /** Where a client's side hands its flows in; each opened one gets its answer once, unless the client goes first. */
+    public interface Desk {
+        void open(Flow flow, Client client);
+
+        void clientGone(Flow flow);
+
+        /** Answers whether flows can be served. */
+        void ready(Consumer<Boolean> asker);
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/list/ServerList.java
@@ -0,0 +1,68 @@
+package barrowshore.list;
+
+import barrowshore.wire.Json;
+import barrowshore.wire.SettingsReader;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a list of real servers is, whoever tells it, and how discovery's JSON is read as one. It owns these forms alone:
+ * pure, without a connection, a clock or an opinion on what a list says. It must never drop what it cannot read without
+ * saying so.
+ */
+public final class ServerList {
+    private ServerList() { }
+
+    /** What a list says of a real server. */
+    public enum State { READY, TERMINATING, GONE }
+
+    /** One entry of the list; bootMicros in Unix time, 0: long ago; zone -1: not known; address null: not told. */
+    public record Entry(String uid, String endpoint, InetSocketAddress address, int zone, int kind, int cell,
+                        State state, double hint, long bootMicros) { }
+
+    /** A version of the list: all of it, or what changed; unknown: the real servers left out, of no known model. */
+    public record Update(long rev, boolean all, List<Entry> entries, List<String> unknown) {
+        /** A list from which nothing was left out. */
+        public Update(long rev, boolean all, List<Entry> entries) {
+            this(rev, all, entries, List.of());
+        }
+    }
+
+    /** The settings' names for zones and kinds, by position. */
+    public record Names(List<String> zones, List<String> kinds) { }
+
+    /** Reads a list in discovery's form; an IllegalArgumentException names what is wrong. */
+    public static Update read(Map<?, ?> json, Names names) {
+        if (!(json.get("targets") instanceof List<?> targets)) {
+            throw new IllegalArgumentException("targets is missing or not a list");
+        }
+        List<Entry> entries = new ArrayList<>();
+        List<String> unknown = new ArrayList<>();
+        for (Object target : targets) {
+            if (!(target instanceof Map<?, ?> t) || !(t.get("uid") instanceof String uid)
+                    || !(t.get("state") instanceof String state)) {
+                throw new IllegalArgumentException("a target lacks its uid or state");
+            }
+            String endpoint = t.get("endpoint") instanceof String s ? s : "";
+            int kind = names.kinds().indexOf(SettingsReader.plain(t.get("model")));
+            if (kind < 0 && !names.kinds().isEmpty()) {
+                unknown.add(uid);   // guards the module against a kind that its settings do not name
+                continue;
+            }
+            entries.add(new Entry(uid, endpoint, endpoint.isEmpty() ? null : Json.address(endpoint, "endpoint"),
+                    names.zones().indexOf(SettingsReader.plain(t.get("az"))), Math.max(0, kind),
+                    (int) number(t.get("pod_group"), 0), switch (state) {
+                        case "Ready" -> State.READY;
+                        case "Gone" -> State.GONE;
+                        default -> State.TERMINATING;   // the careful reading of a word not known
+                    }, number(t.get("capacity_hint"), 1), (long) number(t.get("boot_ms"), 0) * 1000));
+        }
+        return new Update((long) number(json.get("rev"), 0), Boolean.TRUE.equals(json.get("all")), entries, unknown);
+    }
+
+    private static double number(Object value, double otherwise) {
+        return value instanceof Number n ? n.doubleValue() : otherwise;
+    }
+}
--- a/src/main/java/barrowshore/net/Dialer.java
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -24,9 +24,12 @@
  * closed, or else when the dial fails. It must
  * never know what is spoken on a connection.
  */
-final class Dialer extends SelectorManager {
+public final class Dialer extends SelectorManager {
+    /** Marks a connection that was accepted, and so counts among the clients'. */
+    public interface Accepted { }
+
     /** Makes the connection that speaks on a fresh end point. */
-    interface Opener extends Function<EndPoint, Connection> {
+    public interface Opener extends Function<EndPoint, Connection> {
         /** The dial has failed; called instead of {@link #apply}. */
         void failed(Throwable cause);
     }
@@ -35,7 +38,7 @@
     private final Semaphore clients;
     private final Function<EndPoint, Connection> accepted;
 
-    Dialer(Executor pool, Scheduler scheduler, int outgoing, int clients, long connectMillis,
+    public Dialer(Executor pool, Scheduler scheduler, int outgoing, int clients, long connectMillis,
            Function<EndPoint, Connection> accepted) {
         super(pool, scheduler, 1);
         this.budget = new Semaphore(outgoing);
@@ -45,7 +48,7 @@
     }
 
     /** Dials; false if that would not leave so many descriptors to others, in which case the opener hears nothing. */
-    boolean dial(InetSocketAddress address, int leave, Opener opener) {
+    public boolean dial(InetSocketAddress address, int leave, Opener opener) {
         if (!budget.tryAcquire(1 + leave)) {
             return false;
         }
@@ -68,7 +71,7 @@
         return true;
     }
 
-    void listen(ServerSocketChannel server) throws IOException {
+    public void listen(ServerSocketChannel server) throws IOException {
         server.configureBlocking(false);
         acceptor(server);
     }
@@ -113,7 +116,7 @@
     @Override
     public void connectionClosed(Connection connection, Throwable cause) {
         super.connectionClosed(connection, cause);
-        (connection instanceof ClientSide.ClientLink ? clients : budget).release();
+        (connection instanceof Accepted ? clients : budget).release();
     }
 
     @Override
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -18,38 +18,38 @@
 
 /**
  * One HTTP/1.1 connection of any peer: bytes in through Jetty's parser, messages out through its generator. It owns its
- * end point, its read buffer and the timer that limits it, and is the one place that gives them back; all of it runs in the mailbox of the actor it
- * belongs to. It must never resend anything, and never read further ahead than one buffer.
+ * end point, its read buffer and the timer that limits it, and is the one place that gives them back; all of it runs in
+ * the mailbox of the actor it belongs to. It must never resend anything, and never read further ahead than one buffer.
  */
-abstract class HttpLink extends AbstractConnection implements HttpParser.HttpHandler {
+public abstract class HttpLink extends AbstractConnection implements HttpParser.HttpHandler {
     private static final int READ_BUFFER = 4096;
     private static final int HEADER_BUFFER = 2048;
     private static final int MAX_HEADER = 16384;
     /** Bytes read and thrown away for a peer to get its last answer; one that goes on sending pays with a reset. */
     private static final int MOST_DISCARDED = 256 * 1024;
 
-    final Mailbox mailbox;
+    protected final Mailbox mailbox;
     private final Scheduler timers;
     private Scheduler.Task limit;
     /** Counts the limits set: one that ran out as the next was set must not end the connection. */
     private int limits;
     private final ByteBuffer in = BufferUtil.allocate(READ_BUFFER);
     /** Set by the subclass's constructor; it needs the subclass as its handler. */
-    HttpParser parser;
+    protected HttpParser parser;
     /** Whether the message read last leaves the connection to the next one. */
-    boolean persistent;
+    protected boolean persistent;
     private boolean closed;
     private boolean discarding;
     private int discarded;
 
-    HttpLink(EndPoint endPoint, Mailbox mailbox, Scheduler timers) {
+    protected HttpLink(EndPoint endPoint, Mailbox mailbox, Scheduler timers) {
         super(endPoint, Runnable::run);
         this.mailbox = mailbox;
         this.timers = timers;
     }
 
     /** The peer has closed, the connection broke, or we closed it: called once, always. */
-    abstract void onEnd(Throwable cause);
+    protected abstract void onEnd(Throwable cause);
 
     @Override
     public void onOpen() {
@@ -58,7 +58,7 @@
     }
 
     /** The connection is up. */
-    void begin() {
+    protected void begin() {
         read();
     }
 
@@ -73,7 +73,7 @@
     }
 
     /** Calls {@link #expired} after so long, unless another limit or none (0) is set before. */
-    void limit(long millis) {
+    protected void limit(long millis) {
         if (limit != null) {
             limit.cancel();
         }
@@ -86,12 +86,12 @@
     }
 
     /** The limit has run out. */
-    void expired() {
+    protected void expired() {
         shut();
     }
 
     /** Reads and parses until there is nothing more, or the subclass stops it by {@link #wantsBytes}. */
-    void read() {
+    protected void read() {
         try {
             while (!closed) {
                 if (discarding) {
@@ -129,12 +129,12 @@
     }
 
     /** Whether bytes go to the parser now; if not they are kept, and only the end of the stream is looked for. */
-    boolean wantsBytes() {
+    protected boolean wantsBytes() {
         return true;
     }
 
     /** Whether the peer has closed a connection that should be silent; asked just before it is written to. */
-    boolean brokenWhileIdle() {
+    public boolean brokenWhileIdle() {
         try {
             return closed || !getEndPoint().isOpen() || getEndPoint().fill(in) != 0;
         } catch (IOException e) {
@@ -143,7 +143,7 @@
     }
 
     /** Whether bytes have come that nobody has asked for. */
-    boolean hasUnread() {
+    protected boolean hasUnread() {
         return BufferUtil.hasContent(in);
     }
 
@@ -151,7 +151,7 @@
      * Ends our side and lets the peer end its own: closing at once, with bytes unread, would reset the connection and
      * could destroy the answer on its way.
      */
-    void finish(long millis) {
+    protected void finish(long millis) {
         discarding = true;
         limit(millis);
         getEndPoint().shutdownOutput();
@@ -164,11 +164,11 @@
         end(failure instanceof Throwable cause ? cause : null);
     }
 
-    boolean isClosed() {
+    protected boolean isClosed() {
         return closed;
     }
 
-    void shut() {
+    public void shut() {
         end(null);
     }
 
@@ -185,7 +185,7 @@
      * Writes a whole message. The runnable is run by whoever writes the last byte, before anything that comes back can
      * be read; it may only post or set a flag meant for that. A failure ends the connection, through the mailbox.
      */
-    void write(MetaData message, byte[] body, Runnable written) {
+    protected void write(MetaData message, byte[] body, Runnable written) {
         ByteBuffer content = body.length == 0 ? null : ByteBuffer.wrap(body);
         ByteBuffer header = header(message, content);
         Callback callback = Callback.from(written::run, cause -> mailbox.post(() -> end(cause)));
--- a/src/main/java/barrowshore/net/LineBuffer.java
+++ b/src/main/java/barrowshore/net/LineBuffer.java
@@ -9,17 +9,17 @@
  * Cuts a stream into lines wherever its pieces begin and end. It owns the bytes of the line not yet whole, up to a
  * bound, and must never hand on a part of a line.
  */
-final class LineBuffer {
+public final class LineBuffer {
     private final int bound;
     private byte[] held = new byte[256];
     private int length;
 
-    LineBuffer(int bound) {
+    public LineBuffer(int bound) {
         this.bound = bound;
     }
 
     /** Adds a piece; each line that it completes goes to the taker, without its end. */
-    void add(ByteBuffer piece, Consumer<String> taker) {
+    public void add(ByteBuffer piece, Consumer<String> taker) {
         while (piece.hasRemaining()) {
             byte b = piece.get();
             if (b == '\n') {
@@ -37,7 +37,7 @@
     }
 
     /** What is held is a whole line, though nothing ends it: its message is complete. */
-    void end(Consumer<String> taker) {
+    public void end(Consumer<String> taker) {
         String line = new String(held, 0, length, StandardCharsets.UTF_8);
         length = 0;
         taker.accept(line);
--- a/src/main/java/barrowshore/net/Mailbox.java
+++ b/src/main/java/barrowshore/net/Mailbox.java
@@ -10,7 +10,7 @@
  * promise that an actor's state is touched by one thread at a time; it must never run a message in the caller's stack,
  * and never let an exception of one message lose the next.
  */
-final class Mailbox implements Runnable {
+public final class Mailbox implements Runnable {
     private static final System.Logger LOG = System.getLogger(Mailbox.class.getName());
     /** Messages run in one turn, so that a busy actor lets the others at the pool. */
     private static final int TURN = 64;
@@ -20,12 +20,12 @@
     private final ConcurrentLinkedQueue<Runnable> messages = new ConcurrentLinkedQueue<>();
     private final AtomicInteger waiting = new AtomicInteger();
 
-    Mailbox(String name, Executor pool) {
+    public Mailbox(String name, Executor pool) {
         this.name = name;
         this.pool = pool;
     }
 
-    void post(Runnable message) {
+    public void post(Runnable message) {
         messages.add(message);
         if (waiting.getAndIncrement() == 0) {
             pool.execute(this);
--- a/src/main/java/barrowshore/net/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -1,6 +1,5 @@
-package barrowshore.net;
+package barrowshore.node;
 
-import barrowshore.DispatchApi;
 import barrowshore.DispatchApi.Health;
 import barrowshore.DispatchApi.ListKind;
 import barrowshore.DispatchApi.Load;
@@ -8,6 +7,12 @@
 import barrowshore.DispatchApi.Note;
 import barrowshore.DispatchApi.Request;
 import barrowshore.DispatchApi.Status;
+import barrowshore.DispatchApi;
+import barrowshore.flow.Flow;
+import barrowshore.list.ServerList;
+import barrowshore.net.Clock;
+import barrowshore.net.Mailbox;
+import barrowshore.servers.RealServer;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,7 +33,7 @@
  * and the module one outcome for each send. It must never choose, repeat or refuse anything by itself, but for a flow
  * that the module leaves unanswered when its time is up.
  */
-final class ModuleActor implements DispatchApi.Actions {
+final class ModuleActor implements DispatchApi.Actions, Flow.Desk {
     private static final System.Logger LOG = System.getLogger(ModuleActor.class.getName());
     /** A probe that has told nothing by then tells nothing of the present any more. */
     private static final long PROBE_MILLIS = 1000;
@@ -125,7 +130,7 @@
 
     // What the actor is told.
 
-    void start(ServiceEntry.Update known) {
+    void start(ServerList.Update known) {
         mailbox.post(() -> {
             guarded(null, () -> module.start(now()));
             list(known, ListKind.INITIAL);
@@ -134,7 +139,7 @@
         });
     }
 
-    void update(ServiceEntry.Update update) {
+    void update(ServerList.Update update) {
         mailbox.post(() -> {
             list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
             told = true;
@@ -147,7 +152,8 @@
     }
 
     /** Answers whether the list has come and the tables are built. */
-    void ready(Consumer<Boolean> asker) {
+    @Override
+    public void ready(Consumer<Boolean> asker) {
         mailbox.post(() -> asker.accept(told));
     }
 
@@ -159,7 +165,8 @@
         });
     }
 
-    void open(Flow flow, Flow.Client client) {
+    @Override
+    public void open(Flow flow, Flow.Client client) {
         mailbox.post(() -> {
             if (flows.containsKey(flow.id()) || served.contains(flow.id())) {
                 client.answer(new Flow.Rejected("the id is in use"));
@@ -175,7 +182,8 @@
         });
     }
 
-    void clientGone(Flow flow) {
+    @Override
+    public void clientGone(Flow flow) {
         mailbox.post(() -> {
             OpenFlow open = flows.get(flow.id());
             if (open != null && open.flow == flow && !open.answered) {
@@ -191,10 +199,10 @@
         return lastNow;
     }
 
-    private void list(ServiceEntry.Update update, ListKind kind) {
+    private void list(ServerList.Update update, ListKind kind) {
         List<Member> members = new ArrayList<>();
         Set<String> named = new HashSet<>();
-        for (ServiceEntry.Entry e : update.entries()) {
+        for (ServerList.Entry e : update.entries()) {
             named.add(e.uid());
             servers.computeIfAbsent(e.uid(), newServer).update(e);
             members.add(new Member(e.uid(), switch (e.state()) {
@@ -208,7 +216,7 @@
             listed.retainAll(named);
         }
         update.entries().forEach(e -> {
-            if (e.state() == ServiceEntry.State.GONE) {
+            if (e.state() == ServerList.State.GONE) {
                 listed.remove(e.uid());
             } else {
                 listed.add(e.uid());
--- a/src/main/java/barrowshore/net/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -1,7 +1,16 @@
-package barrowshore.net;
+package barrowshore.node;
 
 import barrowshore.DispatchApi;
 import barrowshore.Dispatcher;
+import barrowshore.client.ClientSide;
+import barrowshore.config.Config;
+import barrowshore.config.ConfigException;
+import barrowshore.net.Clock;
+import barrowshore.net.Dialer;
+import barrowshore.net.Mailbox;
+import barrowshore.peer.PeerSide;
+import barrowshore.servers.RealServer;
+import barrowshore.servers.ServiceEntry;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.lang.reflect.Proxy;
@@ -76,7 +85,7 @@
                 uid -> new RealServer(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
                 this::tell, newModule);
         clients = new ClientSide(config, clock, pool, timers, module, (int) ((usable - outgoing) * 0.9));
-        entry = new ServiceEntry(config, pool, dialer, timers, module::update);
+        entry = new ServiceEntry(config.discovery(), config.names(), pool, dialer, timers, module::update);
         peers = config.peers() == null ? null : new PeerSide(config.peers(), pool, clock, module::peer);
         dialer.start();
         module.start(config.known());
@@ -84,6 +93,10 @@
         server = listen(config.listen());
         dialer.listen(server);
         LOG.log(Level.INFO, config.summary());
+        if (!config.known().unknown().isEmpty()) {
+            LOG.log(Level.WARNING, "known real servers of an unknown model, left out: {0}",
+                    String.join(", ", config.known().unknown()));
+        }
     }
 
     private Connection accepted(EndPoint endPoint) {
--- a/src/main/java/barrowshore/net/PeerSide.java
+++ b/src/main/java/barrowshore/peer/PeerSide.java
@@ -1,5 +1,9 @@
-package barrowshore.net;
+package barrowshore.peer;
 
+import barrowshore.config.Config;
+import barrowshore.config.ConfigException;
+import barrowshore.net.Clock;
+import barrowshore.net.Mailbox;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -19,7 +23,7 @@
  * one on whose sender is not in the list of peers. One datagram is its own: a single byte says that its sender is ending,
  * so that the others, told to end soon after, know that there is nobody yet for their clients to go to.
  */
-final class PeerSide {
+public final class PeerSide {
     private static final System.Logger LOG = System.getLogger(PeerSide.class.getName());
     private static final byte[] ENDING = {0};
     /** Milliseconds in which a peer is heard of for sure; after which one that was ending is back. */
@@ -30,10 +34,7 @@
     /** No datagram may be longer. */
     private static final int MOST = 256;
 
-    /** Where we are heard, the peers by their numbers, ours, and the address that reaches them all and us. */
-    record Addresses(InetSocketAddress listen, List<InetSocketAddress> peers, int me, InetSocketAddress all) { }
-
-    private final Addresses addresses;
+    private final Config.Peering addresses;
     private final DatagramChannel channel;
     private final Mailbox mailbox;
     private final BiConsumer<Integer, byte[]> listener;
@@ -42,7 +43,7 @@
     private final Map<Integer, Long> heardAt = new HashMap<>();
     private final Map<Integer, Long> endingAt = new HashMap<>();
 
-    PeerSide(Addresses addresses, Executor pool, Clock clock, BiConsumer<Integer, byte[]> listener) throws IOException {
+    public PeerSide(Config.Peering addresses, Executor pool, Clock clock, BiConsumer<Integer, byte[]> listener) throws IOException {
         this.addresses = addresses;
         this.clock = clock;
         this.listener = listener;
@@ -60,7 +61,7 @@
     }
 
     /** Tells all peers; what cannot be sent is lost, as it may be on its way. */
-    void tell(byte[] message) {
+    public void tell(byte[] message) {
         if (message.length > MOST) {
             LOG.log(Level.ERROR, "a message of {0} bytes to the peers is not sent", message.length);
             return;
@@ -75,7 +76,7 @@
     }
 
     /** Tells the others that we are ending, and the asker whether one of them can take our clients. */
-    void ending(Consumer<Boolean> othersServe) {
+    public void ending(Consumer<Boolean> othersServe) {
         for (int k = 0; k < TOLD; k++) {
             tell(ENDING);
         }
@@ -116,7 +117,7 @@
         }
     }
 
-    void stop() throws IOException {
+    public void stop() throws IOException {
         channel.close();
     }
 }
--- a/src/main/java/barrowshore/net/RealServer.java
+++ b/src/main/java/barrowshore/servers/RealServer.java
@@ -1,8 +1,15 @@
-package barrowshore.net;
+package barrowshore.servers;
 
 import barrowshore.DispatchApi.Load;
 import barrowshore.DispatchApi.Note;
 import barrowshore.DispatchApi.Status;
+import barrowshore.flow.Flow;
+import barrowshore.list.ServerList;
+import barrowshore.net.Dialer;
+import barrowshore.net.HttpLink;
+import barrowshore.net.LineBuffer;
+import barrowshore.net.Mailbox;
+import barrowshore.wire.Json;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -30,7 +37,7 @@
  * choose a real server, never send anything twice, and never say that a flow did not run without proof: refused, never
  * up, or broken before the last byte was written.
  */
-final class RealServer {
+public final class RealServer {
     private static final String LOAD_HEADER = "X-Server-Load";
     private static final String NOT_PROCESSED_HEADER = "X-Not-Processed";
     /** Descriptors left to the service entry: busy real servers must not keep it from being heard. */
@@ -44,7 +51,7 @@
     private static final int LONGEST_LINE = 400 * 1024;
 
     /** One scheduling, as the module actor knows it; it gets one end. */
-    interface Scheduling {
+    public interface Scheduling {
         Flow flow();
 
         /** How long the scheduler will wait, in microseconds from now; at most 0: no longer wanted. */
@@ -56,7 +63,7 @@
     }
 
     /** Takes the one end of a probe. */
-    interface Probe {
+    public interface Probe {
         void ended(Status status, Load load);
     }
 
@@ -71,10 +78,10 @@
     private final Map<Scheduling, Work> works = new HashMap<>();
     private int dialing;
     private InetSocketAddress address;
-    private ServiceEntry.State state = ServiceEntry.State.GONE;
+    private ServerList.State state = ServerList.State.GONE;
     private long bootMicros;
 
-    RealServer(String uid, Executor pool, Dialer dialer, Scheduler timers, long keepAlive, int most) {
+    public RealServer(String uid, Executor pool, Dialer dialer, Scheduler timers, long keepAlive, int most) {
         this.uid = uid;
         this.dialer = dialer;
         this.timers = timers;
@@ -86,10 +93,10 @@
     }
 
     /** What the service entry says of it now. */
-    void update(ServiceEntry.Entry entry) {
+    public void update(ServerList.Entry entry) {
         mailbox.post(() -> {
             boolean moved = entry.address() != null && !entry.address().equals(address);
-            if (moved || entry.bootMicros() != bootMicros || entry.state() != ServiceEntry.State.READY) {
+            if (moved || entry.bootMicros() != bootMicros || entry.state() != ServerList.State.READY) {
                 retire();
             }
             address = entry.address() != null ? entry.address() : address;
@@ -99,9 +106,9 @@
     }
 
     /** The service entry no longer lists it. */
-    void gone() {
+    public void gone() {
         mailbox.post(() -> {
-            state = ServiceEntry.State.GONE;
+            state = ServerList.State.GONE;
             retire();
         });
     }
@@ -114,7 +121,7 @@
         }
     }
 
-    void schedule(Scheduling scheduling) {
+    public void schedule(Scheduling scheduling) {
         mailbox.post(() -> {
             Work work = new Work(scheduling, null);
             works.put(scheduling, work);
@@ -123,7 +130,7 @@
     }
 
     /** The scheduling is no longer waited for; its end, if still to come, is of no interest. */
-    void giveUp(Scheduling scheduling) {
+    public void giveUp(Scheduling scheduling) {
         mailbox.post(() -> {
             Work work = works.remove(scheduling);
             if (work != null) {
@@ -135,7 +142,7 @@
         });
     }
 
-    void probe(long timeoutMillis, Probe probe) {
+    public void probe(long timeoutMillis, Probe probe) {
         mailbox.post(() -> {
             Work work = new Work(null, probe);
             work.timer = timers.schedule(() -> mailbox.post(() -> {
@@ -238,14 +245,6 @@
         return map.get(name) instanceof Number n ? n.doubleValue() : Double.NaN;
     }
 
-    private static Object jsonOrNull(String text) {
-        try {
-            return Config.json(text);
-        } catch (IllegalArgumentException e) {
-            return null;
-        }
-    }
-
     /** One connection: idle, or carrying one piece of work. */
     private final class Link extends HttpLink implements HttpParser.ResponseHandler {
         private Work work;
@@ -263,7 +262,7 @@
         }
 
         @Override
-        void begin() {
+        protected void begin() {
             dialing--;
             links.add(this);
             Work first = work;
@@ -277,7 +276,7 @@
         }
 
         private void rest() {
-            if (retired || state != ServiceEntry.State.READY || hasUnread()) {
+            if (retired || state != ServerList.State.READY || hasUnread()) {
                 shut();
                 return;
             }
@@ -291,7 +290,7 @@
         void carry(Work next) {
             Scheduling scheduling = next.scheduling;
             // Guards the drain rule: connecting took time, so the state is looked at again as the first byte goes.
-            if (state != ServiceEntry.State.READY || scheduling != null && scheduling.left() <= 0) {
+            if (state != ServerList.State.READY || scheduling != null && scheduling.left() <= 0) {
                 next.end(Status.NOT_SENT, null, null);   // our reason: it says nothing of the real server
                 rest();
                 return;
@@ -320,12 +319,12 @@
         }
 
         @Override
-        boolean wantsBytes() {
+        protected boolean wantsBytes() {
             return work != null;
         }
 
         @Override
-        void read() {
+        protected void read() {
             if (work == null && !isClosed() && brokenWhileIdle()) {
                 shut();   // bytes or an end where nothing was asked: notice it at once
                 return;
@@ -345,7 +344,7 @@
             if (field.is(NOT_PROCESSED_HEADER)) {
                 notProcessed = "1".equals(field.getValue());
             } else if (field.is(LOAD_HEADER)) {
-                load = load(jsonOrNull(field.getValue()));
+                load = load(Json.orNull(field.getValue()));
             }
         }
 
@@ -373,7 +372,7 @@
             if (text.isBlank() || work.over) {
                 return;
             }
-            if (!(jsonOrNull(text) instanceof Map<?, ?> map) || !work.scheduling.flow().id().equals(map.get("id"))) {
+            if (!(Json.orNull(text) instanceof Map<?, ?> map) || !work.scheduling.flow().id().equals(map.get("id"))) {
                 // Not an answer to this flow: nothing on this connection can be trusted any more.
                 work.end(Status.RESET, null, null);
                 mailbox.post(this::shut);
@@ -403,7 +402,7 @@
                 // A stream without a last line is a reset: the job may have run.
                 work.end(Status.RESET, load, null);
             } else if (work.probe != null) {
-                Load told = load(jsonOrNull(body.toString()));
+                Load told = load(Json.orNull(body.toString()));
                 work.end(status == 200 ? Status.OK : Status.ERROR, told != null ? told : load, null);
             } else {
                 work.end(notProcessed && (status == 503 || status == 504) ? Status.FULL : Status.ERROR, load, null);
@@ -420,7 +419,7 @@
         }
 
         @Override
-        void onEnd(Throwable cause) {
+        protected void onEnd(Throwable cause) {
             links.remove(this);
             idle.remove(this);
             if (work != null) {
--- a/src/main/java/barrowshore/net/ServiceEntry.java
+++ b/src/main/java/barrowshore/servers/ServiceEntry.java
@@ -1,11 +1,16 @@
-package barrowshore.net;
-
-import barrowshore.wire.SettingsReader;
+package barrowshore.servers;
+
+import barrowshore.list.ServerList.Names;
+import barrowshore.list.ServerList.Update;
+import barrowshore.list.ServerList;
+import barrowshore.net.Dialer;
+import barrowshore.net.HttpLink;
+import barrowshore.net.LineBuffer;
+import barrowshore.net.Mailbox;
+import barrowshore.wire.Json;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -26,7 +31,7 @@
  * version of the list last heard. It must never judge a real server: what it reads goes on to the module actor whole,
  * in order, and it must never ask one address for what has changed since another's version.
  */
-final class ServiceEntry {
+public final class ServiceEntry {
     private static final System.Logger LOG = System.getLogger(ServiceEntry.class.getName());
     private static final int LONGEST_LINE = 1 << 20;
     private static final long FIRST_PAUSE = 50;
@@ -36,18 +41,6 @@
     /** The whole list is answered at once, or else discovery is silent just now and is asked again. */
     private static final long ANSWER = 1000;
 
-    enum State { READY, TERMINATING, GONE }
-
-    /** One entry of the list; bootMicros 0: long ago. */
-    record Entry(String uid, String endpoint, InetSocketAddress address, int zone, int kind, int cell, State state,
-                 double hint, long bootMicros) { }
-
-    /** A version of the list: all of it, or what changed. */
-    record Update(long rev, boolean all, List<Entry> entries) { }
-
-    /** The settings' names for zones and kinds, by position. */
-    record Names(List<String> zones, List<String> kinds) { }
-
     private final Dialer dialer;
     private final Scheduler timers;
     private final Names names;
@@ -63,16 +56,16 @@
     /** The watch whose changes count; it may be of the former address until the present one has told its list. */
     private Watch heard;
 
-    ServiceEntry(Config config, Executor pool, Dialer dialer, Scheduler timers, Consumer<Update> listener) {
+    public ServiceEntry(InetSocketAddress address, Names names, Executor pool, Dialer dialer, Scheduler timers, Consumer<Update> listener) {
         this.dialer = dialer;
         this.timers = timers;
-        this.address = config.discovery();
-        this.names = config.names();
+        this.address = address;
+        this.names = names;
         this.listener = listener;
         this.mailbox = new Mailbox("the service entry", pool);
     }
 
-    void open() {
+    public void open() {
         mailbox.post(() -> dial(life));
     }
 
@@ -80,7 +73,7 @@
      * Discovery is elsewhere from now on. The former watch is heard until the new address has told its list, which is
      * another history: it is taken whole, since a version of the one says nothing about the other.
      */
-    void move(InetSocketAddress to) {
+    public void move(InetSocketAddress to) {
         mailbox.post(() -> {
             if (!to.equals(address)) {
                 address = to;
@@ -119,39 +112,6 @@
         }
     }
 
-    /** Reads a list in discovery's form; an IllegalArgumentException names what is wrong. */
-    static Update update(Map<?, ?> json, Names names) {
-        if (!(json.get("targets") instanceof List<?> targets)) {
-            throw new IllegalArgumentException("targets is missing or not a list");
-        }
-        List<Entry> entries = new ArrayList<>();
-        for (Object target : targets) {
-            if (!(target instanceof Map<?, ?> t) || !(t.get("uid") instanceof String uid)
-                    || !(t.get("state") instanceof String state)) {
-                throw new IllegalArgumentException("a target lacks its uid or state");
-            }
-            String endpoint = t.get("endpoint") instanceof String s ? s : "";
-            int kind = names.kinds().indexOf(SettingsReader.plain(t.get("model")));
-            if (kind < 0 && !names.kinds().isEmpty()) {
-                // Guards the module against a kind that its settings do not name.
-                LOG.log(Level.WARNING, "real server {0} is of an unknown model, left out", uid);
-                continue;
-            }
-            entries.add(new Entry(uid, endpoint, endpoint.isEmpty() ? null : Config.address(endpoint, "endpoint"),
-                    names.zones().indexOf(SettingsReader.plain(t.get("az"))), Math.max(0, kind),
-                    (int) number(t.get("pod_group"), 0), switch (state) {
-                        case "Ready" -> State.READY;
-                        case "Gone" -> State.GONE;
-                        default -> State.TERMINATING;   // the careful reading of a word not known
-                    }, number(t.get("capacity_hint"), 1), (long) number(t.get("boot_ms"), 0) * 1000));
-        }
-        return new Update((long) number(json.get("rev"), 0), Boolean.TRUE.equals(json.get("all")), entries);
-    }
-
-    private static double number(Object value, double otherwise) {
-        return value instanceof Number n ? n.doubleValue() : otherwise;
-    }
-
     /** The connection of one watch; the first at an address asks for the whole list before it watches. */
     private final class Watch extends HttpLink implements HttpParser.ResponseHandler {
         private final int of;
@@ -165,7 +125,7 @@
         }
 
         @Override
-        void begin() {
+        protected void begin() {
             if (of != life) {
                 shut();   // moved on while it came up
                 return;
@@ -207,7 +167,11 @@
                 return;
             }
             try {
-                Update update = update((Map<?, ?>) Config.json(line), names);
+                Update update = ServerList.read((Map<?, ?>) Json.parse(line), names);
+                if (!update.unknown().isEmpty()) {
+                    LOG.log(Level.WARNING, "real servers of an unknown model, left out: {0}",
+                            String.join(", ", update.unknown()));
+                }
                 listener.accept(listing ? new Update(update.rev(), true, update.entries()) : update);
                 if (of == life) {
                     rev = update.rev();
@@ -215,7 +179,7 @@
                     pause = FIRST_PAUSE;
                     hear();
                 }
-            } catch (IllegalArgumentException | ClassCastException | ConfigException e) {
+            } catch (IllegalArgumentException | ClassCastException e) {
                 // A line that cannot be read is a gap: the watch starts over from the version before it.
                 LOG.log(Level.WARNING, "the watch sent what is no list: {0}", e.getMessage());
                 shut();
@@ -245,7 +209,7 @@
         }
 
         @Override
-        void onEnd(Throwable cause) {
+        protected void onEnd(Throwable cause) {
             heard = heard == this ? null : heard;
             again(of);
         }
--- a/src/test/java/barrowshore/net/ConfigTest.java
+++ b/src/test/java/barrowshore/config/ConfigTest.java
@@ -1,16 +1,14 @@
-package barrowshore.net;
+package barrowshore.config;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import barrowshore.DispatchApi.Effect;
+import barrowshore.list.ServerList;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -33,7 +31,7 @@
         assertThat(config.known().rev()).isEqualTo(5);
         assertThat(config.known().entries()).singleElement().satisfies(e -> {
             assertThat(e.uid()).isEqualTo("s-1");
-            assertThat(e.state()).isEqualTo(ServiceEntry.State.READY);
+            assertThat(e.state()).isEqualTo(ServerList.State.READY);
         });
     }
 
@@ -73,23 +71,4 @@
         assertThat(config.known().entries()).hasSize(1);
         assertThat(config.peers().all().getPort()).isEqualTo(9);
     }
-
-    /** Without the handler the signal ends the JVM that runs this. */
-    @Test
-    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-    void sigHupIsHandled() throws Exception {
-        CountDownLatch heard = new CountDownLatch(1);
-        Node.onHangUp(heard::countDown);
-        Class<?> signal = Class.forName("sun.misc.Signal");
-        signal.getMethod("raise", signal).invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
-        heard.await();
-    }
-
-    @Test
-    void theClockIsAnchoredOnce() {
-        AtomicLong nanos = new AtomicLong(-5_000);
-        Clock clock = new Clock(1_700_000_000_000L, nanos::get);
-        nanos.addAndGet(2_500_000);
-        assertThat(clock.micros()).isEqualTo(1_700_000_000_002_500L);
-    }
 }
--- /dev/null
+++ b/src/test/java/barrowshore/net/ClockTest.java
@@ -0,0 +1,17 @@
+package barrowshore.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** The scheduler's one clock. */
+class ClockTest {
+    @Test
+    void theClockIsAnchoredOnce() {
+        AtomicLong nanos = new AtomicLong(-5_000);
+        Clock clock = new Clock(1_700_000_000_000L, nanos::get);
+        nanos.addAndGet(2_500_000);
+        assertThat(clock.micros()).isEqualTo(1_700_000_000_002_500L);
+    }
+}
--- a/src/test/java/barrowshore/net/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -1,10 +1,12 @@
-package barrowshore.net;
+package barrowshore.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import barrowshore.DispatchApi;
 import barrowshore.Dispatcher;
+import barrowshore.config.Config;
+import barrowshore.net.Clock;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PushbackInputStream;
@@ -27,6 +29,7 @@
 import java.util.stream.Stream;
 import org.eclipse.jetty.util.component.AbstractLifeCycle;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -59,6 +62,16 @@
         }
     }
 
+    /** Without the handler the signal ends the JVM that runs this. */
+    @Test
+    void sigHupIsHandled() throws Exception {
+        CountDownLatch heard = new CountDownLatch(1);
+        Node.onHangUp(heard::countDown);
+        Class<?> signal = Class.forName("sun.misc.Signal");
+        signal.getMethod("raise", signal).invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
+        heard.await();
+    }
+
     /** Time that moves only when told; timers run in the mover's thread. */
     private static final class GivenTime extends AbstractLifeCycle implements Scheduler {
         private record Entry(long at, long order, Runnable run) { }
--- a/src/test/java/barrowshore/net/PeerSideTest.java
+++ b/src/test/java/barrowshore/peer/PeerSideTest.java
@@ -1,7 +1,9 @@
-package barrowshore.net;
+package barrowshore.peer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import barrowshore.config.Config;
+import barrowshore.net.Clock;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -34,7 +36,7 @@
         try (DatagramSocket peer = new DatagramSocket(0, LOOPBACK); DatagramSocket stranger = new DatagramSocket(0, LOOPBACK);
                 DatagramSocket ours = new DatagramSocket(0, LOOPBACK)) {
             InetSocketAddress at = new InetSocketAddress(LOOPBACK, peer.getLocalPort());
-            PeerSide side = new PeerSide(new PeerSide.Addresses(new InetSocketAddress(LOOPBACK, 0),
+            PeerSide side = new PeerSide(new Config.Peering(new InetSocketAddress(LOOPBACK, 0),
                     List.of(new InetSocketAddress(LOOPBACK, ours.getLocalPort()), at), 0, at), Runnable::run, new Clock(0, time::get),
                     (from, message) -> heard.add(from + " " + HexFormat.of().formatHex(message)));
             side.tell(new byte[257]);   // not sent: a longer one is forbidden
