Decide about halls beside the module, switched on by an operators' settings file

Need: a hall that goes dark was found out server by server, each holding jobs until its own silence showed; nothing bounded what spilled into the other hall, and nothing brought a hall back gently. Change: a pure package, halls, that the module consults before a pick (HallGate): a state machine for each hall, moved by evidence weighed by capacity; tiers of preference; an even part of a hall's spill limit for each scheduler, with loans whose sum provably stays within the whole; a return server by server; growing, jittered hold-off after flaps; a retry budget spent by worth; datagrams of their own. Operators switch it on in an XML file that a schema checks; SIGHUP reads it again whole or not at all. Package rules are tested (no I/O, clock or thread in what decides; no cycles).

--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -1,5 +1,7 @@
 package barrowshore;
 
+import barrowshore.halls.HallRules;
+import barrowshore.halls.HallState;
 import java.util.List;
 
 /**
@@ -86,6 +88,8 @@
         public long fall = 1_000_000;
         /** Points of the result for each attempt that crosses zones. */
         public double crossZoneCharge;
+        /** The operators' rules on halls, which are the zones; null: halls are not told apart but by that charge. */
+        public HallRules halls;
 
         static void require(boolean holds, String message) {
             if (!holds) {
@@ -151,6 +155,19 @@
 
     void timer(long now, String token);
 
+    /** The operators' rules on halls have changed; null: there are none any more. What is out runs on. */
+    default void rules(long now, HallRules rules) { }
+
+    /** Where each hall stands, by number; empty where halls are off. */
+    default List<HallState> halls() {
+        return List.of();
+    }
+
+    /** Slots that our jobs hold in a hall other than our own. */
+    default double spilled(int hall) {
+        return 0;
+    }
+
     /** Actions out. */
     interface Actions {
         /** Starts the next attempt of a request; timeout 0: until the client gives up. */
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -7,6 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import barrowshore.halls.HallRules;
+import barrowshore.halls.HallState;
 
 /** Picks, attempts, answers, refusals, fairness and the list. Ordinary path: the lowest current index. */
 public final class Dispatcher implements DispatchApi {
@@ -35,7 +37,8 @@
     private final Settings set;
     private final Actions act;
     private final Rng rng;
-    private final Roster roster = new Roster();
+    private final HallSide halls;   // which halls a job may go to; off unless the operators say so
+    private final Roster roster;
     private final Ledger ledger;
     private final Traffic mean;
     private final Kind[] kinds;
@@ -54,6 +57,8 @@
         set = settings;
         act = actions;
         rng = new Rng(settings.seed);
+        halls = new HallSide(set, act, rng);
+        roster = new Roster(halls);
         ledger = new Ledger(set.kinds);
         mean = new Traffic(set);
         kinds = new Kind[set.kinds];
@@ -123,7 +128,9 @@
         Worker w = job.attempts.size() < set.maxAttempts && now < job.answerBy ? pick(now, job) : null;
         if (w == null) { answer(now, job); return; }
         double over = Math.max(0, w.own + w.told + w.others + job.slots - w.table.slots);
-        ledger.enter(job, w, now).wait = over / w.table.slots * mean.work / (w.speed * w.warmth);
+        Job.Attempt a = ledger.enter(job, w, now);
+        a.wait = over / w.table.slots * mean.work / (w.speed * w.warmth);
+        halls.sent(now, a, mean.aim);
         tell(w);
         // Departure, on kinds that a class names: there a job that could go elsewhere pays for those that
         // cannot, so the wait that it causes counts by their worth against its own.
@@ -133,8 +140,18 @@
         act.send(job.id, w.id, 0);
     }
 
-    /** The lowest current index among ready, eligible workers; null if none, or above its worth. */
+    /** The best worker in the halls that are open to the job, nearer ones first where the rules want that. */
     private Worker pick(long now, Job job) {
+        Worker best = null;
+        for (int tier = 0; best == null && tier < halls.gate.rounds(); tier++) {
+            halls.weigh(now, job, tier);
+            best = lowest(now, job);
+        }
+        return best;
+    }
+
+    /** The lowest current index among ready, eligible workers; null if none, or above its worth. */
+    private Worker lowest(long now, Job job) {
         Worker best = null;
         double lowest = Double.POSITIVE_INFINITY, bestWait = 0;
         double crossing = CROSSING * set.crossZoneCharge * mean.aim;
@@ -142,13 +159,15 @@
         double running = job.work / (1 + job.jobClass.stretch());
         for (Worker w : roster.ready) {
             if (job.jobClass.kind() >= 0 && w.kind != job.jobClass.kind() || w.silent || now < w.fullUntil
-                    || now < w.downUntil || w.onTrial() || !mayGo(now, job, w)) { continue; }
+                    || now < w.downUntil || w.onTrial() || !halls.takes(w)
+                    || !mayGo(now, job, w)) { continue; }
             Kind k = kinds[w.kind];
             double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
             if (now + job.work / (w.speed * w.warmth) > job.answerBy) { continue; }
             double cost = running / (w.speed * w.warmth) + wait * (k.named ? k.worth / mean.value(job) : 1);
-            cost = (cost + w.charge + (w.zone == set.zone ? 0 : crossing)) * (1 + TIE * rng.next());
+            cost += w.charge + crossing * halls.gate.crossings(w.place, w.zone != set.zone);
+            cost *= 1 + TIE * rng.next();
             if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, Math.max(mean.chanceSize(),
                     job.work * job.slots), set, rng))) {
                 lowest = cost;
@@ -184,6 +203,7 @@
     private void answer(long now, Job job) {
         if (job.out > 0) { return; }
         ledger.answered(job);
+        halls.gate.refused(now);
         if (!job.mayHaveRun || job.jobClass.effect() == Effect.SAFE
                 || job.jobClass.effect() == Effect.KEYED && job.jobClass.scope() == Scope.ALL) {
             long delay = (long) Math.min(set.maxRetryAfter, mean.work * (1 + rng.next()));
@@ -204,8 +224,8 @@
         if (load != null) { report(now, a.worker, load); }
         price(now, a.worker);
         // The budget guards against retries that amplify an overload; what never ran may go on at once.
-        boolean again = status.neverRan() || !status.neverRan()
-                && !closed && status != Status.CANCELLED && retries.take();
+        boolean again = !closed && (status.neverRan() || status != Status.CANCELLED && retries.take())
+                && halls.mayRepeat(now, job);
         if (closed || job.answered) {
             end(job);
         } else if (again) {
@@ -228,6 +248,7 @@
         // Guards against taking a job pushed out by one of higher priority for a crash of the worker.
         boolean pushed = a.job.jobClass.effect() == Effect.SAFE && a.job.jobClass.priority() < topPriority;
         if (status == Status.ERROR) { w.heardAt = now; }
+        halls.ended(now, a, status, pushed);
         if (status == Status.OK) {
             w.served(now);
             speed(now, a, latency);
@@ -281,6 +302,7 @@
         Job.Attempt a = ledger.attempt(id, number);
         if (a != null) {
             a.worker.heardAt = now;
+            halls.gate.sign(now, a.worker.place);
             a.startedAt = note == Note.STARTED ? now : a.startedAt;
             a.progressAt = note == Note.PROGRESS ? now : a.progressAt;
             a.progress = note == Note.PROGRESS ? share : a.progress;
@@ -292,9 +314,10 @@
     }
 
     @Override public void probed(long now, String worker, Status status, long latency, Load load) {
-        if (status == Status.OK && load != null && roster.worker(worker) != null) {
-            report(now, roster.worker(worker), load);
-        }
+        Worker w = roster.worker(worker);
+        if (w == null) { return; }
+        if (status == Status.OK && load != null) { report(now, w, load); }
+        halls.probed(now, w, status);
     }
 
     /** Others are told what we have in flight, so that a full worker is not found out by waiting there. */
@@ -303,6 +326,7 @@
     }
 
     @Override public void peer(long now, int from, byte[] message) {
+        if (halls.gate.heard(now, from, message)) { return; }
         peers.heard(now, from, message);
         for (Worker w : roster.ready) {
             double told = peers.slots(w, now - fresh());
@@ -319,6 +343,7 @@
         if (token.equals("refresh")) {
             refresh(now);
             if (set.mayTell && set.dispatchers > 1 && ++refreshes % TELL_REFRESHES == 0) {
+                halls.tell(now);
                 act.tell(peers.message(Arrays.stream(roster.ready).filter(w -> w.own > 0).toList(), true));
             }
             act.timer((long) (REFRESH_TICKS * set.tick * (0.75 + rng.next() / 2)), "refresh");
@@ -368,6 +393,7 @@
                 w.overdue = Math.max(w.overdue, now - (a.startedAt > 0 ? a.startedAt : a.sentAt) - expected);
             }
             w.speed = w.speed(kinds[w.kind].speed, mean.work);
+            halls.gate.see(now, w.place, w.table.slots * w.warmth, kinds[w.kind].speed, due);
             // Guards against machines that fall silent: their count would stand or drain and look cheap.
             boolean was = w.silent;
             w.silent = was ? w.heardAt <= w.silentAt && (!w.out.isEmpty() || now < w.downUntil)
@@ -377,7 +403,7 @@
                 w.strike(now, ASIDE * set.connectTimeout, rng);
             }
             aside += w.silent ? 1 : 0;
-            capacity += w.table.slots * w.warmth;
+            capacity += halls.open(w) ? w.table.slots * w.warmth : 0;
             speed += kinds[w.kind].speed / roster.ready.length;
         }
         pressure = Math.max(1, loadAll / Math.max(1, capacity));
@@ -391,10 +417,20 @@
         // What may run twice does not wait for an attempt without a sign: its connection may be gone.
         for (Job job : late) {
             if (set.secondCopies && job.jobClass.effect() == Effect.SAFE && job.out == 1 && !job.answered
-                    && retries.take()) { dispatch(now, job); }
+                    && retries.take() && halls.mayRepeat(now, job)) { dispatch(now, job); }
         }
+        halls.turn(now);
+    }
+
+    @Override public void rules(long now, HallRules rules) {
+        halls.rules(now, rules);
+        roster.all().forEach(w -> halls.enter(now, w));
     }
 
+    @Override public List<HallState> halls() { return halls.gate.states(); }
+
+    @Override public double spilled(int hall) { return halls.gate.spilled(hall); }
+
     /** How long an attempt may go without a sign, where notes come at a start and then at intervals. */
     private double patience(Job.Attempt a) {
         double expected = a.job.work / (kinds[a.worker.kind].speed * a.worker.warmth);
@@ -440,7 +476,7 @@
     /** The others' view of a worker is the usual one: our own evidence of its speed is not theirs. */
     private double filled(long now, Worker w, double level) {
         double rate = kinds[w.kind].speed * w.warmth / mean.work;
-        boolean out = w.silent || now < w.downUntil;
+        boolean out = w.silent || now < w.downUntil || !halls.open(w);
         return out ? 0 : w.table.inverse(level * rate + (1 - mean.running) * w.table.idle());
     }
 }
--- /dev/null
+++ b/src/main/java/barrowshore/HallSide.java
@@ -0,0 +1,117 @@
+package barrowshore;
+
+import java.util.List;
+import barrowshore.DispatchApi.Actions;
+import barrowshore.DispatchApi.Effect;
+import barrowshore.DispatchApi.JobClass;
+import barrowshore.DispatchApi.Settings;
+import barrowshore.DispatchApi.Status;
+import barrowshore.halls.HallGate;
+import barrowshore.halls.HallRules;
+import barrowshore.halls.Halls;
+import barrowshore.halls.Place;
+
+/**
+ * The module's side of the decisions about halls: puts what happens to attempts and workers into the words of
+ * {@link HallGate}, and carries out what a turn of the halls wants told, probed and logged. It decides nothing.
+ */
+final class HallSide {
+    HallGate gate;
+    private final Settings set;
+    private final Actions act;
+    private final double topWorth;
+    private final Rng rng;
+
+    HallSide(Settings set, Actions act, Rng rng) {
+        this.set = set;
+        this.act = act;
+        this.rng = rng;
+        gate = set.halls == null ? HallGate.OFF : new Halls(set.halls, set.dispatchers, set.me, rng::next);
+        double top = 1e-9;
+        for (JobClass type : set.classes) {
+            top = Math.max(top, type.worth());
+        }
+        topWorth = top;
+    }
+
+    /** A job's worth to the operators against their worthiest class. */
+    private double standing(Job job) {
+        return job.jobClass.worth() / topWorth * (job.overQuota ? set.overShareWorth : 1);
+    }
+
+    /** New rules: halls keep their states where there were rules before. */
+    void rules(long now, HallRules rules) {
+        if (rules == null) {
+            gate = HallGate.OFF;
+        } else if (!gate.rules(rules)) {
+            gate = new Halls(rules, set.dispatchers, set.me, rng::next);
+        }
+    }
+
+    /** What the list says of a worker. */
+    void enter(long now, Worker w) {
+        w.place = gate.place(w.id);
+        gate.listed(now, w.place, w.zone, w.listed, w.draining, w.startedAt);
+    }
+
+    /** Says what the next calls of {@link #takes} are about. */
+    void weigh(long now, Job job, int tier) {
+        gate.weigh(now, job.slots, standing(job), job.jobClass.effect() == Effect.SAFE, tier);
+    }
+
+    boolean takes(Worker w) {
+        return gate.takes(w.place);
+    }
+
+    boolean open(Worker w) {
+        return gate.open(w.place);
+    }
+
+    void sent(long now, Job.Attempt a, double usualAim) {
+        gate.sent(now, a.worker.place, a.job.slots, a.wait / usualAim);
+    }
+
+    /** What the end of an attempt says of its worker; pushed: it may have been put out for a more urgent one. */
+    void ended(long now, Job.Attempt a, Status status, boolean pushed) {
+        Place place = a.worker.place;
+        gate.ended(now, place, a.sentAt, a.job.slots, status == Status.OK);
+        if (status == Status.ERROR || status == Status.FULL) {
+            gate.sign(now, place);
+        } else if (status == Status.CONNECT_FAILED) {
+            gate.against(now, place, Place.Against.UNREACHABLE);
+        } else if (status == Status.RESET && !pushed) {
+            gate.against(now, place, Place.Against.RESET);
+        }
+    }
+
+    void probed(long now, Worker w, Status status) {
+        if (status == Status.OK && !gate.open(w.place)) {
+            w.heardAt = now;   // it answers again: one job may find out the rest
+            w.downUntil = 0;
+        }
+        if (status != Status.NOT_SENT) {
+            gate.probed(now, w.place, status == Status.OK || status == Status.ERROR);
+        }
+    }
+
+    /** Whether the job may be tried again, as far as its last worker's hall is concerned. */
+    boolean mayRepeat(long now, Job job) {
+        return gate.mayRepeat(now, job.attempts.get(job.attempts.size() - 1).worker.place, standing(job));
+    }
+
+    void turn(long now) {
+        List<String> news = gate.turn(now, set.mayProbe);
+        news.forEach(act::log);
+        gate.probes().forEach(act::probe);
+        if (!news.isEmpty()) {
+            tell(now);
+        }
+    }
+
+    void tell(long now) {
+        byte[] message = set.mayTell ? gate.message(now) : null;
+        if (message != null) {
+            act.tell(message);
+        }
+    }
+}
--- a/src/main/java/barrowshore/Roster.java
+++ b/src/main/java/barrowshore/Roster.java
@@ -1,8 +1,11 @@
 package barrowshore;
 
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import barrowshore.DispatchApi.Health;
 import barrowshore.DispatchApi.ListKind;
 import barrowshore.DispatchApi.Member;
@@ -10,14 +13,21 @@
 /** The worker list as this dispatcher was last told, in order of first mention; it decides nothing. */
 final class Roster {
     private final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final HallSide halls;
     /** The workers that are listed as ready. */
     Worker[] ready = new Worker[0];
 
+    Roster(HallSide halls) {
+        this.halls = halls;
+    }
+
     void enter(ListKind how, List<Member> entries, long now) {
         if (how != ListKind.CHANGES) {
             workers.values().forEach(w -> w.listed = false);
         }
+        Set<String> named = new HashSet<>();
         for (Member m : entries) {
+            named.add(m.worker());
             Worker w = workers.computeIfAbsent(m.worker(), Worker::new);
             if (m.startedAt() != w.startedAt) {
                 w.restarted(now);
@@ -28,10 +38,25 @@
             w.rating = m.rating();
             w.startedAt = m.startedAt();
             w.listed = m.health() == Health.READY;
+            w.draining = m.health() == Health.DRAINING;
+            halls.enter(now, w);
+        }
+        if (how != ListKind.CHANGES) {
+            for (Worker w : workers.values()) {
+                if (!named.contains(w.id)) {
+                    w.draining = false;
+                    halls.enter(now, w);
+                }
+            }
         }
         ready = workers.values().stream().filter(w -> w.listed).toArray(Worker[]::new);
     }
 
+    /** Every worker that a list has named. */
+    Collection<Worker> all() {
+        return workers.values();
+    }
+
     /** The worker, or null if no list has named it. */
     Worker worker(String id) {
         return workers.get(id);
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -20,7 +20,7 @@
     final String id;
     int kind, zone, cell, strikes;
     double rating;
-    boolean listed, silent;
+    boolean listed, draining, silent;
     long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt, decayedAt, nextCold;
     /** Our attempts that are out; the slots they take; those of others, expected, told by them, reported. */
     final ArrayList<Job.Attempt> out = new ArrayList<>();
@@ -28,6 +28,7 @@
     /** As of the last refresh: speed, warm share, what a job waits and makes wait, cost of errors. */
     double speed = 1, warmth = 1, wait, charge;
     IndexTable table;
+    barrowshore.halls.Place place;
     private double work, took, errors, ends;
 
     Worker(String id) { this.id = id; }
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -3,13 +3,19 @@
 import barrowshore.config.Config;
 import barrowshore.config.ConfigException;
 import barrowshore.node.Node;
+import barrowshore.operator.Operator;
+import barrowshore.operator.Setup;
 import barrowshore.wire.WireException;
 import barrowshore.wire.WireHost;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.lang.annotation.Retention;
+import java.lang.annotation.RetentionPolicy;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -31,48 +37,78 @@
         void run() throws Exception;
     }
 
+    /** What a sub-command is for, on one line. */
+    @Retention(RetentionPolicy.RUNTIME)
+    @interface About {
+        String value();
+    }
+
     /** Serves flows on real sockets. */
+    @About("Serves flows on real sockets until SIGTERM.")
     public static final class Serve implements Command {
         @Option(name = "--config", metaVar = "FILE", usage = "configuration (default: $GW_CONFIG)")
         Path config;
 
+        @Option(name = "--operator", metaVar = "FILE", usage = "the operators' settings (default: none, all of it off)")
+        Path operator;
+
         @Override
         public void run() throws Exception {
-            Node.serve(() -> read(config));
+            Node.serve(() -> read(config, operator));
         }
     }
 
     /** Serves a job to itself and ends, so that the JVM can archive what a start loads; see deploy/archive.sh. */
+    @About("Serves one job to itself and ends, so that the JVM can archive what a start loads.")
     public static final class Rehearse implements Command {
         @Option(name = "--config", metaVar = "FILE", usage = "configuration (default: $GW_CONFIG)")
         Path config;
 
         @Override
         public void run() throws Exception {
-            Node.rehearse(read(config));
+            Node.rehearse(read(config, null));
         }
     }
 
-    /** Reads the configuration and says what is wrong with it. */
+    /** Reads the configuration, or the operators' settings, or both, and says what is wrong with them. */
+    @About("Reads the configuration, the operators' settings, or both, and says what is wrong with them.")
     public static final class Check implements Command {
         @Option(name = "--config", metaVar = "FILE", usage = "configuration (default: $GW_CONFIG)")
         Path config;
 
+        @Option(name = "--operator", metaVar = "FILE", usage = "the operators' settings (default: none, all of it off)")
+        Path operator;
+
         @Override
         public void run() {
-            System.out.println(read(config).summary());
+            String inEnvironment = System.getenv("GW_CONFIG");
+            if (operator != null && config == null && (inEnvironment == null || inEnvironment.isEmpty())) {
+                System.out.println(operator + ": " + Operator.read(operator).summary());
+                return;
+            }
+            Setup setup = read(config, operator);
+            System.out.println(setup.config().summary()
+                    + (operator == null ? "" : "\n" + operator + ": " + setup.operator().summary()));
         }
     }
 
     /** Hosts decision modules on the simulator's wire. */
+    @About("Hosts decision modules on the simulator's wire: standard input and output.")
     public static final class Drill implements Command {
+        @Option(name = "--operator", metaVar = "FILE", usage = "the operators' settings (default: none, all of it off)")
+        Path operator;
+
         @Override
         public void run() throws IOException {
-            new WireHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
+            Operator read = operator == null ? Operator.NONE : Operator.read(operator);
+            new WireHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out),
+                    (zones, settings) -> settings.halls = read.halls() == null ? null
+                            : read.halls().rules(zones, settings.zone)).run();
         }
     }
 
     /** Prints the version. */
+    @About("Prints the version.")
     public static final class Version implements Command {
         @Override
         public void run() {
@@ -89,6 +125,10 @@
         @SubCommand(name = "rehearse", impl = Rehearse.class), @SubCommand(name = "version", impl = Version.class)})
     Command command;
 
+    private static Setup read(Path config, Path operator) {
+        return new Setup(read(config), operator == null ? Operator.NONE : Operator.read(operator));
+    }
+
     private static Config read(Path file) {
         String path = file != null ? file.toString() : System.getenv("GW_CONFIG");
         if (path == null || path.isEmpty()) {
@@ -105,7 +145,33 @@
         System.exit(run(args));
     }
 
+    /** What a command is for, and its options: of the one named among the words, or of all. */
+    private static int help(List<String> args) throws ReflectiveOperationException {
+        SubCommand[] all = Main.class.getDeclaredField("command").getAnnotation(SubCommands.class).value();
+        for (SubCommand one : all) {
+            if (!args.isEmpty() && one.name().equals(args.get(0))) {
+                System.out.println("usage: barrowshore " + one.name() + " [options]\n"
+                        + one.impl().getAnnotation(About.class).value());
+                new CmdLineParser(one.impl().getDeclaredConstructor().newInstance()).printUsage(System.out);
+                return 0;
+            }
+        }
+        System.out.println("usage: barrowshore COMMAND [options]; barrowshore COMMAND --help says more");
+        for (SubCommand one : all) {
+            System.out.printf("  %-10s %s%n", one.name(), one.impl().getAnnotation(About.class).value());
+        }
+        return 0;
+    }
+
+    private static int usage() {
+        System.err.println("barrowshore: a command is missing; barrowshore --help lists them");
+        return 2;
+    }
+
     static int run(String... args) throws Exception {
+        if (args.length == 0 || Arrays.asList(args).contains("--help") || args[0].equals("help")) {
+            return args.length == 0 ? usage() : help(Arrays.asList(args));
+        }
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
         try {
--- /dev/null
+++ b/src/main/java/barrowshore/config/XmlFile.java
@@ -0,0 +1,212 @@
+package barrowshore.config;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import javax.xml.XMLConstants;
+import javax.xml.parsers.ParserConfigurationException;
+import javax.xml.parsers.SAXParserFactory;
+import javax.xml.validation.Schema;
+import javax.xml.validation.SchemaFactory;
+import org.xml.sax.Attributes;
+import org.xml.sax.InputSource;
+import org.xml.sax.Locator;
+import org.xml.sax.SAXException;
+import org.xml.sax.SAXParseException;
+import org.xml.sax.helpers.DefaultHandler;
+
+/**
+ * Reads an XML file by a schema into plain elements that know where they stood, so that what the schema cannot say can
+ * still be refused by line, column and element. It owns the limits on what is read: no DTD, no external entity, 1 MiB.
+ * It must never give out a file that its schema does not take.
+ */
+public final class XmlFile {
+    /** The largest file read. */
+    public static final int MOST_BYTES = 1 << 20;
+    private static final String DISALLOW = "http://apache.org/xml/features/disallow-doctype-decl";
+
+    private XmlFile() { }
+
+    /** One element, with the schema's defaults among its attributes. */
+    public record Element(String name, Map<String, String> attributes, List<Element> children, int line, int column) {
+        /** The attribute's text; null if it is not there and has no default. */
+        public String get(String attribute) {
+            return attributes.get(attribute);
+        }
+
+        /** A number that the schema has checked. */
+        public double number(String attribute) {
+            return Double.parseDouble(get(attribute));
+        }
+
+        /** A time that the schema has checked, such as 500ms, in microseconds; 0 if it is not there. */
+        public long micros(String attribute) {
+            String text = get(attribute);
+            if (text == null) {
+                return 0;
+            }
+            int digits = 0;
+            while (Character.isDigit(text.charAt(digits))) {
+                digits++;
+            }
+            long number = Long.parseLong(text.substring(0, digits));
+            return number * switch (text.substring(digits)) {
+                case "ms" -> 1_000L;
+                case "s" -> 1_000_000L;
+                default -> 60_000_000L;
+            };
+        }
+
+        /** The children of a name. */
+        public List<Element> all(String child) {
+            return children.stream().filter(e -> e.name.equals(child)).toList();
+        }
+
+        /** The first child of a name; null if there is none. */
+        public Element one(String child) {
+            return children.stream().filter(e -> e.name.equals(child)).findFirst().orElse(null);
+        }
+
+        /** What is wrong with this element. */
+        public ConfigException wrong(String file, String message) {
+            return new ConfigException(where(file, line, column) + ": " + name + ": " + message);
+        }
+    }
+
+    private static String where(String file, int line, int column) {
+        return file + ": line " + line + ", column " + column;
+    }
+
+    /** Reads a file; a {@link ConfigException} says on one line what is wrong, and where. */
+    public static Element read(Path file, Class<?> owner, String schema) {
+        byte[] bytes;
+        try (InputStream in = Files.newInputStream(file)) {
+            bytes = in.readNBytes(MOST_BYTES + 1);
+        } catch (IOException e) {
+            throw new ConfigException(file + " cannot be read: " + e.getClass().getSimpleName());
+        }
+        return read(file.toString(), bytes, owner, schema);
+    }
+
+    /** Reads bytes that came from a file of that name by the schema that is a resource beside the owner. */
+    public static Element read(String file, byte[] bytes, Class<?> owner, String schema) {
+        if (bytes.length > MOST_BYTES) {
+            throw new ConfigException(file + " is over " + MOST_BYTES + " bytes");
+        }
+        Reader reader = new Reader(file);
+        try {
+            SAXParserFactory factory = SAXParserFactory.newInstance();
+            factory.setNamespaceAware(true);
+            factory.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
+            factory.setFeature(DISALLOW, true);
+            factory.setFeature("http://xml.org/sax/features/external-general-entities", false);
+            factory.setFeature("http://xml.org/sax/features/external-parameter-entities", false);
+            factory.setXIncludeAware(false);
+            factory.setSchema(schema(owner, schema));
+            factory.newSAXParser().parse(new InputSource(new ByteArrayInputStream(bytes)), reader);
+        } catch (SAXParseException e) {
+            throw new ConfigException(where(file, e.getLineNumber(), e.getColumnNumber()) + ": "
+                    + element(bytes, e.getLineNumber(), e.getColumnNumber()) + oneLine(e.getMessage()));
+        } catch (IOException e) {
+            throw new ConfigException(file + " cannot be read: " + oneLine(e.getMessage()));
+        } catch (SAXException | ParserConfigurationException e) {
+            throw new ConfigException(file + ": " + oneLine(e.getMessage()));
+        }
+        return reader.root;
+    }
+
+    private static Schema schema(Class<?> owner, String name) throws SAXException, IOException {
+        SchemaFactory factory = SchemaFactory.newInstance(XMLConstants.W3C_XML_SCHEMA_NS_URI);
+        factory.setProperty(XMLConstants.ACCESS_EXTERNAL_DTD, "");
+        factory.setProperty(XMLConstants.ACCESS_EXTERNAL_SCHEMA, "");
+        try (InputStream in = owner.getResourceAsStream(name)) {
+            if (in == null) {
+                throw new IllegalStateException("the schema " + name + " is not in the jar");
+            }
+            return factory.newSchema(new javax.xml.transform.stream.StreamSource(in));
+        }
+    }
+
+    /** The tag that a place stands in or right behind; the parser tells of errors before it tells of the element. */
+    private static String element(byte[] bytes, int line, int column) {
+        String[] lines = new String(bytes, StandardCharsets.UTF_8).split("\n", -1);
+        StringBuilder before = new StringBuilder();
+        for (int k = Math.max(0, line - 20); k < Math.min(line, lines.length); k++) {
+            before.append(k < line - 1 ? lines[k] : lines[k].substring(0, Math.max(0, Math.min(column - 1, lines[k].length()))))
+                    .append(' ');
+        }
+        int tag = before.lastIndexOf("<");
+        Matcher name = Pattern.compile("</?([A-Za-z][\\w.-]*)").matcher(before);
+        return tag >= 0 && name.find(tag) ? name.group(1) + ": " : "";
+    }
+
+    /** The parser's own message without its code; the code is of use to nobody who edits a file. */
+    private static String oneLine(String message) {
+        return String.valueOf(message).replaceFirst("^[A-Za-z0-9.-]+: ", "").replaceAll("\\s+", " ")
+                .replaceAll("\"urn:barrowshore:[a-z:0-9]*\":", "").replaceAll("'\\{([A-Za-z-]+)}'", "$1");
+    }
+
+    /** Collects the elements; anything that the schema or the parser does not like ends the reading. */
+    private static final class Reader extends DefaultHandler {
+        private final String file;
+        private final Deque<Element> open = new ArrayDeque<>();
+        private Locator locator;
+        private Element root;
+
+        Reader(String file) {
+            this.file = file;
+        }
+
+        @Override
+        public void setDocumentLocator(Locator locator) {
+            this.locator = locator;
+        }
+
+        @Override
+        public void startElement(String uri, String local, String qualified, Attributes given) {
+            Map<String, String> attributes = new HashMap<>();
+            for (int k = 0; k < given.getLength(); k++) {
+                attributes.put(given.getLocalName(k), given.getValue(k).strip());
+            }
+            Element element = new Element(local, attributes, new ArrayList<>(), locator.getLineNumber(),
+                    locator.getColumnNumber());
+            if (open.isEmpty()) {
+                root = element;
+            } else {
+                open.peek().children.add(element);
+            }
+            open.push(element);
+        }
+
+        @Override
+        public void endElement(String uri, String local, String qualified) {
+            open.pop();
+        }
+
+        @Override
+        public void error(SAXParseException e) throws SAXException {
+            throw e;
+        }
+
+        @Override
+        public void fatalError(SAXParseException e) throws SAXException {
+            throw e;
+        }
+
+        @Override
+        public InputSource resolveEntity(String publicId, String systemId) throws SAXException {
+            throw new SAXException(file + ": external entities are not read");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/halls/HallGate.java
@@ -0,0 +1,111 @@
+package barrowshore.halls;
+
+import java.util.List;
+
+/**
+ * The narrow way by which the decision module consults the decisions about halls. The module goes on choosing the real
+ * server; the gate says which halls a flow may go to and at whose expense. Not thread-safe; time is what the caller
+ * says, microseconds that never decrease. {@link #OFF} lets everything through and remembers nothing.
+ */
+public interface HallGate {
+    /** The first byte of datagrams that are the halls' own. */
+    byte MARK = 3;
+
+    /** The gate of a scheduler whose operators have said nothing of halls. */
+    HallGate OFF = new HallGate() { };
+
+    /** Goes on under other rules for the same halls; false: it cannot, and has to be made anew. */
+    default boolean rules(HallRules rules) {
+        return false;
+    }
+
+    /** The handle of a real server, kept by the caller; null: there are no halls. */
+    default Place place(String server) {
+        return null;
+    }
+
+    /** What the list says of a server now. slots and speed: what it can do, by the caller's own measure. */
+    default void listed(long now, Place place, int zone, boolean ready, boolean draining, long startedAt) { }
+
+    /** What the module believes of a listed server, renewed now and then; silent: signs that were due did not come. */
+    default void see(long now, Place place, double slots, double speed, boolean silent) { }
+
+    /** A server has given a sign: it started a job, went on with one, or answered. */
+    default void sign(long now, Place place) { }
+
+    /** A probe of a server has ended; answered: by itself, whatever it said. */
+    default void probed(long now, Place place, boolean answered) { }
+
+    /** Something speaks against a server. */
+    default void against(long now, Place place, Place.Against what) { }
+
+    /** A job was sent. wait: how long it is expected to wait there, as a share of the usual wanted time. */
+    default void sent(long now, Place place, double slots, double wait) { }
+
+    /** A job that was sent at that time has ended; served: with a result. */
+    default void ended(long now, Place place, long sentAt, double slots, boolean served) { }
+
+    /** A flow of our own was turned down. */
+    default void refused(long now) { }
+
+    /**
+     * Weighs a flow before a pick, for {@link #takes}. worth: against the worthiest class, 0 to 1; repeatable: it may
+     * run twice; tier: the furthest tier to look at.
+     */
+    default void weigh(long now, double slots, double worth, boolean repeatable, int tier) { }
+
+    /** Whether the flow weighed last may go to this server, as far as its hall is concerned. */
+    default boolean takes(Place place) {
+        return true;
+    }
+
+    /** How many times the price of crossing a flow pays for this server's hall; crossing: whether it is in another zone. */
+    default double crossings(Place place, boolean crossing) {
+        return crossing ? 1 : 0;
+    }
+
+    /** How many rounds of tiers a pick may need. */
+    default int rounds() {
+        return 1;
+    }
+
+    /** Whether the server's hall is in use; else its capacity counts for nothing. */
+    default boolean open(Place place) {
+        return true;
+    }
+
+    /** Whether a flow that this server gave back, or lost, may be tried again. worth: as in {@link #weigh}. */
+    default boolean mayRepeat(long now, Place place, double worth) {
+        return true;
+    }
+
+    /** Moves the halls' states by the evidence; returns what there is to log. mayProbe: {@link #probes} will be sent. */
+    default List<String> turn(long now, boolean mayProbe) {
+        return List.of();
+    }
+
+    /** The servers to probe now, chosen by the last turn. */
+    default List<String> probes() {
+        return List.of();
+    }
+
+    /** What to tell the other schedulers now, at most 256 bytes; null: nothing. */
+    default byte[] message(long now) {
+        return null;
+    }
+
+    /** Takes in what another scheduler has told; false: it is not about halls. */
+    default boolean heard(long now, int from, byte[] message) {
+        return message.length > 0 && message[0] == MARK;
+    }
+
+    /** Slots that our work holds in a hall other than our own. */
+    default double spilled(int hall) {
+        return 0;
+    }
+
+    /** The states of the halls, by number. */
+    default List<HallState> states() {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/halls/HallRules.java
@@ -0,0 +1,74 @@
+package barrowshore.halls;
+
+import java.util.List;
+
+/**
+ * The operators' rules on halls, for one scheduler. Times in microseconds, shares from 0 to 1. Halls are numbered as the
+ * settings' zones are; servers of no known zone belong to one more hall, numbered {@code names.size()}, of the last tier.
+ *
+ * @param names the halls' names, by number
+ * @param home the hall that this scheduler's clients belong to; -1: none, so that every hall is foreign
+ * @param tier for each hall how far it is down this scheduler's preference: 0 is the first choice
+ * @param strict whether a further tier is used only for what no nearer one takes; else it is used at a price
+ * @param spill the share of a hall's usable slots that work from other halls may hold, all schedulers together
+ * @param doubtShare the share of what is known of a hall's capacity that must be lost for the hall to be doubted
+ * @param darkAfter how long a doubt may last before the hall is taken for dark
+ * @param trialEvery the first pause between two trials of a dark hall; it doubles up to eight times this
+ * @param settle how long a hall has to serve again before it counts as serving
+ * @param holdOff how long a hall that went dark again is held off; doubles with each time more
+ * @param holdMost the longest such time
+ * @param flapWindow how long after its return a hall that goes dark has flapped
+ * @param retryShare what may be tried again of what a troubled hall gave back, against all flows sent
+ * @param retryBurst flows that may be tried again at once, however few have been sent
+ */
+public record HallRules(List<String> names, int home, List<Integer> tier, boolean strict, double spill,
+                        double doubtShare, long darkAfter, long trialEvery, long settle, long holdOff, long holdMost,
+                        long flapWindow, double retryShare, double retryBurst) {
+    /** Checks what cannot work; an IllegalArgumentException names it. */
+    public HallRules {
+        names = List.copyOf(names);
+        tier = List.copyOf(tier);
+        require(!names.isEmpty(), "halls: no hall is named");
+        require(tier.size() == names.size(), "halls: each hall needs its tier");
+        require(home >= -1 && home < names.size(), "halls: home is no hall");
+        require(tier.stream().allMatch(t -> t >= 0), "halls: a tier must not be negative");
+        require(spill >= 0 && spill <= 1, "halls: spill must be in [0, 1]");
+        require(doubtShare > 0.5 && doubtShare <= 1, "halls: doubtShare must be in (0.5, 1]");
+        require(darkAfter > 0 && trialEvery > 0 && settle > 0 && holdOff > 0 && flapWindow > 0,
+                "halls: times must be positive");
+        require(holdMost >= holdOff, "halls: holdMost must not be under holdOff");
+        require(retryShare >= 0 && retryShare <= 1, "halls: retryShare must be in [0, 1]");
+        require(retryBurst >= 1, "halls: retryBurst must be at least 1");
+    }
+
+    private static void require(boolean holds, String message) {
+        if (!holds) {
+            throw new IllegalArgumentException(message);
+        }
+    }
+
+    /** The usual rules: the home hall first, all others second. */
+    public static HallRules usual(List<String> names, int home) {
+        return new HallRules(names, home, java.util.stream.IntStream.range(0, names.size())
+                .mapToObj(h -> h == home ? 0 : 1).toList(), false, 0.5, 0.6, 1_000_000, 500_000, 3_000_000, 5_000_000,
+                60_000_000, 60_000_000, 0.1, 10);
+    }
+
+    /** The number of the hall of a zone; what has no known zone is in the one after the last. */
+    int hall(int zone) {
+        return zone < 0 || zone >= names.size() ? names.size() : zone;
+    }
+
+    int tierOf(int hall) {
+        return hall < tier.size() ? tier.get(hall) : tiers() - 1;
+    }
+
+    /** How many tiers there are. */
+    int tiers() {
+        return 1 + tier.stream().mapToInt(t -> t).max().orElse(0);
+    }
+
+    String name(int hall) {
+        return hall < names.size() ? names.get(hall) : "(no hall)";
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/halls/Place.java
@@ -0,0 +1,74 @@
+package barrowshore.halls;
+
+/**
+ * What is known of one real server as a part of its hall: whether it is listed, what it can do, what of ours is out
+ * there, the last sign of it and what speaks against it. It belongs to one {@link Halls} and decides nothing.
+ */
+public final class Place {
+    /** What speaks against a server. */
+    public enum Against {
+        /** Refused, or never come up; or a probe without an answer. */
+        UNREACHABLE,
+        /** Attempts are out there whose signs are overdue. */
+        SILENT,
+        /** Connections broke. It says that something happened, not that it lasts. */
+        RESET
+    }
+
+    final String id;
+    int hall = -1;
+    boolean listed;
+    boolean draining;
+    /** Slots, and slots times speed: what it weighs in its hall. */
+    double slots = 1;
+    double weight = 1;
+    long startedAt;
+    /** Ours that are out. */
+    double out;
+    int jobsOut;
+    long signAt = Long.MIN_VALUE / 2;
+    /** Since when it is taken for lost, 0: it is not; the last word against it; how many; whether none was firm. */
+    long lostAt;
+    long againstAt;
+    int against;
+    boolean soft;
+    /**
+     * In a hall that returns: since when, whether it has served what was sent since, the slots of ours that it may hold
+     * and holds of that, whether a first job is out, and when it may be tried next.
+     */
+    long epoch;
+    boolean proved;
+    double allow = 1;
+    double held;
+    boolean trying;
+    long triedAt;
+    long nextTry;
+    long probedAt = Long.MIN_VALUE / 2;
+
+    Place(String id) {
+        this.id = id;
+    }
+
+    /** The real server's name. */
+    public String id() {
+        return id;
+    }
+
+    boolean counts() {
+        return listed && !draining;
+    }
+
+    boolean lost() {
+        return lostAt != 0;
+    }
+
+    /** A hall's return begins: nothing is proved yet, and one job at a time finds out. */
+    void unprove(long now, long tryAt) {
+        epoch = now;
+        proved = false;
+        allow = 1;
+        held = 0;
+        trying = false;
+        nextTry = tryAt;
+    }
+}
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -9,6 +9,7 @@
 import barrowshore.DispatchApi.Status;
 import barrowshore.DispatchApi;
 import barrowshore.flow.Flow;
+import barrowshore.halls.HallRules;
 import barrowshore.list.ServerList;
 import barrowshore.net.Clock;
 import barrowshore.net.Mailbox;
@@ -146,6 +147,11 @@
         });
     }
 
+    /** The operators' rules on halls have changed. */
+    void rules(HallRules rules) {
+        mailbox.post(() -> guarded(null, () -> module.rules(now(), rules)));
+    }
+
     /** Another scheduler has told us something. */
     void peer(int from, byte[] message) {
         mailbox.post(() -> guarded(null, () -> module.peer(now(), from, message)));
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -5,9 +5,11 @@
 import barrowshore.client.ClientSide;
 import barrowshore.config.Config;
 import barrowshore.config.ConfigException;
+import barrowshore.halls.HallRules;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
 import barrowshore.net.Mailbox;
+import barrowshore.operator.Setup;
 import barrowshore.peer.PeerSide;
 import barrowshore.servers.RealServer;
 import barrowshore.servers.ServiceEntry;
@@ -21,6 +23,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -71,11 +74,15 @@
     /** What is read again runs here, one file after the other. */
     private final Mailbox configuration = new Mailbox("the configuration", pool);
     private final Config config;
+    /** The rules on halls last taken over. */
+    private HallRules rules;
 
     /** Starts a scheduler; the timers are started by the caller and stopped with the node. */
-    Node(Config config, Clock clock, Scheduler timers, Function<DispatchApi.Actions, DispatchApi> newModule)
+    Node(Setup setup, Clock clock, Scheduler timers, Function<DispatchApi.Actions, DispatchApi> newModule)
             throws Exception {
+        Config config = setup.config();
         this.config = config;
+        this.rules = setup.rules();
         this.timers = timers;
         int usable = config.sockets() - RESERVED;
         int outgoing = (int) (usable * OUTGOING);
@@ -92,7 +99,7 @@
         entry.open();
         server = listen(config.listen());
         dialer.listen(server);
-        LOG.log(Level.INFO, config.summary());
+        LOG.log(Level.INFO, config.summary() + (rules == null ? "" : "; " + setup.operator().summary()));
         if (!config.known().unknown().isEmpty()) {
             LOG.log(Level.WARNING, "known real servers of an unknown model, left out: {0}",
                     String.join(", ", config.known().unknown()));
@@ -121,14 +128,15 @@
     }
 
     /** Serves until SIGTERM; then goes on until all is answered and the clients' connections are gone. */
-    public static void serve(Supplier<Config> source) throws Exception {
+    public static void serve(Supplier<Setup> source) throws Exception {
         CompletableFuture<Node> started = new CompletableFuture<>();
         // Guards against the JVM's own way with SIGHUP, which is to end: in place before there is anything to end.
         onHangUp(() -> started.thenAccept(node -> node.reload(source)));
-        Config config = source.get();
+        Setup setup = source.get();
+        Config config = setup.config();
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
-        Node node = new Node(config, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
+        Node node = new Node(setup, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.drain().await();
@@ -142,11 +150,12 @@
     }
 
     /** Asks itself for a job of the first class over a socket, as a client would, and ends. */
-    public static void rehearse(Config config) throws Exception {
+    public static void rehearse(Setup setup) throws Exception {
+        Config config = setup.config();
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
         onHangUp(() -> { });
-        Node node = new Node(config, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
+        Node node = new Node(setup, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
         try (Socket client = new Socket(config.listen().getAddress(), node.address().getPort())) {
             String name = config.classes().get(0);
             client.getOutputStream().write(("POST /" + name + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\n"
@@ -179,16 +188,22 @@
     }
 
     /** Reads the configuration again and takes over what may change while flows are open; a bad one changes nothing. */
-    void reload(Supplier<Config> source) {
+    void reload(Supplier<Setup> source) {
         configuration.post(() -> {
             try {
-                Config read = source.get();
+                Setup setup = source.get();
+                Config read = setup.config();
                 LOG.log(Level.INFO, "configuration read again: discovery {0}", read.discovery());
                 List<String> later = config.differing(read);
                 if (!later.isEmpty()) {
                     LOG.log(Level.WARNING, "changed, but taken over only at a start: {0}", String.join(", ", later));
                 }
                 entry.move(read.discovery());
+                if (!Objects.equals(rules, setup.rules())) {
+                    rules = setup.rules();
+                    module.rules(rules);
+                    LOG.log(Level.INFO, "operators' settings read again: {0}", setup.operator().summary());
+                }
             } catch (ConfigException e) {
                 LOG.log(Level.WARNING, "configuration not taken over: {0}", e.getMessage());
             }
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -77,8 +77,13 @@
         return names;
     }
 
+    /** A reader of the simulator's text. */
+    static SettingsReader of(String conf) {
+        return new SettingsReader(conf);
+    }
+
     static Settings read(long seed, String conf) {
-        return new SettingsReader(conf).settings(seed);
+        return of(conf).settings(seed);
     }
 
     /** The module's settings; a value that cannot be read gets an IllegalArgumentException that names it. */
--- a/src/main/java/barrowshore/wire/WireHost.java
+++ b/src/main/java/barrowshore/wire/WireHost.java
@@ -9,6 +9,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import barrowshore.DispatchApi;
 import barrowshore.DispatchApi.Health;
 import barrowshore.DispatchApi.ListKind;
@@ -24,14 +25,21 @@
 public final class WireHost {
     private final Line line;
     private final OutputStream out;
+    private final BiConsumer<List<String>, Settings> amend;
     private final StringBuilder reply = new StringBuilder(1 << 14);
     private final Map<Integer, Instance> instances = new HashMap<>();
     private long now;
 
     /** A host that reads batches from one stream and writes its replies to the other. */
     public WireHost(InputStream in, OutputStream out) {
+        this(in, out, (zones, settings) -> { });
+    }
+
+    /** The same; each instance's settings pass through the last argument, with the names of the zones. */
+    public WireHost(InputStream in, OutputStream out, BiConsumer<List<String>, Settings> amend) {
         this.line = new Line(in);
         this.out = out;
+        this.amend = amend;
     }
 
     private final class Instance implements DispatchApi.Actions {
@@ -138,7 +146,10 @@
         if (word.equals("ATTACH")) {
             long seed = line.integer("prng");
             String conf = line.rest();
-            Instance instance = new Instance(number, SettingsReader.read(seed, conf));
+            SettingsReader reader = SettingsReader.of(conf);
+            Settings settings = reader.settings(seed);
+            amend.accept(reader.items("zones"), settings);
+            Instance instance = new Instance(number, settings);
             instances.put(number, instance);
             instance.dispatcher.start(now);
             return;
--- /dev/null
+++ b/src/test/java/barrowshore/PackageRulesTest.java
@@ -0,0 +1,43 @@
+package barrowshore;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideOutsideOfPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The rules between packages: what decides is pure, and data flows one way. */
+class PackageRulesTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("barrowshore");
+
+    @ParameterizedTest
+    @ValueSource(strings = {"barrowshore", "barrowshore.halls"})
+    void whatDecidesTouchesNoSocketsFilesClocksOrThreads(String pure) {
+        noClasses().that().resideInAPackage(pure).should().dependOnClassesThat().resideInAnyPackage("java.net..",
+                "java.nio.file..", "java.nio.channels..", "java.util.concurrent..", "java.time..",
+                "org.eclipse.jetty..", "javax..", "sun..").check(ALL);
+        noClasses().that().resideInAPackage(pure).should().dependOnClassesThat().haveNameMatching(
+                "java\\.lang\\.(Thread|ThreadLocal|Process|ProcessBuilder|Runtime)|java\\.util\\.(Timer|Random)"
+                + "|java\\.io\\.(File.*|InputStream|OutputStream|RandomAccessFile)").check(ALL);
+        noClasses().that().resideInAPackage(pure).should().callMethod(System.class, "nanoTime").orShould()
+                .callMethod(System.class, "currentTimeMillis").orShould().callMethod(Math.class, "random").check(ALL);
+    }
+
+    @Test
+    void hallsKnowNothingOfTheModuleThatAsksThem() {
+        noClasses().that().resideInAPackage("barrowshore.halls").should().dependOnClassesThat(
+                resideInAPackage("barrowshore..").and(resideOutsideOfPackage("barrowshore.halls"))).check(ALL);
+    }
+
+    @Test
+    void dataFlowsOneWay() {
+        slices().matching("barrowshore.(*)..").should().beFreeOfCycles().check(ALL);
+    }
+}
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -7,6 +7,8 @@
 import barrowshore.Dispatcher;
 import barrowshore.config.Config;
 import barrowshore.net.Clock;
+import barrowshore.operator.Operator;
+import barrowshore.operator.Setup;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PushbackInputStream;
@@ -157,7 +159,7 @@
                 case "reload" -> {
                     config = config.replace(named(words[1]), named(words[2]));
                     String file = config;
-                    node.reload(() -> Config.parse(file));
+                    node.reload(() -> new Setup(Config.parse(file), Operator.NONE));
                 }
                 case "module" -> module = words[1];
                 case "start" -> start();
@@ -243,7 +245,7 @@
         private void start() throws Exception {
             config = named(config);
             Config read = Config.parse(config);
-            node = new Node(read, new Clock(1_700_000_000_000L, time::nanos), time, actions -> switch (module) {
+            node = new Node(new Setup(read, Operator.NONE), new Clock(1_700_000_000_000L, time::nanos), time, actions -> switch (module) {
                 case "silent" -> faulty(false);
                 case "broken" -> faulty(true);
                 default -> new Dispatcher(read.settings(), actions);
