Add an emulator of halls, nodes, schedulers and clients in virtual time

Change: a pure model of an order node (cores, slots, queue, warm-up, falling over, silence, slowness, drain), a kernel of virtual time, a world that hosts any number of real modules against it, scenarios in XML with a schema, reports as table and JSON, many seeds side by side, on against off. Index tables can be shared by modules of one thread.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -3,10 +3,8 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
 
@@ -45,22 +43,26 @@
     private final Peers peers;
     private final TokenBucket[] quotas;
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
-    private final Map<Integer, IndexTable> tables = new HashMap<>();
+    private final IndexTables tables;
     private double loadOthers, loadAll, missing = 1, pressure = 1;
     private long creditAt, loadAt;
     private int askFailures, topPriority, probeNext, refreshes;
     private boolean high, asking;
 
     /** A dispatcher that decides by the settings and orders through the actions; call start first. */
-    public Dispatcher(Settings settings, Actions actions) {
+    public Dispatcher(Settings settings, Actions actions) { this(settings, actions, new IndexTables()); }
+
+    /** The same, with tables that other dispatchers of this thread may have worked out. */
+    public Dispatcher(Settings settings, Actions actions, IndexTables shared) {
+        tables = shared;
         settings.validate();
         set = settings;
         act = actions;
         rng = new Rng(settings.seed);
-        halls = new HallSide(set, act, rng);
-        roster = new Roster(halls);
         ledger = new Ledger(set.kinds);
         mean = new Traffic(set);
+        halls = new HallSide(set, act, rng, mean);
+        roster = new Roster(halls);
         kinds = new Kind[set.kinds];
         Arrays.setAll(kinds, k -> new Kind(mean.work));
         peers = new Peers(set.dispatchers, set.me, (int) (rng.next() * (1 << 16)));
@@ -203,7 +205,7 @@
     private void answer(long now, Job job) {
         if (job.out > 0) { return; }
         ledger.answered(job);
-        halls.gate.refused(now);
+        halls.refused(now, job);
         if (!job.mayHaveRun || job.jobClass.effect() == Effect.SAFE
                 || job.jobClass.effect() == Effect.KEYED && job.jobClass.scope() == Scope.ALL) {
             long delay = (long) Math.min(set.maxRetryAfter, mean.work * (1 + rng.next()));
@@ -354,8 +356,7 @@
         // Until reports tell, the rating is taken as the number of slots: the proportions matter most.
         double known = kinds[w.kind].slots > 0 ? kinds[w.kind].slots : w.rating > 1 ? w.rating : FIRST_SLOTS;
         int slots = Math.max(1, Math.min(MAX_SLOTS, (int) Math.round(known)));
-        return tables.computeIfAbsent(slots * 2 + (high ? 1 : 0),
-                k -> new IndexTable(slots, slots * DEPTH, high ? HIGH_TABLE : LOW_TABLE));
+        return tables.get(slots, slots * DEPTH, high ? HIGH_TABLE : LOW_TABLE);
     }
 
     /** What one more mean job waits there and makes others wait: the index above an idle worker's. */
--- a/src/main/java/barrowshore/HallSide.java
+++ b/src/main/java/barrowshore/HallSide.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import barrowshore.DispatchApi.Actions;
 import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.JobClass;
 import barrowshore.DispatchApi.Settings;
 import barrowshore.DispatchApi.Status;
 import barrowshore.halls.HallGate;
@@ -19,24 +18,20 @@
     HallGate gate;
     private final Settings set;
     private final Actions act;
-    private final double topWorth;
+    private final Traffic mean;
     private final Rng rng;
 
-    HallSide(Settings set, Actions act, Rng rng) {
+    HallSide(Settings set, Actions act, Rng rng, Traffic mean) {
         this.set = set;
         this.act = act;
         this.rng = rng;
         gate = set.halls == null ? HallGate.OFF : new Halls(set.halls, set.dispatchers, set.me, rng::next);
-        double top = 1e-9;
-        for (JobClass type : set.classes) {
-            top = Math.max(top, type.worth());
-        }
-        topWorth = top;
+        this.mean = mean;
     }
 
-    /** A job's worth to the operators against their worthiest class. */
+    /** What a job pays for the room it takes, against the usual job. */
     private double standing(Job job) {
-        return job.jobClass.worth() / topWorth * (job.overQuota ? set.overShareWorth : 1);
+        return Math.min(1, mean.value(job)) * (job.overQuota ? set.overShareWorth : 1);
     }
 
     /** New rules: halls keep their states where there were rules before. */
@@ -84,6 +79,10 @@
         }
     }
 
+    void refused(long now, Job job) {
+        gate.refused(now, standing(job));
+    }
+
     void probed(long now, Worker w, Status status) {
         if (status == Status.OK && !gate.open(w.place)) {
             w.heardAt = now;   // it answers again: one job may find out the rest
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -2,6 +2,8 @@
 
 import barrowshore.config.Config;
 import barrowshore.config.ConfigException;
+import barrowshore.emulate.Rehearsal;
+import barrowshore.emulate.Scenario;
 import barrowshore.node.Node;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
@@ -107,6 +109,34 @@
         }
     }
 
+    /** Plays a scenario in virtual time. */
+    @About("Plays a scenario in virtual time: real decisions against models of order nodes.")
+    public static final class Emulate implements Command {
+        @Argument(index = 0, required = true, metaVar = "SCENARIO", usage = "the scenario's XML file")
+        Path scenario;
+
+        @Option(name = "--seed", metaVar = "N", usage = "the first seed (default 1)")
+        long seed = 1;
+
+        @Option(name = "--seeds", metaVar = "COUNT", usage = "so many seeds, and a table over all of them (default 1)")
+        int seeds = 1;
+
+        @Option(name = "--operator", metaVar = "FILE", usage = "the operators' settings (default: none, all of it off)")
+        Path operator;
+
+        @Option(name = "--json", metaVar = "FILE", usage = "writes the reports for programs")
+        Path json;
+
+        @Option(name = "--compare", usage = "each seed twice, with and without the operators' settings")
+        boolean compare;
+
+        @Override
+        public void run() throws IOException {
+            Rehearsal.run(System.out, Scenario.read(scenario), operator == null ? Operator.NONE : Operator.read(operator),
+                    seed, seeds, compare, json);
+        }
+    }
+
     /** Prints the version. */
     @About("Prints the version.")
     public static final class Version implements Command {
@@ -117,11 +147,12 @@
         }
     }
 
-    @Argument(index = 0, required = true, metaVar = "serve | check | drill | rehearse | version",
+    @Argument(index = 0, required = true, metaVar = "COMMAND",
             usage = "what to do", handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "check", impl = Check.class),
         @SubCommand(name = "drill", impl = Drill.class),
+        @SubCommand(name = "emulate", impl = Emulate.class),
         @SubCommand(name = "rehearse", impl = Rehearse.class), @SubCommand(name = "version", impl = Version.class)})
     Command command;
 
--- /dev/null
+++ b/src/main/java/barrowshore/emulate/Kernel.java
@@ -0,0 +1,51 @@
+package barrowshore.emulate;
+
+import barrowshore.model.Timeline;
+import java.util.PriorityQueue;
+
+/**
+ * Virtual time: discrete events in the order of their times and, at one time, of their making, so that the same inputs
+ * give the same run. It owns the clock and what is still to come; it must never look at the real time.
+ */
+final class Kernel implements Timeline {
+    private record Event(long at, long order, Runnable run) { }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
+            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private long now;
+    private long order;
+
+    /** Starts at a time, so that 0 can go on meaning long ago. */
+    Kernel(long start) {
+        now = start;
+    }
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public void at(long time, Runnable run) {
+        events.add(new Event(Math.max(now, time), order++, run));
+    }
+
+    void after(long delay, Runnable run) {
+        at(now + delay, run);
+    }
+
+    /** Runs what is due until then. */
+    void run(long until) {
+        while (!events.isEmpty() && events.peek().at <= until) {
+            Event next = events.poll();
+            now = next.at;
+            next.run.run();
+        }
+        now = Math.max(now, until);
+    }
+
+    /** How many events there have been. */
+    long events() {
+        return order;
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/emulate/Rehearsal.java
@@ -0,0 +1,93 @@
+package barrowshore.emulate;
+
+import barrowshore.config.ConfigException;
+import barrowshore.operator.Operator;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
+import org.eclipse.jetty.util.ajax.JSON;
+
+/**
+ * Plays a scenario over one seed or many and prints what came of it: a report for one, a table for many. Seeds are
+ * played side by side, each in a world of its own, so their order does not show. It owns what is printed and written.
+ */
+public final class Rehearsal {
+    private Rehearsal() { }
+
+    /** Plays; json null: nothing is written. */
+    public static void run(PrintStream out, Scenario scenario, Operator operator, long seed, int seeds, boolean compare,
+                           Path json) throws IOException {
+        if (seeds < 1) {
+            throw new ConfigException("--seeds must be at least 1");
+        }
+        if (compare && operator.halls() == null) {
+            throw new ConfigException("--compare needs --operator with halls, or there is nothing to compare");
+        }
+        List<Report> on = play(scenario, operator, seed, seeds);
+        List<Report> off = compare ? play(scenario, Operator.NONE, seed, seeds) : List.of();
+        if (seeds == 1) {
+            out.print(on.get(0).table());
+            off.forEach(report -> out.print("without the operators' settings:\n" + report.table()));
+        } else {
+            out.printf("%s, %d seeds from %d; mean, and least or most of a seed%n", scenario.name(), seeds, seed);
+            out.printf("%-34s %10s %10s%s%n", "", "mean", "extreme", compare ? "   off: mean    extreme" : "");
+            row(out, "worth served (least)", Report::kept, false, on, off);
+            row(out, "less deductions (least)", Report::priced, false, on, off);
+            row(out, "worst 10 s (least)", Report::worst, false, on, off);
+            for (int h = 0; h < scenario.halls().size(); h++) {
+                int hall = h;
+                String name = scenario.halls().get(h).name();
+                row(out, "diners of " + name + " (least)", r -> r.diners(hall), false, on, off);
+                row(out, "spilled into " + name + " (most)", r -> r.mostSpillShare(hall), true, on, off);
+            }
+            row(out, "to a dark hall after 2 s (most)", Report::toDark, true, on, off);
+            row(out, "cold budget used (most)", Report::coldUse, true, on, off);
+            row(out, "nodes fallen over (most)", Report::fallen, true, on, off);
+            row(out, "unsafe jobs run twice (most)", r -> r.twice, true, on, off);
+            row(out, "no answer in time (most)", r -> r.silent, true, on, off);
+            row(out, "changes of hall states (most)", Report::moves, true, on, off);
+        }
+        if (json != null) {
+            List<Object> all = new ArrayList<>();
+            on.forEach(report -> all.add(report.json()));
+            Map<String, Object> root = new LinkedHashMap<>();
+            root.put("on", all.toArray());
+            root.put("off", off.stream().map(Report::json).toArray());
+            Files.writeString(json, new JSON().toJSON(root) + "\n");
+        }
+    }
+
+    private static List<Report> play(Scenario scenario, Operator operator, long seed, int seeds) {
+        Report[] reports = new Report[seeds];
+        LongStream.range(0, seeds).parallel().forEach(k ->
+                reports[(int) k] = Emulator.play(scenario, operator, seed + k));
+        return Arrays.asList(reports);
+    }
+
+    private static void row(PrintStream out, String name, ToDoubleFunction<Report> figure, boolean most,
+                            List<Report> on, List<Report> off) {
+        out.printf(Locale.ROOT, "%-34s %10.4f %10.4f", name, mean(on, figure), extreme(on, figure, most));
+        if (!off.isEmpty()) {
+            out.printf(Locale.ROOT, " %10.4f %10.4f", mean(off, figure), extreme(off, figure, most));
+        }
+        out.println();
+    }
+
+    private static double mean(List<Report> reports, ToDoubleFunction<Report> figure) {
+        return reports.stream().mapToDouble(figure).average().orElse(0);
+    }
+
+    private static double extreme(List<Report> reports, ToDoubleFunction<Report> figure, boolean most) {
+        var values = reports.stream().mapToDouble(figure);
+        return (most ? values.max() : values.min()).orElse(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -0,0 +1,303 @@
+package barrowshore.emulate;
+
+import barrowshore.halls.HallState;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/** What came of an emulated day, counted as it goes. It owns its counters alone, and judges nothing. */
+public final class Report {
+    private static final long S = 1_000_000;
+    /** Answer times are kept to the hundredth, up to a minute. */
+    private static final long MOST_MICROS = 60 * S;
+
+    private record Dark(int hall, long from, long to, double part) { }
+
+    private final Scenario scenario;
+    private final long seed;
+    private final List<String> classes;
+    private final int seconds;
+    private final double[] askedAt;
+    private final double[] servedAt;
+    private final double[][] asked;
+    private final double[][] served;
+    private final double[] askedClass;
+    private final double[] servedClass;
+    private final List<Histogram> times = new ArrayList<>();
+    private final double[] mostSpilled;
+    private final double[] mostSpillShare;
+    private final List<Dark> darks = new ArrayList<>();
+    private final List<String> moves = new ArrayList<>();
+    private final List<String> logs = new ArrayList<>();
+    private long chosenInDark;
+    private long chosenWhileDark;
+    private long refused;
+    private long failed;
+    private long sends;
+    private long crossings;
+    private double wasted;
+    private double work;
+    private long flows;
+    private double coldUse;
+    private int fallen;
+    private int movesCounted;
+    int twice;
+    int silent;
+    int answersTwice;
+    int sentAfterEnd;
+    int refusedWhileOut;
+    long probes;
+    long messages;
+    long messageBytes;
+    int longestMessage;
+    long events;
+
+    Report(Scenario scenario, long seed, List<String> classes) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.classes = classes;
+        seconds = (int) (scenario.length() / S) + 2;
+        askedAt = new double[seconds];
+        servedAt = new double[seconds];
+        int halls = scenario.halls().size();
+        asked = new double[halls][seconds];
+        served = new double[halls][seconds];
+        askedClass = new double[classes.size()];
+        servedClass = new double[classes.size()];
+        classes.forEach(c -> times.add(new Histogram(MOST_MICROS, 2)));
+        mostSpilled = new double[halls];
+        mostSpillShare = new double[halls];
+    }
+
+    void asked(long at, int hall, int type, double worth, double size) {
+        flows++;
+        work += size;
+        int second = (int) (at / S);
+        askedAt[second] += worth;
+        asked[hall][second] += worth;
+        askedClass[type] += worth;
+    }
+
+    void served(long since, int hall, int type, double worth, boolean inTime, long took) {
+        times.get(type).recordValue(Math.min(took, MOST_MICROS));
+        if (inTime) {
+            int second = (int) (since / S);
+            servedAt[second] += worth;
+            served[hall][second] += worth;
+            servedClass[type] += worth;
+        }
+    }
+
+    void refused(long since) {
+        refused++;
+    }
+
+    void failed(long since) {
+        failed++;
+    }
+
+    void wasted(double work) {
+        wasted += work;
+    }
+
+    void sent(long at, int hall, int from) {
+        sends++;
+        crossings += hall == from ? 0 : 1;
+    }
+
+    /** The module chose a node of this hall. */
+    void chosen(long at, int hall) {
+        for (Dark d : darks) {
+            if (d.part >= 1 && at >= d.from + 2 * S && at < d.to) {
+                chosenWhileDark++;
+                chosenInDark += d.hall == hall ? 1 : 0;
+            }
+        }
+    }
+
+    void dark(int hall, long from, long lasts, double part) {
+        darks.add(new Dark(hall, from, from + lasts, part));
+    }
+
+    void spilled(int hall, double slots, double usable) {
+        mostSpilled[hall] = Math.max(mostSpilled[hall], slots);
+        if (usable > 0) {
+            mostSpillShare[hall] = Math.max(mostSpillShare[hall], slots / usable);
+        }
+    }
+
+    void node(double use, boolean fell) {
+        coldUse = Math.max(coldUse, use);
+        fallen += fell ? 1 : 0;
+    }
+
+    void moved(long at, int scheduler, List<HallState> from, List<HallState> to, List<String> names) {
+        for (int h = 0; h < to.size(); h++) {
+            HallState was = h < from.size() ? from.get(h) : HallState.SERVING;
+            if (was != to.get(h)) {
+                movesCounted++;
+                moves.add(String.format(Locale.ROOT, "%.1f s  scheduler %d: %s %s", at / 1e6, scheduler, names.get(h),
+                        to.get(h).name().toLowerCase(Locale.ROOT)));
+            }
+        }
+    }
+
+    void log(long at, int scheduler, String line) {
+        logs.add(String.format(Locale.ROOT, "%.2f s  scheduler %d: %s", at / 1e6, scheduler, line));
+    }
+
+    private static double share(double part, double whole) {
+        return whole <= 0 ? 1 : part / whole;
+    }
+
+    /** Worth served in time against worth asked for. */
+    double kept() {
+        return share(Arrays.stream(servedAt).sum(), Arrays.stream(askedAt).sum());
+    }
+
+    /**
+     * The same less what the operators deduct: a tenth for a request that crosses halls once, and three tenths for work
+     * wasted, as much as was asked for.
+     */
+    double priced() {
+        return kept() - 0.1 * share(crossings, flows) - 0.3 * (work <= 0 ? 0 : wasted / work);
+    }
+
+    /** The same in the worst ten seconds. */
+    double worst() {
+        double least = 1;
+        for (int from = 0; from + 10 < seconds; from++) {
+            double part = 0, whole = 0;
+            for (int k = from; k < from + 10; k++) {
+                part += servedAt[k];
+                whole += askedAt[k];
+            }
+            least = Math.min(least, share(part, whole));
+        }
+        return least;
+    }
+
+    /** The same of the diners that belong to a hall, from one second to another. */
+    double diners(int hall, int from, int to) {
+        double part = 0, whole = 0;
+        for (int k = Math.max(0, from); k < Math.min(seconds, to); k++) {
+            part += served[hall][k];
+            whole += asked[hall][k];
+        }
+        return share(part, whole);
+    }
+
+    double diners(int hall) {
+        return diners(hall, 0, seconds);
+    }
+
+    /** Of what was chosen later than 2 s after a whole hall went dark: the share that went there all the same. */
+    double toDark() {
+        return chosenWhileDark == 0 ? 0 : (double) chosenInDark / chosenWhileDark;
+    }
+
+    double coldUse() {
+        return coldUse;
+    }
+
+    int fallen() {
+        return fallen;
+    }
+
+    int moves() {
+        return movesCounted;
+    }
+
+    double mostSpillShare(int hall) {
+        return mostSpillShare[hall];
+    }
+
+    List<String> moveLines() {
+        return moves;
+    }
+
+    /** What must never be: 0 in every run. */
+    int broken() {
+        return twice + silent + answersTwice + sentAfterEnd + refusedWhileOut + fallen;
+    }
+
+    /** The whole report as JSON's maps and lists; the same run gives the same, in the same order. */
+    public Map<String, Object> json() {
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("scenario", scenario.name());
+        all.put("seed", seed);
+        all.put("kept", round(kept()));
+        all.put("keptLessDeductions", round(priced()));
+        all.put("worst10s", round(worst()));
+        Map<String, Object> halls = new LinkedHashMap<>();
+        for (int h = 0; h < scenario.halls().size(); h++) {
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("diners", round(diners(h)));
+            one.put("mostSpilledSlots", round(mostSpilled[h]));
+            one.put("mostSpilledShare", round(mostSpillShare[h]));
+            halls.put(scenario.halls().get(h).name(), one);
+        }
+        all.put("halls", halls);
+        Map<String, Object> types = new LinkedHashMap<>();
+        for (int c = 0; c < classes.size(); c++) {
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("kept", round(share(servedClass[c], askedClass[c])));
+            one.put("p50Ms", round(times.get(c).getValueAtPercentile(50) / 1e3));
+            one.put("p99Ms", round(times.get(c).getValueAtPercentile(99) / 1e3));
+            types.put(classes.get(c), one);
+        }
+        all.put("classes", types);
+        all.put("toDark", round(toDark()));
+        all.put("coldBudgetUsed", round(coldUse));
+        all.put("fallenOver", fallen);
+        all.put("ranTwice", twice);
+        all.put("withoutAnswerInTime", silent);
+        all.put("answeredTwice", answersTwice);
+        all.put("sentAfterTheEnd", sentAfterEnd);
+        all.put("refusedWhileOut", refusedWhileOut);
+        all.put("refused", refused);
+        all.put("failed", failed);
+        all.put("sends", sends);
+        all.put("crossings", crossings);
+        all.put("wastedSeconds", round(wasted / 1e6));
+        all.put("probes", probes);
+        all.put("messages", messages);
+        all.put("messageBytes", messageBytes);
+        all.put("longestMessage", longestMessage);
+        all.put("events", events);
+        all.put("moves", moves);
+        return all;
+    }
+
+    private static double round(double figure) {
+        return Math.round(figure * 1e4) / 1e4;
+    }
+
+    /** A table for people. */
+    public String table() {
+        StringBuilder out = new StringBuilder();
+        out.append(String.format(Locale.ROOT, "%s, seed %d: kept %.3f (%.3f less deductions), worst 10 s %.3f, refused %d, failed %d, sends %d"
+                + " (%d across halls), probes %d, messages %d%n", scenario.name(), seed, kept(), priced(), worst(), refused, failed,
+                sends, crossings, probes, messages));
+        out.append(String.format("%-16s %8s %14s %14s%n", "hall", "diners", "most spilled", "of its slots"));
+        for (int h = 0; h < scenario.halls().size(); h++) {
+            out.append(String.format(Locale.ROOT, "%-16s %8.3f %14.1f %14.2f%n", scenario.halls().get(h).name(),
+                    diners(h), mostSpilled[h], mostSpillShare[h]));
+        }
+        out.append(String.format("%-16s %8s %14s %14s%n", "class", "kept", "p50 ms", "p99 ms"));
+        for (int c = 0; c < classes.size(); c++) {
+            out.append(String.format(Locale.ROOT, "%-16s %8.3f %14.0f %14.0f%n", classes.get(c),
+                    share(servedClass[c], askedClass[c]), times.get(c).getValueAtPercentile(50) / 1e3,
+                    times.get(c).getValueAtPercentile(99) / 1e3));
+        }
+        out.append(String.format(Locale.ROOT, "rules: ran twice %d, no answer in time %d, fallen over %d, cold budget used"
+                + " %.2f; to a dark hall after 2 s %.4f; longest message %d bytes%n", twice, silent, fallen, coldUse,
+                toDark(), longestMessage));
+        moves.forEach(line -> out.append("  ").append(line).append(System.lineSeparator()));
+        return out.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/emulate/Scenario.java
@@ -0,0 +1,97 @@
+package barrowshore.emulate;
+
+import barrowshore.config.XmlFile;
+import barrowshore.config.XmlFile.Element;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What is emulated: halls with their nodes, schedulers and clients, and what happens to them when. It owns the reading
+ * of the scenario's file; times are microseconds from the start.
+ */
+public record Scenario(String name, long length, double load, int cores, int retries, double loss, boolean probes,
+                       List<HallSpec> halls, List<Happening> happenings) {
+    /** clients: the share of all clients that belong to the hall. */
+    public record HallSpec(String name, int nodes, int schedulers, double clients) { }
+
+    /** What a thing is that happens. */
+    public enum What { VANISH, CRASH, RENEW, CUT, DRAIN, UNLIST, HANG, SLOW, BURST, RESTART, TROUBLES }
+
+    /**
+     * Something that happens. spread: over how long its parts begin and end; part: of the hall's nodes; back: the share
+     * of those that ever come back; factor, scheduler and count where they mean something.
+     */
+    public record Happening(What what, long at, long lasts, long spread, int hall, double part, double back,
+                            double factor, int scheduler) { }
+
+    /** Reads a file; a {@link barrowshore.config.ConfigException} names line, column and element. */
+    public static Scenario read(Path file) {
+        return of(file.toString(), XmlFile.read(file, Scenario.class, "scenario.xsd"));
+    }
+
+    static Scenario parse(String text) {
+        return of("scenario", XmlFile.read("scenario", text.getBytes(StandardCharsets.UTF_8), Scenario.class,
+                "scenario.xsd"));
+    }
+
+    private static Scenario of(String file, Element root) {
+        List<HallSpec> halls = new ArrayList<>();
+        for (Element e : root.all("hall")) {
+            if (halls.stream().anyMatch(h -> h.name().equals(e.get("name")))) {
+                throw e.wrong(file, e.get("name") + " is there twice");
+            }
+            halls.add(new HallSpec(e.get("name"), (int) e.number("nodes"), (int) e.number("schedulers"),
+                    e.number("clients")));
+        }
+        if (halls.stream().mapToDouble(HallSpec::clients).sum() <= 0) {
+            throw root.wrong(file, "no hall has clients");
+        }
+        for (HallSpec h : halls) {
+            if (h.clients() > 0 && h.schedulers() == 0) {
+                throw root.wrong(file, h.name() + " has clients but no scheduler");
+            }
+        }
+        int schedulers = halls.stream().mapToInt(HallSpec::schedulers).sum();
+        List<Happening> happenings = new ArrayList<>();
+        for (Element e : root.children()) {
+            if (e.name().equals("hall")) {
+                continue;
+            }
+            int hall = -1;
+            if (e.get("hall") != null) {
+                hall = halls.stream().map(HallSpec::name).toList().indexOf(e.get("hall"));
+                if (hall < 0) {
+                    throw e.wrong(file, "there is no hall " + e.get("hall"));
+                }
+            }
+            int scheduler = e.get("scheduler") == null ? -1 : (int) e.number("scheduler");
+            if (scheduler >= schedulers) {
+                throw e.wrong(file, "there is no scheduler " + scheduler + "; they are numbered from 0");
+            }
+            What what = switch (e.name()) {
+                case "dark" -> What.valueOf(e.get("how").toUpperCase(java.util.Locale.ROOT));
+                default -> What.valueOf(e.name().toUpperCase(java.util.Locale.ROOT));
+            };
+            happenings.add(new Happening(what, e.micros("at"), e.micros("for"), e.micros("spread"), hall,
+                    number(e, "part", 1), number(e, "back", 1), number(e, what == What.TROUBLES ? "count" : "factor", 1),
+                    scheduler));
+        }
+        return new Scenario(root.get("name"), root.micros("length"), root.number("load"), (int) root.number("cores"),
+                (int) root.number("retries"), root.number("loss"), "true".equals(root.get("probes"))
+                || "1".equals(root.get("probes")), halls, happenings);
+    }
+
+    private static double number(Element e, String attribute, double otherwise) {
+        return e.get(attribute) == null ? otherwise : e.number(attribute);
+    }
+
+    int schedulers() {
+        return halls.stream().mapToInt(HallSpec::schedulers).sum();
+    }
+
+    List<String> hallNames() {
+        return halls.stream().map(HallSpec::name).toList();
+    }
+}
--- a/src/main/java/barrowshore/halls/Hall.java
+++ b/src/main/java/barrowshore/halls/Hall.java
@@ -34,8 +34,8 @@
     /** No server is probed again within this. */
     private static final long PROBE_PAUSE = 400_000;
 
-    /** What the peers say: how many have spoken lately, hold it for lost, and had a sign of it just now. */
-    record Hearsay(int heard, int lost, int served) { }
+    /** What the peers that know something say: how many hold it for lost, had a sign just now, and that it serves. */
+    record Hearsay(int heard, int lost, int served, int well) { }
 
     HallRules rules;
     private final DoubleSupplier random;
@@ -222,10 +222,11 @@
         if (gone) {
             return goDark(now, peers.served() > 0 ? Why.CUT_OFF : Why.LOST);
         }
-        if (proved == 0 && now - since > rules.settle() && now - signAt > rules.settle()) {
+        if (proved == 0 && now - since > rules.settle() && enough() && lostShare() >= rules.doubtShare()) {
             return goDark(now, Why.LOST);   // the sign that brought it back was the last one
         }
-        if (proved > 0 && provedWeight - provedLost >= BACK * weight && now - since >= rules.settle()) {
+        boolean seen = peers.well() > 0 && peers.lost() == 0 && lost == 0;   // we have no work there, others have
+        if (now - since >= rules.settle() && seen && proved == 0 || proved > 0 && provedWeight - provedLost >= BACK * weight && now - since >= rules.settle()) {
             returnedAt = why == Why.LOST ? now : returnedAt;
             why = Why.NONE;
             return move(now, HallState.SERVING);
--- a/src/main/java/barrowshore/halls/HallGate.java
+++ b/src/main/java/barrowshore/halls/HallGate.java
@@ -45,11 +45,11 @@
     /** A job that was sent at that time has ended; served: with a result. */
     default void ended(long now, Place place, long sentAt, double slots, boolean served) { }
 
-    /** A flow of our own was turned down. */
-    default void refused(long now) { }
+    /** A flow of our own was turned down; worth: as in {@link #weigh}. */
+    default void refused(long now, double worth) { }
 
     /**
-     * Weighs a flow before a pick, for {@link #takes}. worth: against the worthiest class, 0 to 1; repeatable: it may
+     * Weighs a flow before a pick, for {@link #takes}. worth: for the room it takes, against the usual job, 0 to 1; repeatable: it may
      * run twice; tier: the furthest tier to look at.
      */
     default void weigh(long now, double slots, double worth, boolean repeatable, int tier) { }
--- a/src/main/java/barrowshore/halls/Halls.java
+++ b/src/main/java/barrowshore/halls/Halls.java
@@ -21,11 +21,13 @@
     /** Turns come every tenth of a second or so; after so long a gap we were not there ourselves. */
     private static final long PAUSE = 500_000;
     /** Share of its part that work of no worth may fill; the rest is kept for what is worth more. */
-    private static final double LEAST = 0.4;
+    private static final double LEAST = 0.5;
     /** A wait of this share of the wanted time says that our own hall's diners are crowded. */
     private static final double CROWDED = 0.5;
+    /** What is turned down and worth less than this would be so in many an hour; it says nothing. */
+    private static final double MISSED = 0.5;
     /** How a crowded hall's welcome falls in a turn, and how it rises again. */
-    private static final double LESS = 0.8;
+    private static final double LESS = 0.95;
     private static final double MORE = 0.03;
     /** Tries that a flow of no worth must leave in the budget for those worth more. */
     private static final double KEPT = 0.6;
@@ -189,8 +191,8 @@
     }
 
     @Override
-    public void refused(long now) {
-        crowded = true;
+    public void refused(long now, double worth) {
+        crowded |= worth >= MISSED;
     }
 
     // Where a flow may go.
@@ -328,7 +330,7 @@
     }
 
     private Hall.Hearsay hearsay(long now, int h) {
-        int heard = 0, lost = 0, served = 0;
+        int heard = 0, lost = 0, served = 0, well = 0;
         for (int j = 0; j < peers.length; j++) {
             Peer p = peers[j];
             if (j == me || now - p.heardAt > HEARD || p.states[h] == null) {
@@ -339,8 +341,9 @@
             heard += dark || sign ? 1 : 0;   // who had nothing to do there knows nothing
             lost += dark ? 1 : 0;
             served += sign ? 1 : 0;
+            well += sign && p.states[h] == HallState.SERVING ? 1 : 0;
         }
-        return new Hall.Hearsay(heard, lost, served);
+        return new Hall.Hearsay(heard, lost, served, well);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/barrowshore/emulate/EmulatorTest.java
@@ -0,0 +1,98 @@
+package barrowshore.emulate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import barrowshore.config.ConfigException;
+import barrowshore.operator.Operator;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.eclipse.jetty.util.ajax.JSON;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whole days in virtual time: every rule in every scenario, the same run for the same seed, and what halls are for. */
+class EmulatorTest {
+    private static final Path SCENARIOS = Path.of("scenarios");
+    private static final Operator ON = Operator.read(Path.of("deploy/operator.xml"));
+
+    static Stream<String> scenarios() throws IOException {
+        try (Stream<Path> all = Files.list(SCENARIOS)) {
+            return all.map(p -> p.getFileName().toString()).filter(n -> !n.equals("hall-large.xml")).sorted().toList()
+                    .stream();
+        }
+    }
+
+    private static List<Report> play(String file, Operator operator, int seeds) {
+        Scenario scenario = Scenario.read(SCENARIOS.resolve(file));
+        return LongStream.rangeClosed(1, seeds).parallel().mapToObj(s -> Emulator.play(scenario, operator, s)).toList();
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenarios")
+    void noRuleIsBrokenWithHallsOnOrOff(String file) {
+        for (Operator operator : List.of(ON, Operator.NONE)) {
+            assertThat(play(file, operator, 2)).allSatisfy(r -> {
+                assertThat(r.broken()).as(r.table()).isZero();
+                assertThat(r.coldUse()).isLessThan(1);
+                assertThat(r.longestMessage).isLessThanOrEqualTo(256);
+                assertThat(r.kept()).isGreaterThan(0.5);
+            });
+        }
+    }
+
+    @Test
+    void oneSeedGivesOneRun() {
+        for (String file : List.of("hall-flap.xml", "hall-fresh.xml")) {
+            String once = new JSON().toJSON(play(file, ON, 1).get(0).json());
+            assertThat(new JSON().toJSON(play(file, ON, 1).get(0).json())).isEqualTo(once);
+        }
+    }
+
+    @Test
+    void aDarkHallGetsNextToNothingAndComesBack() {
+        for (Report r : play("hall-dark.xml", ON, 4)) {
+            assertThat(r.toDark()).as(r.table()).isLessThan(0.03);
+            assertThat(r.moveLines()).anyMatch(l -> l.contains("hala-a dark")).anyMatch(l -> l.contains("hala-a returning"))
+                    .anyMatch(l -> l.contains("hala-a serving")).noneMatch(l -> l.contains("hala-b"));
+        }
+    }
+
+    @Test
+    void troublesOfSingleNodesMoveNoHall() {
+        assertThat(play("single-nodes.xml", ON, 20)).allSatisfy(r -> assertThat(r.moves()).as(r.table()).isZero());
+    }
+
+    @Test
+    void aPlannedDrainIsNeverHeldAgainstAHall() {
+        assertThat(play("hall-planned.xml", ON, 4)).allSatisfy(r ->
+                assertThat(r.moveLines()).noneMatch(l -> l.contains("doubted") || l.contains("held")));
+    }
+
+    @Test
+    void aJumpOfTrafficIntoTheHallThatIsLeftIsBounded() {
+        List<Report> on = play("hall-burst.xml", ON, 4), off = play("hall-burst.xml", Operator.NONE, 4);
+        assertThat(on.stream().mapToDouble(r -> r.diners(1)).sum())
+                .isGreaterThan(off.stream().mapToDouble(r -> r.diners(1)).sum());
+        assertThat(on.stream().mapToDouble(Report::kept).sum())
+                .isGreaterThan(off.stream().mapToDouble(Report::kept).sum());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"hall=\"hala-c\"|there is no hall hala-c", "part=\"2\"|'2'", "at=\"soon\"|soon"})
+    void aWrongScenarioIsNamedByLine(String change) {
+        String[] words = change.split("\\|");
+        String text = "<scenario xmlns=\"urn:barrowshore:scenario:1\" name=\"x\" length=\"10s\">\n"
+                + "<hall name=\"hala-a\" nodes=\"2\" schedulers=\"1\" clients=\"1\"/>\n<dark "
+                + (words[0].startsWith("at") ? "" : "at=\"1s\" ") + "for=\"1s\" "
+                + (words[0].startsWith("hall") ? "" : "hall=\"hala-a\" ") + words[0] + "/>\n</scenario>";
+        assertThatThrownBy(() -> Scenario.parse(text)).isInstanceOf(ConfigException.class)
+                .hasMessageContaining("line 3").hasMessageContaining("dark").hasMessageContaining(words[1]);
+    }
+}
--- /dev/null
+++ b/src/test/java/barrowshore/model/NodeModelTest.java
@@ -0,0 +1,198 @@
+package barrowshore.model;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.junit.jupiter.api.Test;
+
+/** The model of an order node, against figures worked out by hand. */
+class NodeModelTest {
+    private static final long MS = 1_000, S = 1_000_000;
+
+    private static final class Given implements Timeline {
+        private record Event(long at, long order, Runnable run) { }
+
+        private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
+                a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+        private long now = 100 * S;
+        private long order;
+
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public void at(long time, Runnable run) {
+            events.add(new Event(time, order++, run));
+        }
+
+        void pass(long time) {
+            long until = now + time;
+            while (!events.isEmpty() && events.peek().at <= until) {
+                Event e = events.poll();
+                now = Math.max(now, e.at);
+                e.run.run();
+            }
+            now = until;
+        }
+    }
+
+    private final Given time = new Given();
+    private final List<String> words = new ArrayList<>();
+
+    private NodeModel node(int cores, double speed, double queue, boolean backfill) {
+        return new NodeModel(time, new NodeModel.Spec(cores, speed, queue, backfill, 0.2, 20 * S),
+                new NodeModel.Falling(3, 2 * S, 500 * MS), 2 * S);
+    }
+
+    private NodeModel.Job job(String name, double slots, long work) {
+        return new NodeModel.Job() {
+            @Override
+            public double slots() {
+                return slots;
+            }
+
+            @Override
+            public double work() {
+                return work;
+            }
+
+            private void say(String word) {
+                words.add(name + " " + word + " " + (time.now() - 100 * S) / MS);
+            }
+
+            @Override
+            public void started() {
+                say("started");
+            }
+
+            @Override
+            public void progress(double share) {
+                say("at " + Math.round(share * 100) + "%");
+            }
+
+            @Override
+            public void done() {
+                say("done");
+            }
+
+            @Override
+            public void failed() {
+                say("failed");
+            }
+
+            @Override
+            public void returned() {
+                say("returned");
+            }
+
+            @Override
+            public void lost() {
+                say("lost");
+            }
+        };
+    }
+
+    @Test
+    void servesInOrderOrWhatFits() {
+        NodeModel fifo = node(2, 0.5, 10, false);
+        fifo.offer(job("a", 1, 100 * MS));
+        fifo.offer(job("b", 2, 100 * MS));
+        fifo.offer(job("c", 1, 100 * MS));
+        time.pass(S);
+        assertThat(words).containsExactly("a started 0", "a done 200", "b started 200", "b done 400", "c started 400",
+                "c done 600");
+        words.clear();
+        NodeModel backfill = node(2, 1, 10, true);
+        backfill.offer(job("a", 1, 100 * MS));
+        backfill.offer(job("b", 2, 100 * MS));
+        backfill.offer(job("c", 1, 100 * MS));
+        assertThat(words).containsExactly("a started 1000", "c started 1000");
+    }
+
+    @Test
+    void tellsProgressAndSlowsDown() {
+        NodeModel node = node(1, 1, 10, false);
+        node.offer(job("a", 1, 4 * S));
+        time.pass(S);
+        node.slow(3);
+        time.pass(20 * S);
+        assertThat(words).containsExactly("a started 0", "a at 33% 2000", "a at 50% 4000", "a at 67% 6000",
+                "a at 83% 8000", "a done 10000");
+    }
+
+    @Test
+    void aHungNodeTakesWorkAndAnswersLater() {
+        NodeModel node = node(1, 1, 10, false);
+        node.offer(job("a", 1, S));
+        time.pass(500 * MS);
+        node.hang(true);
+        node.offer(job("b", 1, S));
+        time.pass(10 * S);
+        assertThat(words).containsExactly("a started 0");
+        node.hang(false);
+        time.pass(5 * S);
+        assertThat(words).containsExactly("a started 0", "a done 11000", "b started 11000", "b done 12000");
+    }
+
+    @Test
+    void turnsAwayAboveItsQueueAndWhileItDrains() {
+        NodeModel node = node(1, 1, 2, false);
+        for (String name : List.of("a", "b", "c", "d")) {
+            node.offer(job(name, 1, S));
+        }
+        assertThat(words).containsExactly("a started 0", "d returned 0");
+        node.drain(true);
+        node.offer(job("e", 1, S));
+        time.pass(5 * S);
+        assertThat(words.subList(2, words.size())).containsExactly("b returned 0", "c returned 0", "e returned 0",
+                "a done 1000");
+    }
+
+    @Test
+    void warmsUpEvenly() {
+        NodeModel node = node(1, 1, 10, false);
+        node.crash();
+        node.restart();
+        node.offer(job("a", 1, S));
+        time.pass(30 * S);
+        // 0.2 t + 0.8 t^2 / 40 s = 1 s of work: t = 3.66 s
+        assertThat(words).containsExactly("a started 0", "a at 48% 2000", "a done 3660");
+        node.offer(job("b", 1, S));
+        time.pass(S);
+        assertThat(words).last().isEqualTo("b done 31000");
+    }
+
+    @Test
+    void fallsOverWhenTooMuchComesWhileItIsCold() {
+        NodeModel node = node(4, 1, 100, false);
+        node.crash();
+        node.restart();
+        // Three times 0.2 of 4 cores for 2 s, and two usual jobs of 0.5 s: 5.8 s of work.
+        for (int k = 0; k < 11; k++) {
+            node.offer(job("j" + k, 1, 500 * MS));
+        }
+        assertThat(node.fallen()).isFalse();
+        assertThat(node.coldUse()).isBetween(0.9, 1.0);
+        node.offer(job("last", 1, 500 * MS));
+        assertThat(node.fallen()).isTrue();
+        assertThat(node.up()).isFalse();
+        node.restart();
+        assertThat(node.up()).isFalse();
+        assertThat(words).filteredOn(w -> w.contains("lost")).hasSize(12);
+    }
+
+    @Test
+    void aWarmNodeMayBePushedHard() {
+        NodeModel node = node(4, 1, 1000, false);
+        for (int k = 0; k < 100; k++) {
+            node.offer(job("j" + k, 1, 500 * MS));
+        }
+        assertThat(node.fallen()).isFalse();
+        assertThat(node.held()).isEqualTo(100);
+        assertThat(node.freeSlots()).isZero();
+    }
+}
--- /dev/null
+++ b/src/test/java/barrowshore/operator/OperatorTest.java
@@ -0,0 +1,78 @@
+package barrowshore.operator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import barrowshore.config.ConfigException;
+import barrowshore.halls.HallRules;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The operators' file: what it says, and that what is wrong in it is named by line, column and element. */
+class OperatorTest {
+    private static final List<String> ZONES = List.of("hala-a", "hala-b");
+
+    private static String good() throws IOException {
+        return Files.readString(Path.of("deploy/operator.xml"));
+    }
+
+    @Test
+    void theExampleIsGoodAndSaysWhatTheDefaultsSay() throws IOException {
+        HallRules rules = Operator.parse("f", good()).halls().rules(ZONES, 1);
+        assertThat(rules).isEqualTo(HallRules.usual(ZONES, 1)).isEqualTo(Operator.Halls.usual().rules(ZONES, 1));
+    }
+
+    @Test
+    void whatIsLeftOutIsOff() {
+        assertThat(Operator.parse("f", "<operator xmlns=\"urn:barrowshore:operator:1\"/>")).isEqualTo(Operator.NONE);
+    }
+
+    @Test
+    void hallsThatAPreferenceLeavesOutComeLast() throws IOException {
+        String three = good().replace("<tier><hall name=\"hala-b\"/></tier>\n    </preference>\n    <preference",
+                "<tier><hall name=\"hala-c\"/></tier>\n    </preference>\n    <preference");
+        HallRules rules = Operator.parse("f", three).halls().rules(List.of("hala-a", "hala-b", "hala-c"), 0);
+        assertThat(rules.tier()).containsExactly(0, 2, 1);
+        assertThatThrownBy(() -> Operator.parse("f", three).halls().rules(ZONES, 0))
+                .isInstanceOf(ConfigException.class).hasMessageContaining("hala-c");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            spill="0.9"           | spill="1.5"                    | line 4, column 37: halls: Value '1.5'
+            tiers="priced"        | tears="priced"                 | line 4, column 37: halls: Attribute 'tears'
+            tiers="priced"        | dark-after="soon"              | line 4, column 40: halls: Value 'soon'
+            <tier>                | <teir>                         | line 6, column 13: teir: Invalid content
+            name="hala-b"         | name="hala-a"                  | line 7, column 34: hall: hala-a is in two tiers of hala-a
+            of="hala-b"           | of="hala-a"                    | line 9, column 29: preference: hala-a has two preferences
+            tiers="priced"        | hold-off="5min" hold-most="1s" | line 4, column 53: halls: hold-most must not be under hold-off
+            </halls>              | </walls>                       | line 13
+            <?xml version="1.0"   | <!DOCTYPE operator [<!ENTITY a "b">]><?xml version="1.0" | line 1
+            """)
+    void namesWhatIsWrong(String part, String instead, String message) throws IOException {
+        String bad = good().replaceFirst(java.util.regex.Pattern.quote(part),
+                java.util.regex.Matcher.quoteReplacement(instead));
+        assertThat(bad).isNotEqualTo(good());
+        assertThatThrownBy(() -> Operator.parse("f", bad)).isInstanceOf(ConfigException.class)
+                .hasMessageStartingWith("f: " + message).message().doesNotContain("\n");
+    }
+
+    @Test
+    void readsNoEntityAndNoHugeFile(@TempDir Path dir) throws IOException {
+        Path secret = Files.writeString(dir.resolve("secret"), "hala-z");
+        String xxe = "<!DOCTYPE operator [<!ENTITY x SYSTEM \"" + secret.toUri() + "\">]>\n" + good().replaceFirst(
+                "<\\?xml[^>]*>", "").replace("of=\"hala-b\"", "of=\"&x;\"");
+        assertThatThrownBy(() -> Operator.parse("f", xxe)).isInstanceOf(ConfigException.class)
+                .hasMessageContaining("DOCTYPE");
+        Path huge = Files.writeString(dir.resolve("huge"), good().replace("</operator>", " ".repeat(1 << 20)
+                + "</operator>"));
+        assertThatThrownBy(() -> Operator.read(huge)).hasMessageContaining("is over 1048576 bytes");
+        assertThatThrownBy(() -> Operator.read(dir.resolve("none"))).hasMessageContaining("cannot be read");
+    }
+}
