--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -7,6 +7,7 @@
 import barrowshore.node.Node;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
+import barrowshore.standin.Demo;
 import barrowshore.wire.WireException;
 import barrowshore.wire.WireHost;
 import java.io.FileDescriptor;
@@ -109,6 +110,18 @@
         }
     }
 
+    /** A small site to watch. */
+    @About("Starts two halls of stand-in nodes, two schedulers and a light load; loses a hall and regains it.")
+    public static final class Show implements Command {
+        @Option(name = "--hold", usage = "goes on after that, until it is stopped")
+        boolean hold;
+
+        @Override
+        public void run() throws Exception {
+            Demo.play(System.out, hold);
+        }
+    }
+
     /** Plays a scenario in virtual time. */
     @About("Plays a scenario in virtual time: real decisions against models of order nodes.")
     public static final class Emulate implements Command {
@@ -152,7 +165,7 @@
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "check", impl = Check.class),
         @SubCommand(name = "drill", impl = Drill.class),
-        @SubCommand(name = "emulate", impl = Emulate.class),
+        @SubCommand(name = "demo", impl = Show.class), @SubCommand(name = "emulate", impl = Emulate.class),
         @SubCommand(name = "rehearse", impl = Rehearse.class), @SubCommand(name = "version", impl = Version.class)})
     Command command;
 
--- a/src/main/java/barrowshore/halls/Hall.java
+++ b/src/main/java/barrowshore/halls/Hall.java
@@ -67,6 +67,7 @@
     private int proved;
     private int trying;
     private long signAt;
+    private long troubledAt = Long.MIN_VALUE / 2;
     /** The server that a dark hall's one trial is out at, and since when. */
     private Place trial;
     private long trialSentAt;
@@ -87,12 +88,18 @@
         return signAt;
     }
 
+    /** Since when the first of what is lost has been; long ago if nothing is. */
+    long troubledAt() {
+        return state == HallState.DARK ? darkAt : troubledAt;
+    }
+
     /** Capacity that speaks for itself: no more than what is listed. */
     private void count(long now) {
         listed = lost = words = draining = proved = trying = 0;
         weight = slots = lostWeight = aliveWeight = provedWeight = provedSlots = provedLost = 0;
         firm = false;
         signAt = Long.MIN_VALUE / 2;
+        troubledAt = Long.MAX_VALUE;
         for (Place p : places) {
             signAt = Math.max(signAt, p.signAt);
             draining += p.listed && p.draining ? 1 : 0;
@@ -105,6 +112,7 @@
             listed++;
             weight += p.weight;
             if (p.lost()) {
+                troubledAt = Math.min(troubledAt, p.lostAt);
                 lost++;
                 words += p.against;
                 firm |= !p.soft;
@@ -122,6 +130,7 @@
                 trying += p.trying && now - p.triedAt < STUCK ? 1 : 0;
             }
         }
+        troubledAt = lost == 0 ? Long.MIN_VALUE / 2 : troubledAt;
         seen |= listed > 0;
     }
 
@@ -200,6 +209,11 @@
             // What was only not listed, and kept answering, never was away.
             return !fresh && lost == 0 ? move(now, HallState.SERVING) : comeBack(now);
         }
+        if (why == Why.LOST && peers.served() > 0) {
+            why = Why.CUT_OFF;   // known only now: their word takes its time
+            return String.format(Locale.ROOT, "hall %s is only cut off from here: others are served there",
+                    rules.name(number));
+        }
         // What was only told is over when nobody says so any more.
         return signAt > darkAt || why == Why.TOLD && peers.lost() == 0 ? comeBack(now) : null;
     }
--- a/src/main/java/barrowshore/halls/Halls.java
+++ b/src/main/java/barrowshore/halls/Halls.java
@@ -337,7 +337,8 @@
                 continue;
             }
             boolean dark = p.states[h] == HallState.DARK || p.states[h] == HallState.HELD;
-            boolean sign = now - p.signAt[h] <= SERVED;
+            // What was before our own trouble with it says nothing of who is cut off.
+            boolean sign = now - p.signAt[h] <= SERVED && p.signAt[h] > halls[h].troubledAt();
             heard += dark || sign ? 1 : 0;   // who had nothing to do there knows nothing
             lost += dark ? 1 : 0;
             served += sign ? 1 : 0;
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -196,6 +196,11 @@
         }
     }
 
+    /** Writes bytes that are a message already, or a part of one; as above. One write at a time. */
+    protected void write(ByteBuffer bytes, Runnable written) {
+        getEndPoint().write(Callback.from(written::run, cause -> mailbox.post(() -> end(cause))), bytes);
+    }
+
     private static ByteBuffer header(MetaData message, ByteBuffer content) {
         for (int size = HEADER_BUFFER; ; size *= 2) {
             HttpGenerator generator = new HttpGenerator();
--- a/src/main/java/barrowshore/net/Mailbox.java
+++ b/src/main/java/barrowshore/net/Mailbox.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger.Level;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -28,7 +29,16 @@
     public void post(Runnable message) {
         messages.add(message);
         if (waiting.getAndIncrement() == 0) {
+            turn();
+        }
+    }
+
+    /** A pool that has been shut down means that the whole scheduler has stopped at once, and this with it. */
+    private void turn() {
+        try {
             pool.execute(this);
+        } catch (RejectedExecutionException e) {
+            LOG.log(Level.DEBUG, "a message to " + name + " came after the end", e);
         }
     }
 
@@ -48,7 +58,7 @@
             }
         }
         if (waiting.addAndGet(-done) > 0) {
-            pool.execute(this);
+            turn();
         }
     }
 }
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -152,6 +152,11 @@
         mailbox.post(() -> guarded(null, () -> module.rules(now(), rules)));
     }
 
+    /** Shows the module to one who only looks. */
+    void look(Consumer<DispatchApi> looker) {
+        mailbox.post(() -> looker.accept(module));
+    }
+
     /** Another scheduler has told us something. */
     void peer(int from, byte[] message) {
         mailbox.post(() -> guarded(null, () -> module.peer(now(), from, message)));
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -6,6 +6,7 @@
 import barrowshore.config.Config;
 import barrowshore.config.ConfigException;
 import barrowshore.halls.HallRules;
+import barrowshore.halls.HallState;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
 import barrowshore.net.Mailbox;
@@ -149,6 +150,27 @@
         new CountDownLatch(1).await();
     }
 
+    /** Starts a scheduler inside another program, which stops it. */
+    public static Node start(Setup setup) throws Exception {
+        Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
+        timers.start();
+        return new Node(setup, Clock.system(), timers, actions -> new Dispatcher(setup.config().settings(), actions));
+    }
+
+    /** Where each hall stands with it, by number; empty where halls are off. */
+    public CompletableFuture<List<HallState>> halls() {
+        CompletableFuture<List<HallState>> told = new CompletableFuture<>();
+        module.look(looked -> told.complete(looked.halls()));
+        return told;
+    }
+
+    /** Slots that its jobs hold in a hall other than its own. */
+    public CompletableFuture<Double> spilled(int hall) {
+        CompletableFuture<Double> told = new CompletableFuture<>();
+        module.look(looked -> told.complete(looked.spilled(hall)));
+        return told;
+    }
+
     /** Asks itself for a job of the first class over a socket, as a client would, and ends. */
     public static void rehearse(Setup setup) throws Exception {
         Config config = setup.config();
@@ -231,12 +253,13 @@
         return ended;
     }
 
-    InetSocketAddress address() throws IOException {
+    /** Where it listens. */
+    public InetSocketAddress address() throws IOException {
         return (InetSocketAddress) server.getLocalAddress();
     }
 
     /** Stops at once; what is open is lost. */
-    void stop() throws IOException {
+    public void stop() throws IOException {
         server.close();
         if (peers != null) {
             peers.stop();
--- /dev/null
+++ b/src/main/java/barrowshore/standin/StandInDiscovery.java
@@ -0,0 +1,121 @@
+package barrowshore.standin;
+
+import barrowshore.net.Mailbox;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.ajax.JSON;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A stand-in for discovery on a loopback socket, written from the protocol's pages: the whole list, and watches that
+ * tell changes. An actor; it owns the list and the watches' connections.
+ */
+public final class StandInDiscovery {
+    private static final long EMPTY_LINE_MILLIS = 2000;
+
+    private final Mailbox mailbox;
+    private final Scheduler timers;
+    private final StandInFront front;
+    private final int port;
+    private final Map<String, Map<String, Object>> targets = new LinkedHashMap<>();
+    private final Set<Link> watches = new HashSet<>();
+    private long rev;
+    private boolean stopped;
+
+    /** Starts with an empty list, on a free port. */
+    StandInDiscovery(StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
+        this.timers = timers;
+        mailbox = new Mailbox("stand-in discovery", pool);
+        this.front = front;
+        port = front.open(0, Link::new);
+        beat();
+    }
+
+    private void beat() {
+        timers.schedule(() -> mailbox.post(() -> {
+            if (!stopped) {
+                watches.forEach(w -> w.line(""));
+                beat();
+            }
+        }), EMPTY_LINE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    public InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** Tells of a node; state: Ready, Terminating or Gone. bootMillis 0: long ago. */
+    public void tell(String uid, InetSocketAddress endpoint, String hall, String model, double capacity, String state,
+                     long bootMillis) {
+        mailbox.post(() -> {
+            Map<String, Object> entry = new LinkedHashMap<>();
+            entry.put("uid", uid);
+            entry.put("endpoint", endpoint.getAddress().getHostAddress() + ":" + endpoint.getPort());
+            entry.put("az", hall);
+            entry.put("model", model);
+            entry.put("pod_group", 0);
+            entry.put("state", state);
+            entry.put("capacity_hint", capacity);
+            entry.put("boot_ms", bootMillis);
+            if (state.equals("Gone")) {
+                targets.remove(uid);
+            } else {
+                targets.put(uid, entry);
+            }
+            rev++;
+            String line = list(false, new Object[] {entry});
+            watches.forEach(w -> w.line(line));
+        });
+    }
+
+    private String list(boolean all, Object[] entries) {
+        Map<String, Object> root = new LinkedHashMap<>();
+        root.put("rev", rev);
+        root.put("all", all);
+        root.put("targets", entries);
+        return new JSON().toJSON(root);
+    }
+
+    /** Stops for good. */
+    public void stop() {
+        mailbox.post(() -> {
+            stopped = true;
+            Set.copyOf(watches).forEach(Link::shut);
+        });
+        front.close(port);
+    }
+
+    private final class Link extends StandInLink {
+        Link(EndPoint endPoint) {
+            super(endPoint, StandInDiscovery.this.mailbox, timers);
+        }
+
+        @Override
+        void asked(String method, String target, Map<String, String> headers, String body) {
+            if (!target.startsWith("/api/targets")) {
+                answer(404, "", "");
+            } else if (!target.contains("watch=1")) {
+                answer(200, "", list(true, targets.values().toArray()));
+            } else {
+                stream();
+                watches.add(this);
+                if (!target.endsWith("after=" + rev)) {
+                    line(list(true, targets.values().toArray()));   // what changed since is not kept: all of it
+                }
+            }
+        }
+
+        @Override
+        protected void onEnd(Throwable cause) {
+            watches.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/standin/StandInNode.java
@@ -0,0 +1,265 @@
+package barrowshore.standin;
+
+import barrowshore.model.NodeModel;
+import barrowshore.model.Timeline;
+import barrowshore.net.Clock;
+import barrowshore.net.Mailbox;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A stand-in for one order node: {@link NodeModel} behind the platform's protocol, on a loopback socket, written from
+ * the protocol's pages. An actor; it owns its listening socket, its connections and the model, and counts what runs
+ * twice and what came while it was cold. It must never listen elsewhere than on loopback.
+ */
+public final class StandInNode {
+    /** Work of a job that says nothing of it, microseconds at speed 1. */
+    private static final long USUAL_WORK = 100_000;
+    /** Until a port that was just closed is tried again. */
+    private static final long AGAIN_MILLIS = 20;
+
+    /** What a node counts; runs: how often each id started. */
+    public record Count(Map<String, Integer> runs, long served, double coldUse, boolean fallen, int connections) { }
+
+    private final String uid;
+    private final StandInFront front;
+    private final Scheduler timers;
+    private final Mailbox mailbox;
+    private final Clock clock = Clock.system();
+    private final NodeModel model;
+    private final Set<Link> links = new HashSet<>();
+    private final Map<String, Integer> runs = new HashMap<>();
+    private final int port;
+
+    /** Starts a node that has been up for long, on a free port. */
+    StandInNode(String uid, NodeModel.Spec spec, NodeModel.Falling falling, long progressEvery,
+                       StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
+        this.uid = uid;
+        this.front = front;
+        this.timers = timers;
+        this.mailbox = new Mailbox("stand-in " + uid, pool);
+        this.model = new NodeModel(new Timeline() {
+            @Override
+            public long now() {
+                return clock.micros();
+            }
+
+            @Override
+            public void at(long time, Runnable run) {
+                timers.schedule(() -> mailbox.post(run), Math.max(1, time - now()), TimeUnit.MICROSECONDS);
+            }
+        }, spec, falling, progressEvery);
+        port = front.open(0, Link::new);
+    }
+
+    public String uid() {
+        return uid;
+    }
+
+    public InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** The process dies: its connections are reset and new ones refused. Done when the future is. */
+    public CompletableFuture<Void> crash() {
+        return told(() -> {
+            model.crash();
+            close();
+        });
+    }
+
+    /** The process starts again, cold; the future holds when, in Unix time in milliseconds. */
+    public CompletableFuture<Long> restart() {
+        CompletableFuture<Long> started = new CompletableFuture<>();
+        mailbox.post(() -> listen(started));
+        return started;
+    }
+
+    private void listen(CompletableFuture<Long> started) {
+        try {
+            if (!model.fallen()) {
+                front.open(port, Link::new);
+                model.restart();
+            }
+            started.complete(clock.micros() / 1000);
+        } catch (IOException e) {
+            timers.schedule(() -> mailbox.post(() -> listen(started)), AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** It takes work and answers nothing, or goes on. */
+    public CompletableFuture<Void> hang(boolean on) {
+        return told(() -> model.hang(on));
+    }
+
+    /** Everything takes so many times as long. */
+    public CompletableFuture<Void> slow(double factor) {
+        return told(() -> model.slow(factor));
+    }
+
+    public CompletableFuture<Void> drain(boolean on) {
+        return told(() -> model.drain(on));
+    }
+
+    /** What it has counted. */
+    public CompletableFuture<Count> count() {
+        CompletableFuture<Count> count = new CompletableFuture<>();
+        mailbox.post(() -> count.complete(new Count(Map.copyOf(runs), model.served(), model.coldUse(), model.fallen(),
+                links.size())));
+        return count;
+    }
+
+    private CompletableFuture<Void> told(Runnable message) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mailbox.post(() -> {
+            message.run();
+            done.complete(null);
+        });
+        return done;
+    }
+
+    private void close() {
+        front.close(port);
+        List.copyOf(links).forEach(Link::shut);
+    }
+
+    /** Stops for good. */
+    public void stop() {
+        told(this::close).join();
+    }
+
+    private final class Link extends StandInLink {
+        private Job job;
+
+        Link(EndPoint endPoint) {
+            super(endPoint, StandInNode.this.mailbox, timers);
+        }
+
+        @Override
+        protected void begin() {
+            if (!model.up()) {
+                shut();
+                return;
+            }
+            links.add(this);
+            read();
+        }
+
+        @Override
+        void asked(String method, String target, Map<String, String> headers, String body) {
+            if (target.equals("/-/load") || target.equals("/-/healthy")) {
+                if (!model.hung()) {
+                    answer(200, "", "{\"inflight\":" + model.held() + ",\"x0\":" + (int) model.freeSlots() + "}");
+                }
+                return;
+            }
+            String id = headers.get("x-request-id");
+            if (id == null) {
+                answer(404, "", "");
+                return;
+            }
+            job = new Job(this, id, number(target, "slots", 1), number(target, "work", USUAL_WORK / 1000.0) * 1000);
+            model.offer(job);
+        }
+
+        /** A figure in the target's query: what a real node would find in the body. */
+        private static double number(String target, String name, double otherwise) {
+            int at = target.indexOf(name + "=");
+            if (at < 0) {
+                return otherwise;
+            }
+            String rest = target.substring(at + name.length() + 1);
+            int end = rest.indexOf('&');
+            try {
+                return Double.parseDouble(end < 0 ? rest : rest.substring(0, end));
+            } catch (NumberFormatException e) {
+                return otherwise;
+            }
+        }
+
+        @Override
+        protected void onEnd(Throwable cause) {
+            links.remove(this);   // what runs for it runs on: nothing is cancelled
+        }
+    }
+
+    private final class Job implements NodeModel.Job {
+        private final Link link;
+        private final String id;
+        private final double slots;
+        private final double work;
+        private boolean streaming;
+
+        Job(Link link, String id, double slots, double work) {
+            this.link = link;
+            this.id = id;
+            this.slots = slots;
+            this.work = work;
+        }
+
+        @Override
+        public double slots() {
+            return slots;
+        }
+
+        @Override
+        public double work() {
+            return work;
+        }
+
+        private void say(String state, String rest) {
+            if (!streaming) {
+                streaming = true;
+                link.stream();
+            }
+            link.line("{\"id\":\"" + id + "\",\"from\":\"" + uid + "\",\"state\":\"" + state + "\"" + rest + "}");
+        }
+
+        private void last(String state, String rest) {
+            say(state, rest);
+            link.endStream();
+        }
+
+        @Override
+        public void started() {
+            runs.merge(id, 1, Integer::sum);
+            say("started", "");
+        }
+
+        @Override
+        public void progress(double share) {
+            say("running", ",\"share\":" + Math.round(share * 1000) / 1000.0);
+        }
+
+        @Override
+        public void done() {
+            last("done", ",\"result\":\"" + id + " by " + uid + "\"");
+        }
+
+        @Override
+        public void failed() {
+            last("failed", "");
+        }
+
+        @Override
+        public void returned() {
+            last("returned", "");
+        }
+
+        @Override
+        public void lost() {
+            link.shut();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/standin/StandInSite.java
@@ -0,0 +1,169 @@
+package barrowshore.standin;
+
+import barrowshore.config.Config;
+import barrowshore.model.NodeModel;
+import barrowshore.node.Node;
+import barrowshore.operator.Operator;
+import barrowshore.operator.Setup;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A small site on loopback sockets: halls of stand-in nodes, a stand-in discovery, and real schedulers, all in this
+ * process. It owns them from start to stop. Two schedulers at most: they reach each other without the platform's help.
+ */
+public final class StandInSite implements AutoCloseable {
+    /** Two halls; times are short so that a return can be watched: warm after 6 s. */
+    private static final List<String> HALLS = List.of("hala-a", "hala-b");
+    private static final long COLD = 6_000_000, FALL = 2_000_000;
+    private static final double MULTIPLE = 3, START_CAPACITY = 0.3;
+    private static final double USUAL_JOB = 150_000;
+    private static final long PROGRESS = 500_000;
+    private static final int CORES = 4;
+
+    /** The classes that its schedulers serve, as their paths name them. */
+    static final List<String> CLASSES = List.of("menu-cteni", "objednavka");
+
+    private final ExecutorService pool = Executors.newFixedThreadPool(4, run -> {
+        Thread thread = new Thread(run, "stand-ins");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Scheduler timers = new ScheduledExecutorScheduler("stand-ins' timers", true, 1);
+    private final StandInFront front;
+    private final StandInDiscovery discovery;
+    private final List<List<StandInNode>> halls = new ArrayList<>();
+    private final Map<String, Long> boots = new HashMap<>();
+    private final List<Node> schedulers = new ArrayList<>();
+
+    /** Starts halls of so many nodes and a scheduler in each. */
+    public StandInSite(int nodes, Operator operator) throws Exception {
+        timers.start();
+        front = new StandInFront(pool, timers);
+        discovery = new StandInDiscovery(front, pool, timers);
+        for (int h = 0; h < HALLS.size(); h++) {
+            halls.add(new ArrayList<>());
+            for (int n = 0; n < nodes; n++) {
+                StandInNode node = new StandInNode("s-" + "ab".charAt(h) + n, new NodeModel.Spec(CORES, 1, 40,
+                        n % 2 == 0, START_CAPACITY, COLD), new NodeModel.Falling(MULTIPLE, FALL, USUAL_JOB), PROGRESS,
+                        front, pool, timers);
+                halls.get(h).add(node);
+                tell(h, node, "Ready");
+            }
+        }
+        int[] ports = {freePort(), freePort()};
+        for (int s = 0; s < HALLS.size(); s++) {
+            schedulers.add(Node.start(new Setup(Config.parse(config(s, ports)), operator)));
+        }
+    }
+
+    private static int freePort() throws SocketException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private String config(int me, int[] ports) throws Exception {
+        String peers = "\"127.0.0.1:" + ports[0] + "\",\"127.0.0.1:" + ports[1] + "\"";
+        return ("{'name':'scheduler-" + me + "','listen':'127.0.0.1:0','discovery':'127.0.0.1:"
+                + discovery.address().getPort() + "','seed':'" + (me + 1) + "','limits':{'sockets':1024},"
+                + "'peer_listen':'127.0.0.1:" + ports[me] + "','peers':[" + peers + "],'peers_all':'127.0.0.1:"
+                + ports[1 - me] + "','settings':{'groupSize':2,'me':" + me + ",'zone':" + me
+                + ",'zones':['hala-a','hala-b'],'kinds':['usual'],'tick':5000,'lanes':["
+                + "{'name':'menu-cteni','aim':250000,'deadline':3000000,'worth':2.0,'idempotency':'idempotent'},"
+                + "{'name':'objednavka','aim':400000,'deadline':4000000,'worth':10.0,'idempotency':'at_most_once'}],"
+                + "'policyLimits':{'sendCap':5,'secondCopies':true,'cancel':true,'probing':true,'mayTell':true,"
+                + "'dialTimeout':250000,'keepalive':60000000,'maxRetryAfter':2000000},"
+                + "'domain':{'tellsStart':true,'progress':" + PROGRESS + ",'classStretch':[2,2]},"
+                + "'telemetry':{'how':'pull','columns':['inflight','x0']},'charges':{'crossZone':0.1},"
+                + "'rules':{'cold':" + COLD + ",'fall':" + FALL + ",'fallMultiple':" + MULTIPLE + ",'startCapacity':"
+                + START_CAPACITY + ",'askEvery':10000000}}}").replace('\'', '"');
+    }
+
+    private void tell(int hall, StandInNode node, String state) {
+        discovery.tell(node.uid(), node.address(), HALLS.get(hall), "usual", CORES, state,
+                boots.getOrDefault(node.uid(), 0L));
+    }
+
+    /** The names of its halls. */
+    public List<String> hallNames() {
+        return HALLS;
+    }
+
+    public List<StandInNode> nodes(int hall) {
+        return halls.get(hall);
+    }
+
+    public List<Node> schedulers() {
+        return schedulers;
+    }
+
+    /** Where the clients of a hall connect. */
+    public InetSocketAddress entrance(int hall) throws Exception {
+        return schedulers.get(hall).address();
+    }
+
+    /** Asks both schedulers until they serve. */
+    public void awaitReady() throws Exception {
+        for (Node scheduler : schedulers) {
+            String answer = "";
+            while (!answer.startsWith("HTTP/1.1 200")) {
+                try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), scheduler.address().getPort())) {
+                    socket.getOutputStream().write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.ISO_8859_1));
+                    answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+                }
+            }
+        }
+    }
+
+    /** Every node of a hall dies at once. Discovery knows nothing of it yet. */
+    public void lose(int hall) {
+        CompletableFuture.allOf(halls.get(hall).stream().map(StandInNode::crash).toArray(CompletableFuture[]::new)).join();
+    }
+
+    /** The list hears at last that a hall's nodes are gone. */
+    public void delist(int hall) {
+        halls.get(hall).forEach(node -> tell(hall, node, "Gone"));
+    }
+
+    /** They start again, cold, and the list says so. */
+    public void regain(int hall) {
+        for (StandInNode node : halls.get(hall)) {
+            boots.put(node.uid(), node.restart().join());
+            tell(hall, node, "Ready");
+        }
+    }
+
+    /** What all nodes have counted. */
+    public List<StandInNode.Count> counts() {
+        return halls.stream().flatMap(List::stream).map(node -> node.count().join()).toList();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Node scheduler : schedulers) {
+            scheduler.stop();
+        }
+        discovery.stop();
+        halls.forEach(hall -> hall.forEach(StandInNode::stop));
+        front.stop();
+        LifeCycle.stop(timers);
+        pool.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/test/java/barrowshore/standin/HallMoveTest.java
@@ -0,0 +1,95 @@
+package barrowshore.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import barrowshore.operator.Operator;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * A hall that is lost, regained and lost again on loopback sockets, with real schedulers: every flow gets its one answer,
+ * nothing that must not runs twice, and no cold node is pushed over. Time passes only as jobs are answered.
+ */
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class HallMoveTest {
+    private static final int CLIENTS = 6;
+
+    private final AtomicInteger next = new AtomicInteger();
+    private final Map<String, String> answers = new ConcurrentHashMap<>();
+
+    /** One job over a connection of its own, as a careless client would; the whole answer. */
+    private String ask(InetSocketAddress at, String type, String id) throws Exception {
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+            socket.getOutputStream().write(("POST /" + type + "?work=40 HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id
+                    + "\r\nX-Priority-Class: " + type + "\r\nX-Timeout-Ms: 3000\r\nContent-Length: 1\r\n"
+                    + "Connection: close\r\n\r\nx").getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = socket.getInputStream();
+            return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    /** So many jobs at both entrances, a few at a time. */
+    private void jobs(StandInSite site, int count) throws Exception {
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        List<Future<?>> all = new ArrayList<>();
+        for (int k = 0; k < count; k++) {
+            all.add(clients.submit(() -> {
+                int number = next.incrementAndGet();
+                String type = StandInSite.CLASSES.get(number % 2), id = type + "-" + number;
+                String before = answers.put(id, ask(site.entrance(number / 2 % 2), type, id));
+                assertThat(before).isNull();
+                return null;
+            }));
+        }
+        for (Future<?> one : all) {
+            one.get();
+        }
+        clients.shutdown();
+    }
+
+    @Test
+    void everyFlowIsAnsweredAndNothingRunsTwiceWhileAHallFlaps() throws Exception {
+        try (StandInSite site = new StandInSite(3, new Operator(Operator.Halls.usual()))) {
+            site.awaitReady();
+            jobs(site, 60);
+            for (int flap = 0; flap < 2; flap++) {
+                site.lose(0);
+                jobs(site, 120);
+                site.regain(0);
+                jobs(site, 300);
+            }
+            List<StandInNode.Count> counts = site.counts();
+            assertThat(answers).hasSize(next.get()).allSatisfy((id, answer) ->
+                    assertThat(answer).as(id).matches("(?s)HTTP/1.1 (200|502|503|504) .*"));
+            assertThat(answers.values()).filteredOn(a -> a.startsWith("HTTP/1.1 503")).allMatch(a ->
+                    a.contains("Retry-After"));
+            assertThat(counts).noneMatch(StandInNode.Count::fallen).allMatch(c -> c.coldUse() < 1);
+            Map<String, Integer> runs = new ConcurrentHashMap<>();
+            counts.forEach(c -> c.runs().forEach((id, n) -> runs.merge(id, n, Integer::sum)));
+            assertThat(runs).allSatisfy((id, n) -> {
+                if (id.startsWith("objednavka")) {
+                    assertThat(n).as(id).isEqualTo(1);
+                }
+            });
+            // What was served ran, and most was: a hall is left all the time.
+            answers.forEach((id, answer) -> {
+                if (answer.startsWith("HTTP/1.1 200")) {
+                    assertThat(runs).containsKey(id);
+                }
+            });
+            assertThat(answers.values()).filteredOn(a -> a.startsWith("HTTP/1.1 200")).hasSizeGreaterThan(600);
+        }
+    }
+}
