Weigh a job once for all halls, and look only at the servers that a datagram names

Cause: with halls on a pick cost twice as much at 1,000 servers (20 against 10 us): each server asked for its hall, and each job worked out its parts of all halls anew over all peers. A peer's datagram cost 190 us there, since every server was priced again whatever the datagram named. Change: the gate returns one price for each hall, and only servers of halls in trouble are asked for one by one; parts are worked out ten times a second, which the lenders' wait allows for. Peers name the workers that a datagram is about.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
+import barrowshore.halls.HallGate;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
 
@@ -146,29 +147,29 @@
     private Worker pick(long now, Job job) {
         Worker best = null;
         for (int tier = 0; best == null && tier < halls.gate.rounds(); tier++) {
-            halls.weigh(now, job, tier);
-            best = lowest(now, job);
+            best = lowest(now, job, halls.weigh(now, job, tier));
         }
         return best;
     }
 
     /** The lowest current index among ready, eligible workers; null if none, or above its worth. */
-    private Worker lowest(long now, Job job) {
+    private Worker lowest(long now, Job job, double[] prices) {
         Worker best = null;
         double lowest = Double.POSITIVE_INFINITY, bestWait = 0;
         double crossing = CROSSING * set.crossZoneCharge * mean.aim;
         // Departure: where the aim grows with the job's own work, running slowly costs less than waiting.
         double running = job.work / (1 + job.jobClass.stretch());
         for (Worker w : roster.ready) {
-            if (job.jobClass.kind() >= 0 && w.kind != job.jobClass.kind() || w.silent || now < w.fullUntil
-                    || now < w.downUntil || w.onTrial() || !halls.takes(w)
-                    || !mayGo(now, job, w)) { continue; }
+            double away = prices[w.hall];
+            if (away == HallGate.CLOSED || away < 0 && !halls.takes(w) || w.silent || now < w.fullUntil
+                    || job.jobClass.kind() >= 0 && w.kind != job.jobClass.kind()
+                    || now < w.downUntil || w.onTrial() || !mayGo(now, job, w)) { continue; }
             Kind k = kinds[w.kind];
             double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
             if (now + job.work / (w.speed * w.warmth) > job.answerBy) { continue; }
             double cost = running / (w.speed * w.warmth) + wait * (k.named ? k.worth / mean.value(job) : 1);
-            cost += w.charge + crossing * halls.gate.crossings(w.place, w.zone != set.zone);
+            cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
             if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, Math.max(mean.chanceSize(),
                     job.work * job.slots), set, rng))) {
@@ -329,8 +330,7 @@
 
     @Override public void peer(long now, int from, byte[] message) {
         if (halls.gate.heard(now, from, message)) { return; }
-        peers.heard(now, from, message);
-        for (Worker w : roster.ready) {
+        for (Worker w : peers.heard(now, from, message, roster)) {
             double told = peers.slots(w, now - fresh());
             if (told != w.told) {
                 w.told = told;
--- a/src/main/java/barrowshore/HallSide.java
+++ b/src/main/java/barrowshore/HallSide.java
@@ -15,6 +15,8 @@
  * {@link HallGate}, and carries out what a turn of the halls wants told, probed and logged. It decides nothing.
  */
 final class HallSide {
+    private static final double[] PLAIN = {0, 1};
+
     HallGate gate;
     private final Settings set;
     private final Actions act;
@@ -46,12 +48,14 @@
     /** What the list says of a worker. */
     void enter(long now, Worker w) {
         w.place = gate.place(w.id);
+        w.hall = gate != HallGate.OFF ? gate.hall(w.zone) : w.zone == set.zone ? 0 : 1;
         gate.listed(now, w.place, w.zone, w.listed, w.draining, w.startedAt);
     }
 
-    /** Says what the next calls of {@link #takes} are about. */
-    void weigh(long now, Job job, int tier) {
-        gate.weigh(now, job.slots, standing(job), job.jobClass.effect() == Effect.SAFE, tier);
+    /** What a job pays in each hall, as {@link HallGate#weigh} has it; without halls: here, and elsewhere. */
+    double[] weigh(long now, Job job, int tier) {
+        return gate == HallGate.OFF ? PLAIN
+                : gate.weigh(now, job.slots, standing(job), job.jobClass.effect() == Effect.SAFE, tier);
     }
 
     boolean takes(Worker w) {
--- a/src/main/java/barrowshore/Peers.java
+++ b/src/main/java/barrowshore/Peers.java
@@ -1,6 +1,8 @@
 package barrowshore;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -51,29 +53,36 @@
         return message(List.of(worker), false);
     }
 
-    /** Enters what a peer has told; what cannot be read is dropped. */
-    void heard(long now, int from, byte[] message) {
+    /** Enters what a peer has told, and returns the ready workers that it is about; what cannot be read is dropped. */
+    Iterable<Worker> heard(long now, int from, byte[] message, Roster roster) {
         if (from < 0 || from >= peers.length || from == me || message.length < HEAD
                 || (message.length - HEAD) % ENTRY != 0) {
-            return;
+            return List.of();
         }
         ByteBuffer in = ByteBuffer.wrap(message);
         int kind = in.get(), life = in.getShort() & 0xffff, number = in.getShort() & 0xffff;
         Peer peer = peers[from] == null ? peers[from] = new Peer() : peers[from];
+        boolean whole = kind == WHOLE || peer.life != life;
         if (peer.life != life) {
             peer.life = life;   // it has restarted: what it had is not its own any more
             peer.slots.clear();
         } else if ((short) (number - peer.number) <= 0) {
-            return;
+            return List.of();
         }
         peer.number = number;
         peer.heardAt = now;
         if (kind == WHOLE) {
             peer.slots.clear();
         }
+        List<Worker> about = whole ? Arrays.asList(roster.ready) : new ArrayList<>(1);
         while (in.hasRemaining()) {
-            peer.slots.put(in.getInt(), (double) (in.get() & 0xff));
+            int name = in.getInt();
+            peer.slots.put(name, (double) (in.get() & 0xff));
+            if (!whole) {
+                about.addAll(roster.named(name));
+            }
         }
+        return about;
     }
 
     /** The slots that peers heard of since then have told for a worker. */
--- a/src/main/java/barrowshore/Roster.java
+++ b/src/main/java/barrowshore/Roster.java
@@ -1,6 +1,8 @@
 package barrowshore;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,6 +15,7 @@
 /** The worker list as this dispatcher was last told, in order of first mention; it decides nothing. */
 final class Roster {
     private final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final Map<Integer, List<Worker>> byName = new HashMap<>();
     private final HallSide halls;
     /** The workers that are listed as ready. */
     Worker[] ready = new Worker[0];
@@ -49,9 +52,17 @@
                 }
             }
         }
+        byName.clear();
+        workers.values().stream().filter(w -> w.listed)
+                .forEach(w -> byName.computeIfAbsent(w.id.hashCode(), name -> new ArrayList<>(1)).add(w));
         ready = workers.values().stream().filter(w -> w.listed).toArray(Worker[]::new);
     }
 
+    /** The ready workers of a name as peers tell it; names may clash, and then it is about all of them. */
+    List<Worker> named(int name) {
+        return byName.getOrDefault(name, List.of());
+    }
+
     /** Every worker that a list has named. */
     Collection<Worker> all() {
         return workers.values();
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -18,7 +18,7 @@
     private static final double LAPSE = 0.25;
 
     final String id;
-    int kind, zone, cell, strikes;
+    int kind, zone, cell, hall, strikes;
     double rating;
     boolean listed, draining, silent;
     long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt, decayedAt, nextCold;
--- a/src/main/java/barrowshore/halls/HallGate.java
+++ b/src/main/java/barrowshore/halls/HallGate.java
@@ -8,6 +8,9 @@
  * says, microseconds that never decrease. {@link #OFF} lets everything through and remembers nothing.
  */
 public interface HallGate {
+    /** The price of a hall that is closed to a flow. */
+    double CLOSED = Double.POSITIVE_INFINITY;
+
     /** The first byte of datagrams that are the halls' own. */
     byte MARK = 3;
 
@@ -48,22 +51,31 @@
     /** A flow of our own was turned down; worth: as in {@link #weigh}. */
     default void refused(long now, double worth) { }
 
+    /** The number of the hall of a zone, an index into what {@link #weigh} returns. */
+    default int hall(int zone) {
+        return 0;
+    }
+
     /**
-     * Weighs a flow before a pick, for {@link #takes}. worth: for the room it takes, against the usual job, 0 to 1; repeatable: it may
+     * Weighs a flow before a pick. Returns for each hall how many times the price of crossing a flow pays there;
+     * {@link #CLOSED}: not at all; below 0: as many times as {@link #asked} says, at servers that {@link #takes} takes.
+     * The array is the gate's own, and holds until the next call. worth: for the room it takes, against the usual job, 0 to 1; repeatable: it may
      * run twice; tier: the furthest tier to look at.
      */
-    default void weigh(long now, double slots, double worth, boolean repeatable, int tier) { }
+    default double[] weigh(long now, double slots, double worth, boolean repeatable, int tier) {
+        throw new UnsupportedOperationException("without halls there is nothing to weigh");
+    }
+
+    /** The price of a hall whose servers have to be asked for one by one. */
+    static double asked(double price) {
+        return price < 0 ? -1 - price : price;
+    }
 
     /** Whether the flow weighed last may go to this server, as far as its hall is concerned. */
     default boolean takes(Place place) {
         return true;
     }
 
-    /** How many times the price of crossing a flow pays for this server's hall; crossing: whether it is in another zone. */
-    default double crossings(Place place, boolean crossing) {
-        return crossing ? 1 : 0;
-    }
-
     /** How many rounds of tiers a pick may need. */
     default int rounds() {
         return 1;
--- a/src/main/java/barrowshore/halls/Halls.java
+++ b/src/main/java/barrowshore/halls/Halls.java
@@ -18,6 +18,8 @@
     private static final long HEARD = 1_500_000;
     /** A sign that a peer had this long ago says that the hall serves. */
     private static final long SERVED = 1_000_000;
+    /** For so long flows are weighed by the same parts; the lenders' wait allows for it. */
+    private static final long STALE = 100_000;
     /** Turns come every tenth of a second or so; after so long a gap we were not there ourselves. */
     private static final long PAUSE = 500_000;
     /** Share of its part that work of no worth may fill; the rest is kept for what is worth more. */
@@ -59,8 +61,8 @@
     private final Peer[] peers;
     private final Map<String, Place> places = new HashMap<>();
     private final List<String> probes = new ArrayList<>();
-    /** Of the flow weighed last: its size, whether it may run twice, the time, and which halls are open to it. */
-    private final boolean[] open;
+    /** Of the flow weighed last: its size, whether it may run twice, the time, and what each hall costs it. */
+    private final double[] prices;
     private double size;
     private boolean repeatable;
     private long now;
@@ -71,6 +73,11 @@
     private boolean panic;
     private long turnedAt;
     private long pausedUntil;
+    /** Worked out for many flows at once, and when: our parts, the halls' tiers, how many crossings each is away. */
+    private final double[] parts;
+    private final int[] tiers;
+    private final double[] away;
+    private long partsAt = Long.MIN_VALUE / 2;
     private int number;
     private int tellFrom;
 
@@ -86,7 +93,10 @@
         Arrays.setAll(shares, h -> new SpillShare(schedulers, me));
         peers = new Peer[schedulers];
         Arrays.setAll(peers, p -> new Peer(count));
-        open = new boolean[count];
+        prices = new double[count];
+        parts = new double[count];
+        tiers = new int[count];
+        away = new double[count];
         tries = rules.retryBurst();
     }
 
@@ -96,6 +106,7 @@
             return false;
         }
         rules = changed;
+        partsAt = Long.MIN_VALUE / 2;
         for (Hall hall : halls) {
             hall.rules = changed;
         }
@@ -173,7 +184,9 @@
     public void sent(long now, Place p, double slots, double wait) {
         p.out += slots;
         p.jobsOut++;
-        shares[p.hall].use(now, slots);
+        if (p.hall != rules.home()) {
+            shares[p.hall].use(now, slots);
+        }
         halls[p.hall].sent(now, p, slots);
         tries = Math.min(rules.retryBurst(), tries + rules.retryShare());
         crowded |= p.hall == rules.home() && wait > CROWDED;
@@ -183,7 +196,9 @@
     public void ended(long now, Place p, long sentAt, double slots, boolean served) {
         p.jobsOut = Math.max(0, p.jobsOut - 1);
         p.out = p.jobsOut == 0 ? 0 : p.out - slots;
-        shares[p.hall].use(now, -slots);
+        if (p.hall != rules.home()) {
+            shares[p.hall].use(now, -slots);
+        }
         if (served) {
             sign(now, p);
         }
@@ -198,17 +213,39 @@
     // Where a flow may go.
 
     @Override
-    public void weigh(long now, double slots, double worth, boolean repeatable, int tier) {
+    public double[] weigh(long now, double slots, double worth, boolean repeatable, int tier) {
         this.now = now;
         this.size = slots;
         this.repeatable = repeatable;
+        if (now - partsAt > STALE) {
+            renew(now);
+        }
         for (int h = 0; h < halls.length; h++) {
-            boolean foreign = h != rules.home();
-            boolean near = !rules.strict() || rules.tierOf(h) <= tier;
-            open[h] = near && (!foreign || welcomed(now, h, slots, worth));
+            boolean near = !rules.strict() || tiers[h] <= tier;
+            boolean open = near && (h == rules.home() || welcomed(now, h, slots, worth));
+            HallState state = halls[h].state;
+            // A trial pays nothing: from far away it would never be the cheapest, and nobody would find out.
+            prices[h] = panic ? -1 - away[h] : !open ? CLOSED : state == HallState.SERVING ? away[h]
+                    : state == HallState.DARK ? -1 : -1 - away[h];
+        }
+        return prices;
+    }
+
+    /** Works out anew what many flows are weighed by. */
+    private void renew(long now) {
+        partsAt = now;
+        for (int h = 0; h < halls.length; h++) {
+            parts[h] = part(now, h);
+            tiers[h] = rules.tierOf(h);
+            away[h] = Math.max(h == rules.home() ? 0 : 1, tiers[h]);
         }
     }
 
+    @Override
+    public int hall(int zone) {
+        return rules.hall(zone);
+    }
+
     /** Whether the flow fits into our part of a foreign hall; the last of it is kept for what is worth most. */
     private boolean welcomed(long now, int h, double slots, double worth) {
         HallState state = halls[h].state;
@@ -219,7 +256,7 @@
             return false;
         }
         double used = shares[h].used() + slots;
-        double part = part(now, h);
+        double part = parts[h];
         if (used > part) {
             shares[h].ask(now, used);
             return false;
@@ -256,13 +293,7 @@
 
     @Override
     public boolean takes(Place p) {
-        return panic ? halls[p.hall].takesInPanic(p) : open[p.hall] && halls[p.hall].takes(now, p, size, repeatable);
-    }
-
-    @Override
-    public double crossings(Place p, boolean crossing) {
-        // A trial pays nothing: from far away it would never be the cheapest, and nobody would find out.
-        return halls[p.hall].state == HallState.DARK ? 0 : Math.max(crossing ? 1 : 0, rules.tierOf(p.hall));
+        return panic ? halls[p.hall].takesInPanic(p) : halls[p.hall].takes(now, p, size, repeatable);
     }
 
     @Override
@@ -303,6 +334,7 @@
         if (now < pausedUntil) {
             return news;
         }
+        partsAt = Long.MIN_VALUE / 2;
         for (Hall hall : halls) {
             String line = hall.turn(now, hearsay(now, hall.number));
             if (line != null) {
@@ -371,6 +403,7 @@
                     foreign ? share.tell(now, even, well) : SpillShare.WHOLE, foreign ? share.used() : 0,
                     foreign ? 1 : welcome));
         }
+        partsAt = Long.MIN_VALUE / 2;   // what was told binds from here on
         tellFrom = (tellFrom + HallTalk.MOST) % Math.max(1, halls.length);
         if (halls.length <= HallTalk.MOST) {
             tellFrom = 0;
--- a/src/main/java/barrowshore/halls/SpillShare.java
+++ b/src/main/java/barrowshore/halls/SpillShare.java
@@ -6,8 +6,8 @@
  * One scheduler's part of what a foreign hall lends to all others, without a central counter. Each has an even part.
  * One whose own hall serves and that needs little lends, when another asks: it promises to keep to less, and each of
  * the others may use an even part of what it gave up. A promise counts for {@link #VALID} after it is heard, and is kept
- * for {@link #HOLD} after it was last told, so that no loss, delay (up to HOLD - VALID) or overtaking of messages lets
- * the sum of all parts exceed the whole. It decides nothing on flows.
+ * for {@link #HOLD} after it was last told, so that no loss, delay (up to 0.9 s: a part once worked out is used for a
+ * tenth) or overtaking of messages lets the sum of all parts exceed the whole. It decides nothing on flows.
  *
  * <p>Why the sum holds: who lends does not borrow. With F schedulers of even part e, a lender j keeps to r_j, and the
  * others get (e - r_j) / (F - 1) each, e - r_j at most in all; so all together stay within F e. What is out when a loan
