--- a/src/main/java/barrowshore/emulate/Rehearsal.java
+++ b/src/main/java/barrowshore/emulate/Rehearsal.java
@@ -50,6 +50,7 @@
                 row(out, "spilled into " + name + " (most)", r -> r.mostSpillShare(hall), true, on, off);
             }
             row(out, "to a dark hall after 2 s (most)", Report::toDark, true, on, off);
+            row(out, "trials of a dark hall (most)", Report::trials, true, on, off);
             row(out, "cold budget used (most)", Report::coldUse, true, on, off);
             row(out, "nodes fallen over (most)", Report::fallen, true, on, off);
             row(out, "unsafe jobs run twice (most)", r -> r.twice, true, on, off);
--- a/src/main/java/barrowshore/emulate/Report.java
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -12,6 +12,8 @@
 /** What came of an emulated day, counted as it goes. It owns its counters alone, and judges nothing. */
 public final class Report {
     private static final long S = 1_000_000;
+    /** From a hall's going dark until new work for it counts as a fault. */
+    private static final long FOUND_OUT = 2 * S;
     /** Answer times are kept to the hundredth, up to a minute. */
     private static final long MOST_MICROS = 60 * S;
 
@@ -34,6 +36,7 @@
     private final List<String> moves = new ArrayList<>();
     private final List<String> logs = new ArrayList<>();
     private long chosenInDark;
+    private long trials;
     private long chosenWhileDark;
     private long refused;
     private long failed;
@@ -109,12 +112,13 @@
         crossings += hall == from ? 0 : 1;
     }
 
-    /** The module chose a node of this hall. */
-    void chosen(long at, int hall) {
+    /** The module chose a node of this hall; trial: it holds the hall for lost, or is trying it. */
+    void chosen(long at, int hall, boolean trial) {
         for (Dark d : darks) {
-            if (d.part >= 1 && at >= d.from + 2 * S && at < d.to) {
+            if (d.part >= 1 && at >= d.from + FOUND_OUT && at < d.to) {
                 chosenWhileDark++;
-                chosenInDark += d.hall == hall ? 1 : 0;
+                chosenInDark += d.hall == hall && !trial ? 1 : 0;
+                trials += d.hall == hall && trial ? 1 : 0;
             }
         }
     }
@@ -195,11 +199,16 @@
         return diners(hall, 0, seconds);
     }
 
-    /** Of what was chosen later than 2 s after a whole hall went dark: the share that went there all the same. */
+    /** Of what was chosen later than 2 s after a whole hall went dark: the share that went there, trials apart. */
     double toDark() {
         return chosenWhileDark == 0 ? 0 : (double) chosenInDark / chosenWhileDark;
     }
 
+    /** The share that were trials of it. */
+    double trials() {
+        return chosenWhileDark == 0 ? 0 : (double) trials / chosenWhileDark;
+    }
+
     double coldUse() {
         return coldUse;
     }
@@ -252,6 +261,7 @@
         }
         all.put("classes", types);
         all.put("toDark", round(toDark()));
+        all.put("trials", round(trials()));
         all.put("coldBudgetUsed", round(coldUse));
         all.put("fallenOver", fallen);
         all.put("ranTwice", twice);
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -46,8 +46,6 @@
     private static final double FALL_MULTIPLE = 3;
     /** Time after the last arrival until all is answered. */
     private static final long TAIL = 16 * S;
-    /** From a hall's going dark until new work for it counts as a fault. */
-    private static final long FOUND_OUT = 2 * S;
 
     /** A class as the operators' brief has it: mean work, spread, chances of 1, 2 and 4 slots. */
     private record Kind(String name, double share, double work, double spread, long aim, double stretch, long deadline,
@@ -793,7 +791,8 @@
             open.attempts.add(a);
             open.outstanding++;
             out[node.hall] += open.wish.slots;
-            report.chosen(kernel.now() - START, node.hall);
+            HallState stands = operator.halls() == null ? HallState.SERVING : module.halls().get(node.hall);
+            report.chosen(kernel.now() - START, node.hall, stands == HallState.DARK || stands == HallState.RETURNING);
             a.go();
         }
 
--- /dev/null
+++ b/src/test/java/barrowshore/node/ReloadOperatorTest.java
@@ -0,0 +1,57 @@
+package barrowshore.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import barrowshore.config.Config;
+import barrowshore.config.ConfigException;
+import barrowshore.operator.Operator;
+import barrowshore.operator.Setup;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The operators' settings read again while a scheduler runs: whole, or not at all. */
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ReloadOperatorTest {
+    private static Setup setup(Operator operator) {
+        try {
+            return new Setup(Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                    .replace("$S", "127.0.0.1:7").replace("$D", "127.0.0.1:9")), operator);
+        } catch (java.io.IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** How many halls the scheduler knows when the next file is read: the ones before it are done with by then. */
+    private static int halls(Node node, Supplier<Setup> next) throws Exception {
+        CompletableFuture<Integer> seen = new CompletableFuture<>();
+        node.reload(() -> {
+            seen.complete(node.halls().join().size());
+            return next.get();
+        });
+        return seen.get();
+    }
+
+    @Test
+    void hallsAreSwitchedOnKeptAndSwitchedOff() throws Exception {
+        Operator on = new Operator(Operator.Halls.usual());
+        Node node = Node.start(setup(Operator.NONE));
+        try {
+            assertThat(halls(node, () -> setup(on))).isZero();
+            assertThat(halls(node, () -> {
+                throw new ConfigException("operator.xml: line 3, column 7: halls: broken on purpose");
+            })).isEqualTo(2);
+            // A preference for a hall that there is not: found only when the two files are put together.
+            assertThat(halls(node, () -> setup(Operator.parse("f", "<operator xmlns=\"urn:barrowshore:operator:1\"><halls>"
+                    + "<preference of=\"nowhere\"><tier><hall name=\"a\"/></tier></preference></halls></operator>"))))
+                    .isEqualTo(2);
+            assertThat(halls(node, () -> setup(Operator.NONE))).isEqualTo(2);
+            assertThat(halls(node, () -> setup(Operator.NONE))).isZero();
+        } finally {
+            node.stop();
+        }
+    }
+}
