--- a/src/main/java/barrowshore/HallSide.java
+++ b/src/main/java/barrowshore/HallSide.java
@@ -88,7 +88,7 @@
     }
 
     void probed(long now, Worker w, Status status) {
-        if (status == Status.OK && !gate.open(w.place)) {
+        if (status == Status.OK && gate.troubled(w.place)) {
             w.heardAt = now;   // it answers again: one job may find out the rest
             w.downUntil = 0;
         }
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -4,6 +4,8 @@
 import barrowshore.config.ConfigException;
 import barrowshore.emulate.Rehearsal;
 import barrowshore.emulate.Scenario;
+import barrowshore.files.Guard;
+import barrowshore.files.ServersFile;
 import barrowshore.node.Node;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
@@ -19,6 +21,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -122,6 +125,42 @@
         }
     }
 
+    /** Looks at lists of real servers kept in files. */
+    @About("Looks at lists of real servers: servers check FILE | servers show FILE | servers diff FILE FILE.")
+    public static final class Servers implements Command {
+        @Argument(index = 0, required = true, metaVar = "check | show | diff", usage = "what to do")
+        String what;
+
+        @Argument(index = 1, required = true, metaVar = "FILE", usage = "the list; for diff the one in use")
+        Path file;
+
+        @Argument(index = 2, metaVar = "FILE", usage = "for diff: the one that would follow")
+        Path other;
+
+        @Option(name = "--most-lost", metaVar = "SHARE", usage = "the share of capacity that may go at once (default 0.5)")
+        double mostLost = 0.5;
+
+        @Override
+        public void run() {
+            ServersFile list = ServersFile.read(file);
+            switch (what) {
+                case "check" -> System.out.println(file + ": " + list.summary());
+                case "show" -> Guard.show(list).forEach(System.out::println);
+                case "diff" -> {
+                    if (other == null) {
+                        throw new ConfigException("servers diff needs two files");
+                    }
+                    ServersFile next = ServersFile.read(other);
+                    Guard.diff(list, next).forEach(System.out::println);
+                    Guard.Verdict verdict = Guard.judge(list, next, mostLost);
+                    System.out.println(verdict.outcome().name().toLowerCase(Locale.ROOT)
+                            + (verdict.why().isEmpty() ? "" : ": " + verdict.why()));
+                }
+                default -> throw new ConfigException("servers: " + what + " is none of check, show, diff");
+            }
+        }
+    }
+
     /** Plays a scenario in virtual time. */
     @About("Plays a scenario in virtual time: real decisions against models of order nodes.")
     public static final class Emulate implements Command {
@@ -165,6 +204,7 @@
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "check", impl = Check.class),
         @SubCommand(name = "drill", impl = Drill.class),
+        @SubCommand(name = "servers", impl = Servers.class),
         @SubCommand(name = "demo", impl = Show.class), @SubCommand(name = "emulate", impl = Emulate.class),
         @SubCommand(name = "rehearse", impl = Rehearse.class), @SubCommand(name = "version", impl = Version.class)})
     Command command;
--- a/src/main/java/barrowshore/config/XmlFile.java
+++ b/src/main/java/barrowshore/config/XmlFile.java
@@ -90,19 +90,29 @@
 
     /** Reads a file; a {@link ConfigException} says on one line what is wrong, and where. */
     public static Element read(Path file, Class<?> owner, String schema) {
+        return read(file, owner, schema, MOST_BYTES);
+    }
+
+    /** The same, for a file of at most so many bytes. */
+    public static Element read(Path file, Class<?> owner, String schema, int most) {
         byte[] bytes;
         try (InputStream in = Files.newInputStream(file)) {
-            bytes = in.readNBytes(MOST_BYTES + 1);
+            bytes = in.readNBytes(most + 1);
         } catch (IOException e) {
             throw new ConfigException(file + " cannot be read: " + e.getClass().getSimpleName());
         }
-        return read(file.toString(), bytes, owner, schema);
+        return read(file.toString(), bytes, owner, schema, most);
     }
 
     /** Reads bytes that came from a file of that name by the schema that is a resource beside the owner. */
     public static Element read(String file, byte[] bytes, Class<?> owner, String schema) {
-        if (bytes.length > MOST_BYTES) {
-            throw new ConfigException(file + " is over " + MOST_BYTES + " bytes");
+        return read(file, bytes, owner, schema, MOST_BYTES);
+    }
+
+    /** The same, for at most so many bytes. */
+    public static Element read(String file, byte[] bytes, Class<?> owner, String schema, int most) {
+        if (bytes.length > most) {
+            throw new ConfigException(file + " is over " + most + " bytes");
         }
         Reader reader = new Reader(file);
         try {
--- a/src/main/java/barrowshore/emulate/Report.java
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -37,6 +37,7 @@
     private final List<String> logs = new ArrayList<>();
     private long chosenInDark;
     private long trials;
+    private long mostHung;
     private long chosenWhileDark;
     private long refused;
     private long failed;
@@ -123,6 +124,11 @@
         }
     }
 
+    /** So many nodes of a hall hang at once, by troubles drawn for each. */
+    void hung(int hall, long count) {
+        mostHung = Math.max(mostHung, count);
+    }
+
     void dark(int hall, long from, long lasts, double part) {
         darks.add(new Dark(hall, from, from + lasts, part));
     }
@@ -246,6 +252,11 @@
         for (int h = 0; h < scenario.halls().size(); h++) {
             Map<String, Object> one = new LinkedHashMap<>();
             one.put("diners", round(diners(h)));
+            List<Object> windows = new ArrayList<>();
+            for (int from = 0; from < seconds; from += 5) {
+                windows.add(round(diners(h, from, from + 5)));
+            }
+            one.put("dinersBy5s", windows.toArray());
             one.put("mostSpilledSlots", round(mostSpilled[h]));
             one.put("mostSpilledShare", round(mostSpillShare[h]));
             halls.put(scenario.halls().get(h).name(), one);
@@ -278,6 +289,7 @@
         all.put("messages", messages);
         all.put("messageBytes", messageBytes);
         all.put("longestMessage", longestMessage);
+        all.put("mostHungInAHall", mostHung);
         all.put("events", events);
         all.put("moves", moves);
         return all;
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -281,7 +281,10 @@
             for (Node n : order) {
                 switch (kind) {
                     case 0 -> n.model.slow(size);
-                    case 1 -> n.model.hang(true);
+                    case 1 -> {
+                        n.model.hang(true);
+                        report.hung(n.hall, nodes.stream().filter(o -> o.hall == n.hall && o.model.hung()).count());
+                    }
                     case 2 -> n.errors = size;
                     default -> n.model.slow(1 / (1 - size));
                 }
--- /dev/null
+++ b/src/main/java/barrowshore/files/Guard.java
@@ -0,0 +1,110 @@
+package barrowshore.files;
+
+import barrowshore.files.ServersFile.Server;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * What a new servers' file may change at once. It judges, and changes nothing: a file that takes away too much is held
+ * until a later revision carries {@code force}. Pure.
+ */
+public final class Guard {
+    /** What becomes of a file, and why. */
+    public record Verdict(Outcome outcome, String why) { }
+
+    /** taken; the same as before; held until a later revision confirms it; refused. */
+    public enum Outcome { TAKEN, SAME, HELD, REFUSED }
+
+    private Guard() { }
+
+    /** Judges a file against the one in use (null: none). mostLost: the share of capacity that may go at once. */
+    public static Verdict judge(ServersFile inUse, ServersFile next, double mostLost) {
+        if (inUse == null) {
+            return next.servers().isEmpty() && !next.force()
+                    ? new Verdict(Outcome.HELD, "it names no server; force=\"true\" in a later revision confirms it")
+                    : new Verdict(Outcome.TAKEN, "the first one");
+        }
+        if (next.revision() < inUse.revision()) {
+            return new Verdict(Outcome.REFUSED, "its revision " + next.revision() + " is before " + inUse.revision()
+                    + ", which is in use");
+        }
+        if (next.same(inUse)) {
+            return new Verdict(Outcome.SAME, "it names the same servers");
+        }
+        if (next.revision() == inUse.revision()) {
+            return new Verdict(Outcome.REFUSED, "it differs from revision " + inUse.revision()
+                    + ", which is in use, but has the same number");
+        }
+        if (next.force()) {
+            return new Verdict(Outcome.TAKEN, "forced");
+        }
+        Map<String, Double> had = capacity(inUse.servers().values()), has = capacity(next.servers().values());
+        double before = had.values().stream().mapToDouble(w -> w).sum();
+        double lost = 0;
+        for (Server s : inUse.servers().values()) {
+            Server now = next.servers().get(s.uid());
+            lost += Math.max(0, weight(s) - (now == null ? 0 : weight(now)));
+        }
+        if (has.isEmpty()) {
+            return new Verdict(Outcome.HELD, "it leaves no server in use; force=\"true\" in a later revision confirms it");
+        }
+        for (String hall : had.keySet()) {
+            if (!has.containsKey(hall)) {
+                return new Verdict(Outcome.HELD, "it leaves hall " + hall
+                        + " empty; force=\"true\" in a later revision confirms it");
+            }
+        }
+        if (before > 0 && lost / before > mostLost) {
+            return new Verdict(Outcome.HELD, String.format(Locale.ROOT, "it takes %.0f%% of the capacity away, over %.0f%%;"
+                    + " force=\"true\" in a later revision confirms it", 100 * lost / before, 100 * mostLost));
+        }
+        return new Verdict(Outcome.TAKEN, "");
+    }
+
+    private static double weight(Server s) {
+        return s.drains() ? 0 : s.weight();
+    }
+
+    private static Map<String, Double> capacity(Collection<Server> servers) {
+        Map<String, Double> byHall = new HashMap<>();
+        for (Server s : servers) {
+            if (weight(s) > 0) {
+                byHall.merge(s.hall(), weight(s), Double::sum);
+            }
+        }
+        return byHall;
+    }
+
+    /** What one file makes of another, a line for each server that changes. */
+    public static List<String> diff(ServersFile from, ServersFile to) {
+        List<String> lines = new ArrayList<>();
+        for (Server s : to.servers().values()) {
+            Server was = from.servers().get(s.uid());
+            if (was == null) {
+                lines.add("+ " + s.uid() + " " + describe(s));
+            } else if (!was.same(s)) {
+                lines.add("~ " + s.uid() + " " + describe(was) + " -> " + describe(s));
+            }
+        }
+        for (Server s : from.servers().values()) {
+            if (!to.servers().containsKey(s.uid())) {
+                lines.add("- " + s.uid() + " " + describe(s));
+            }
+        }
+        return lines;
+    }
+
+    /** The list, a line for each server. */
+    public static List<String> show(ServersFile file) {
+        return file.servers().values().stream().map(s -> s.uid() + " " + describe(s)).toList();
+    }
+
+    private static String describe(Server s) {
+        return s.endpoint().getAddress().getHostAddress() + ":" + s.endpoint().getPort() + " " + s.hall() + " "
+                + s.model() + " weight " + s.weight() + (s.drains() ? " drain" : "") + (s.warm() ? " warm" : "");
+    }
+}
--- a/src/main/java/barrowshore/halls/Hall.java
+++ b/src/main/java/barrowshore/halls/Hall.java
@@ -268,8 +268,8 @@
     private String comeBack(long now) {
         for (Place p : places) {
             p.unprove(now, now + (long) (random.getAsDouble() * rules.trialEvery()));
-            if (why == Why.CUT_OFF && now - p.startedAt > rules.flapWindow()) {
-                p.allow = Math.max(1, p.slots / 2);   // others kept it warm; still it is not hit by all at once
+            if (!suspect()) {
+                p.allow = Math.max(1, p.slots / 2);   // it was well all the time; still it is not hit by all at once
             }
         }
         return move(now, HallState.RETURNING);
@@ -301,11 +301,16 @@
             case DARK -> trial == null && now >= trialAt && (repeatable || pauses > 1);
             case HELD -> false;
             case RETURNING -> p.proved ? p.held + size <= p.allow || p.held == 0 && size <= p.slots
-                    : !p.trying && now >= p.nextTry && trying < Math.max(1, proved)
+                    : !p.trying && now >= p.nextTry && (trying < Math.max(1, proved) || !suspect())
                     && (repeatable || !p.lost() || now - p.nextTry > 4 * rules.trialEvery());
         };
     }
 
+    /** Whether something broke there: not if it was drained, left out of the list, or cut off from here alone. */
+    private boolean suspect() {
+        return why == Why.LOST || why == Why.TOLD;
+    }
+
     /** No hall is any good: what is left is one job at a time for each server, wherever one may still be. */
     boolean takesInPanic(Place p) {
         return !p.trying;
--- a/src/main/java/barrowshore/halls/HallGate.java
+++ b/src/main/java/barrowshore/halls/HallGate.java
@@ -86,6 +86,11 @@
         return true;
     }
 
+    /** Whether the server's hall is anything but serving. */
+    default boolean troubled(Place place) {
+        return false;
+    }
+
     /** Whether a flow that this server gave back, or lost, may be tried again. worth: as in {@link #weigh}. */
     default boolean mayRepeat(long now, Place place, double worth) {
         return true;
--- a/src/main/java/barrowshore/halls/HallRules.java
+++ b/src/main/java/barrowshore/halls/HallRules.java
@@ -50,7 +50,7 @@
     /** The usual rules: the home hall first, all others second. */
     public static HallRules usual(List<String> names, int home) {
         return new HallRules(names, home, java.util.stream.IntStream.range(0, names.size())
-                .mapToObj(h -> h == home ? 0 : 1).toList(), false, 0.9, 0.6, 1_000_000, 500_000, 3_000_000, 5_000_000,
+                .mapToObj(h -> h == home ? 0 : 1).toList(), false, 1, 0.6, 1_000_000, 500_000, 3_000_000, 5_000_000,
                 60_000_000, 60_000_000, 0.1, 10);
     }
 
--- a/src/main/java/barrowshore/halls/Halls.java
+++ b/src/main/java/barrowshore/halls/Halls.java
@@ -23,7 +23,7 @@
     /** Turns come every tenth of a second or so; after so long a gap we were not there ourselves. */
     private static final long PAUSE = 500_000;
     /** Share of its part that work of no worth may fill; the rest is kept for what is worth more. */
-    private static final double LEAST = 0.5;
+    private static final double LEAST = 0.7;
     /** A wait of this share of the wanted time says that our own hall's diners are crowded. */
     private static final double CROWDED = 0.5;
     /** What is turned down and worth less than this would be so in many an hour; it says nothing. */
@@ -252,7 +252,7 @@
         if (state == HallState.DARK) {
             return true;   // a trial, one at a time; whoever serves its diners will not have to find out alone
         }
-        if (state != HallState.SERVING || rules.spill() == 0) {
+        if (state != HallState.SERVING || rules.spill() == 0 || halls[h].places.isEmpty()) {
             return false;
         }
         double used = shares[h].used() + slots;
@@ -304,8 +304,12 @@
     @Override
     public boolean open(Place p) {
         HallState state = halls[p.hall].state;
-        return state != HallState.DARK && state != HallState.HELD && (state != HallState.DOUBTED || !p.lost())
-                && (state != HallState.RETURNING || p.proved);
+        return state != HallState.DARK && state != HallState.HELD && (state != HallState.DOUBTED || !p.lost());
+    }
+
+    @Override
+    public boolean troubled(Place p) {
+        return halls[p.hall].state != HallState.SERVING;
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/barrowshore/files/ServersFileTest.java
@@ -0,0 +1,135 @@
+package barrowshore.files;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import barrowshore.config.ConfigException;
+import barrowshore.files.Guard.Outcome;
+import barrowshore.list.ServerList;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Lists of real servers in files: what they say, what is wrong in them, and what they may change at once. */
+class ServersFileTest {
+    private static final ServerList.Names NAMES = new ServerList.Names(List.of("hala-a", "hala-b"),
+            List.of("plny-vykon", "usporny"));
+
+    private static String good() {
+        try {
+            return Files.readString(Path.of("deploy/servers.xml"));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static ServersFile parse(String text) {
+        return ServersFile.parse("f", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Example
+    void theExampleIsReadWhole() {
+        ServersFile file = parse(good());
+        assertThat(file.revision()).isEqualTo(1);
+        assertThat(file.grace()).isEqualTo(10_000_000);
+        ServerList.Update update = file.update(NAMES, s -> 42);
+        assertThat(update.all()).isTrue();
+        assertThat(update.entries()).hasSize(4).allMatch(e -> e.bootMicros() == 42);
+        assertThat(update.entries().get(2)).satisfies(e -> {
+            assertThat(e.address().getAddress().getAddress()).hasSize(16);
+            assertThat(e.address().getPort()).isEqualTo(3000);
+            assertThat(e.zone()).isEqualTo(1);
+        });
+        assertThat(update.entries().get(3).state()).isEqualTo(ServerList.State.TERMINATING);
+    }
+
+    @Example
+    void aWeightOfNothingTakesNothingNew() {
+        assertThat(parse(good().replaceFirst("weight=\"5\"", "weight=\"0\"")).update(NAMES, s -> 0).entries().get(0)
+                .state()).isEqualTo(ServerList.State.TERMINATING);
+    }
+
+    @Example
+    void whatIsWrongIsNamedByLineAndElement() {
+        String[][] cases = {
+            {"10.1.0.19", "10.2.0.19", "line 9, column 90: server: endpoint 10.2.0.19:3000 is in none of the networks"},
+            {"fd00:1::21", "fd00:2::21", "endpoint [fd00:2::21]:3000 is in none of the networks"},
+            {"uid=\"s-a2\"", "uid=\"s-a1\"", "line 9, column 90: server: uid s-a1 is in line 8 already, with another weight"},
+            {"10.1.0.19:3000", "10.1.0.18:3000", "server: endpoint 10.1.0.18:3000 is that of s-a1 in line 8"},
+            {"10.1.0.19:3000", "order-node:3000", "server: endpoint order-node:3000 is not address:port"},
+            {"10.1.0.19:3000", "10.1.0.19", "server: endpoint 10.1.0.19 is not address:port"},
+            {"10.1.0.0/16", "10.1.0.7/16", "line 5, column 35: network: 10.1.0.7/16 is no network"},
+            {"10.1.0.0/16", "somewhere", "network: somewhere is no network"},
+            {"weight=\"3\"", "weight=\"-3\"", "server: Value '-3'"},
+            {"revision=\"1\"", "", "servers: Attribute 'revision' must appear"},
+            {"</servers>", "", "line"},
+            {"<servers ", "<!DOCTYPE servers [<!ENTITY a \"&b;&b;\">]><servers ", "DOCTYPE is disallowed"},
+        };
+        for (String[] c : cases) {
+            String bad = good().replaceFirst(java.util.regex.Pattern.quote(c[0]), c[1]);
+            assertThat(bad).isNotEqualTo(good());
+            assertThatThrownBy(() -> parse(bad)).as(c[1]).isInstanceOf(ConfigException.class)
+                    .hasMessageStartingWith("f: ").hasMessageContaining(c[2]).message().doesNotContain("\n");
+        }
+        assertThatThrownBy(() -> parse(good().replace("hala-b", "hala-z")).update(NAMES, s -> 0))
+                .hasMessageContaining("line 10: server: hall hala-z is none of the zones");
+    }
+
+    @Example
+    void whatTakesTooMuchAwayIsHeldUntilForced() {
+        ServersFile inUse = parse(good());
+        String less = good().replace("revision=\"1\"", "revision=\"2\"").replaceFirst("(?m)^.*s-a1.*\\n", "");
+        assertThat(Guard.judge(inUse, parse(less), 0.5).outcome()).isEqualTo(Outcome.TAKEN);
+        assertThat(Guard.judge(inUse, parse(less), 0.3).outcome()).isEqualTo(Outcome.HELD);
+        assertThat(Guard.judge(inUse, parse(less.replace("revision=\"2\"", "revision=\"3\" force=\"true\"")), 0.3)
+                .outcome()).isEqualTo(Outcome.TAKEN);
+        String noHall = less.replaceFirst("(?m)^.*s-a2.*\\n", "");
+        assertThat(Guard.judge(inUse, parse(noHall), 1)).satisfies(v -> {
+            assertThat(v.outcome()).isEqualTo(Outcome.HELD);
+            assertThat(v.why()).contains("hall hala-a empty");
+        });
+        String none = good().replace("revision=\"1\"", "revision=\"2\"").replaceAll("(?m)^.*<server .*\\n", "");
+        assertThat(Guard.judge(inUse, parse(none), 1).outcome()).isEqualTo(Outcome.HELD);
+        assertThat(Guard.judge(null, parse(none), 1).outcome()).isEqualTo(Outcome.HELD);
+    }
+
+    @Example
+    void aRevisionNeverGoesBackNorSaysTwoThings() {
+        ServersFile two = parse(good().replace("revision=\"1\"", "revision=\"2\""));
+        assertThat(Guard.judge(two, parse(good()), 1).outcome()).isEqualTo(Outcome.REFUSED);
+        assertThat(Guard.judge(two, two, 1).outcome()).isEqualTo(Outcome.SAME);
+        ServersFile other = parse(good().replace("revision=\"1\"", "revision=\"2\"").replace("weight=\"5\"", "weight=\"4\""));
+        assertThat(Guard.judge(two, other, 1).outcome()).isEqualTo(Outcome.REFUSED);
+        assertThat(Guard.diff(two, other)).hasSize(2).allMatch(line -> line.startsWith("~ ") && line.contains("->"));
+    }
+
+    /** Any damage to a good file: it is read as some whole list, or refused by our own error; nothing else. */
+    @Property(tries = 400, seed = "20261201")
+    void damagedFilesAreRefusedOrWhole(@ForAll long seed) {
+        Random chance = new Random(seed);
+        byte[] bytes = good().getBytes(StandardCharsets.UTF_8);
+        switch (chance.nextInt(3)) {
+            case 0 -> bytes = java.util.Arrays.copyOf(bytes, chance.nextInt(bytes.length));
+            case 1 -> {
+                for (int k = 0; k <= chance.nextInt(4); k++) {
+                    bytes[chance.nextInt(bytes.length)] = (byte) chance.nextInt(256);
+                }
+            }
+            default -> {
+                int from = chance.nextInt(bytes.length), to = chance.nextInt(bytes.length);
+                System.arraycopy(bytes, Math.min(from, to), bytes, 0, Math.abs(from - to));
+            }
+        }
+        try {
+            assertThat(ServersFile.parse("f", bytes).servers().size()).isBetween(1, 4);
+        } catch (ConfigException e) {
+            assertThat(e.getMessage()).startsWith("f").doesNotContain("\n");
+        }
+    }
+}
--- a/src/test/java/barrowshore/halls/HallsPropertyTest.java
+++ b/src/test/java/barrowshore/halls/HallsPropertyTest.java
@@ -134,6 +134,59 @@
         }
     }
 
+    /** Lenders and borrowers of one hall, with needs that come and go: the sum holds, and loans do happen. */
+    @Property(tries = 100, seed = "20261201")
+    void loansNeverLetTheSumExceedTheWhole(@ForAll long seed, @ForAll @IntRange(min = 2, max = 6) int count) {
+        Random chance = new Random(seed);
+        SpillShare[] shares = new SpillShare[count];
+        java.util.Arrays.setAll(shares, s -> new SpillShare(count, s));
+        double whole = 12, even = whole / count, borrowed = 0;
+        List<Runnable> late = new ArrayList<>();
+        List<Long> when = new ArrayList<>();
+        boolean[] busy = new boolean[count];
+        for (long now = 1000 * S; now < 1040 * S; now += 20 * MS) {
+            for (int k = late.size() - 1; k >= 0; k--) {
+                if (when.get(k) <= now) {
+                    when.remove(k);
+                    late.remove(k).run();
+                }
+            }
+            double sum = 0;
+            for (int s = 0; s < count; s++) {
+                SpillShare share = shares[s];
+                busy[s] ^= chance.nextInt(150) == 0;
+                double bound = share.bound(now, even, count);
+                if (s == 0 || busy[s]) {
+                    if (share.used() + 1 <= bound) {
+                        share.use(now, 1);
+                    } else {
+                        share.ask(now, share.used() + 1);
+                    }
+                } else if (share.used() > 0 && chance.nextInt(5) == 0) {
+                    share.use(now, -1);
+                }
+                if (chance.nextInt(20) == 0) {
+                    int promise = share.tell(now, even, chance.nextInt(10) > 0), from = s;
+                    double used = share.used();
+                    boolean asks = share.asks(now);
+                    for (int to = 0; to < count; to++) {
+                        long at = now + chance.nextInt((int) (850 * MS));
+                        SpillShare other = shares[to];
+                        if (to != s && chance.nextDouble() < 0.7) {
+                            when.add(at);
+                            late.add(() -> other.heard(at + 20 * MS, from, promise, used, asks));
+                        }
+                    }
+                }
+                double after = share.bound(now, even, count);
+                sum += after;
+                borrowed = Math.max(borrowed, after - even);
+            }
+            assertThat(sum).as("at %s", now).isLessThanOrEqualTo(whole + 1e-9);
+        }
+        assertThat(borrowed).isGreaterThan(0);
+    }
+
     /** However a hall flapped before: once it is well for good, each scheduler uses it again. */
     @Property(tries = 60, seed = "20261201")
     void aHallThatServesIsNotLeftOutForGood(@ForAll long seed, @ForAll @IntRange(min = 1, max = 5) int servers) {
