--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -4,6 +4,7 @@
 import barrowshore.config.ConfigException;
 import barrowshore.emulate.Rehearsal;
 import barrowshore.emulate.Scenario;
+import barrowshore.files.FileMac;
 import barrowshore.files.Guard;
 import barrowshore.files.ServersFile;
 import barrowshore.node.Node;
@@ -18,7 +19,9 @@
 import java.io.IOException;
 import java.lang.annotation.Retention;
 import java.lang.annotation.RetentionPolicy;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -126,9 +129,9 @@
     }
 
     /** Looks at lists of real servers kept in files. */
-    @About("Looks at lists of real servers: servers check FILE | servers show FILE | servers diff FILE FILE.")
+    @About("Looks at lists of real servers: servers check|show|sign FILE, servers diff FILE FILE.")
     public static final class Servers implements Command {
-        @Argument(index = 0, required = true, metaVar = "check | show | diff", usage = "what to do")
+        @Argument(index = 0, required = true, metaVar = "check | show | diff | sign", usage = "what to do")
         String what;
 
         @Argument(index = 1, required = true, metaVar = "FILE", usage = "the list; for diff the one in use")
@@ -140,11 +143,28 @@
         @Option(name = "--most-lost", metaVar = "SHARE", usage = "the share of capacity that may go at once (default 0.5)")
         double mostLost = 0.5;
 
+        @Option(name = "--keys", metaVar = "DIR", usage = "the directory of keys, ID.key each: check verifies, sign signs")
+        Path keys;
+
+        @Option(name = "--key", metaVar = "ID", usage = "for sign: a key's id; may be given twice")
+        List<String> ids = new ArrayList<>();
+
         @Override
-        public void run() {
+        public void run() throws IOException {
             ServersFile list = ServersFile.read(file);
             switch (what) {
-                case "check" -> System.out.println(file + ": " + list.summary());
+                case "check" -> {
+                    if (keys != null) {
+                        new FileMac(keys).verify(file, Files.readAllBytes(file));
+                    }
+                    System.out.println(file + ": " + list.summary());
+                }
+                case "sign" -> {
+                    if (keys == null || ids.isEmpty()) {
+                        throw new ConfigException("servers sign needs --keys DIR and --key ID");
+                    }
+                    new FileMac(keys).sign(file, ids);
+                }
                 case "show" -> Guard.show(list).forEach(System.out::println);
                 case "diff" -> {
                     if (other == null) {
@@ -156,7 +176,7 @@
                     System.out.println(verdict.outcome().name().toLowerCase(Locale.ROOT)
                             + (verdict.why().isEmpty() ? "" : ": " + verdict.why()));
                 }
-                default -> throw new ConfigException("servers: " + what + " is none of check, show, diff");
+                default -> throw new ConfigException("servers: " + what + " is none of check, show, diff, sign");
             }
         }
     }
--- /dev/null
+++ b/src/main/java/barrowshore/files/FileMac.java
@@ -0,0 +1,124 @@
+package barrowshore.files;
+
+import barrowshore.config.ConfigException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.PosixFilePermission;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.EnumSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * The keyed MAC beside a file: HMAC-SHA-256 over its exact bytes, in {@code FILE.mac}, a line "key-id hex" for each key,
+ * of which one good one is enough, so that two keys overlap while they are changed. It owns the reading of keys, anew
+ * each time, and must never use one that others than its owner can read.
+ */
+public final class FileMac {
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final Pattern ID = Pattern.compile("[0-9A-Za-z._-]{1,32}");
+    /** Bytes of a key at least, and of a MAC file at most. */
+    private static final int LEAST_KEY = 32;
+    private static final int MOST_MAC = 4096;
+    private static final Set<PosixFilePermission> OTHERS = EnumSet.of(PosixFilePermission.GROUP_READ,
+            PosixFilePermission.GROUP_WRITE, PosixFilePermission.GROUP_EXECUTE, PosixFilePermission.OTHERS_READ,
+            PosixFilePermission.OTHERS_WRITE, PosixFilePermission.OTHERS_EXECUTE);
+
+    private final Path keys;
+
+    /** MACs by the keys in a directory: a file {@code ID.key} for each, in hexadecimal. */
+    public FileMac(Path keys) {
+        this.keys = keys;
+    }
+
+    private static Path beside(Path file) {
+        return file.resolveSibling(file.getFileName() + ".mac");
+    }
+
+    private byte[] key(String id) {
+        if (!ID.matcher(id).matches()) {
+            throw new ConfigException("key id " + id + " is not a word of at most 32 letters and digits");
+        }
+        Path file = keys.resolve(id + ".key");
+        try {
+            if (Files.getPosixFilePermissions(file).stream().anyMatch(OTHERS::contains)) {
+                throw new ConfigException("key " + file + " can be read by others than its owner; it is not used");
+            }
+            byte[] key = HexFormat.of().parseHex(Files.readString(file).strip());
+            if (key.length < LEAST_KEY) {
+                throw new ConfigException("key " + file + " is shorter than " + LEAST_KEY + " bytes");
+            }
+            return key;
+        } catch (IOException | UnsupportedOperationException e) {
+            throw new ConfigException("key " + file + " cannot be read: " + e.getClass().getSimpleName());
+        } catch (IllegalArgumentException e) {
+            throw e instanceof ConfigException ? e : new ConfigException("key " + file + " is not hexadecimal");
+        }
+    }
+
+    private byte[] mac(String id, byte[] bytes) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(key(id), ALGORITHM));
+            return mac.doFinal(bytes);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Writes the MACs of a file by these keys beside it, whole. */
+    public void sign(Path file, List<String> ids) {
+        try {
+            byte[] bytes = Files.readAllBytes(file);
+            StringBuilder lines = new StringBuilder();
+            for (String id : ids) {
+                lines.append(id).append(' ').append(HexFormat.of().formatHex(mac(id, bytes))).append('\n');
+            }
+            Path fresh = file.resolveSibling(file.getFileName() + ".mac.new");
+            Files.writeString(fresh, lines);
+            Files.move(fresh, beside(file), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            throw new ConfigException(file + " cannot be signed: " + e.getClass().getSimpleName());
+        }
+    }
+
+    /** Checks what was read of a file against the MACs beside it; a {@link ConfigException} says why none is good. */
+    public void verify(Path file, byte[] bytes) {
+        String text;
+        try {
+            if (Files.size(beside(file)) > MOST_MAC) {
+                throw new ConfigException(beside(file) + " is over " + MOST_MAC + " bytes");
+            }
+            text = Files.readString(beside(file), StandardCharsets.US_ASCII);
+        } catch (IOException e) {
+            throw new ConfigException(beside(file) + " cannot be read: " + e.getClass().getSimpleName());
+        }
+        String why = "it holds no MAC";
+        for (String line : text.lines().toList()) {
+            String[] words = line.strip().split(" +");
+            if (words.length != 2) {
+                why = "it has a line that is not 'key-id hex'";
+                continue;
+            }
+            try {
+                if (MessageDigest.isEqual(mac(words[0], bytes), HexFormat.of().parseHex(words[1]))) {
+                    return;
+                }
+                why = "its MAC by key " + words[0] + " is not that of the file";
+            } catch (ConfigException e) {
+                why = e.getMessage();
+            } catch (IllegalArgumentException e) {
+                why = "its MAC by key " + words[0] + " is not hexadecimal";
+            }
+        }
+        throw new ConfigException(beside(file) + ": " + why);
+    }
+}
--- a/src/main/java/barrowshore/files/WatchedFile.java
+++ b/src/main/java/barrowshore/files/WatchedFile.java
@@ -37,6 +37,7 @@
 
     private final Path file;
     private final double mostLost;
+    private final FileMac macs;
     private final Function<ServersFile, RuntimeException> taker;
     private final Scheduler timers;
     private final Mailbox mailbox;
@@ -51,12 +52,14 @@
 
     /**
      * Watches a file from now on. taker: puts a file to use, in this actor's mailbox, and returns what is wrong with it
-     * there, or null. mostLost: see {@link Guard}.
+     * there, or null. mostLost: see {@link Guard}; macs: what a file
+     * must be signed by, null: nothing.
      */
-    public WatchedFile(Path file, double mostLost, Executor pool, Scheduler timers,
+    public WatchedFile(Path file, double mostLost, FileMac macs, Executor pool, Scheduler timers,
                        Function<ServersFile, RuntimeException> taker) {
         this.file = file.toAbsolutePath();
         this.mostLost = mostLost;
+        this.macs = macs;
         this.taker = taker;
         this.timers = timers;
         this.mailbox = new Mailbox("the servers' file " + file, pool);
@@ -141,6 +144,11 @@
 
     private void judge(byte[] bytes) {
         try {
+            if (macs != null) {
+                judged = null;   // its MAC may come after it: it is judged again until there is a good one
+                macs.verify(file, bytes);
+                judged = bytes;
+            }
             ServersFile next = ServersFile.parse(file.toString(), bytes);
             Guard.Verdict verdict = Guard.judge(inUse, next, mostLost);
             switch (verdict.outcome()) {
--- a/src/main/java/barrowshore/node/ListKeeper.java
+++ b/src/main/java/barrowshore/node/ListKeeper.java
@@ -1,5 +1,6 @@
 package barrowshore.node;
 
+import barrowshore.files.FileMac;
 import barrowshore.files.ServersFile;
 import barrowshore.files.WatchedFile;
 import barrowshore.list.ServerBook;
@@ -45,7 +46,8 @@
         this.mailbox = new Mailbox("the list", pool);
         book.source(DISCOVERY, rules.filesFirst() ? 2 : 1, 0);
         book.source(FILE, rules.filesFirst() ? 1 : 2, 0);
-        this.file = new WatchedFile(rules.file(), rules.mostLost(), pool, timers, next -> {
+        this.file = new WatchedFile(rules.file(), rules.mostLost(),
+                rules.keys() == null ? null : new FileMac(rules.keys()), pool, timers, next -> {
             try {
                 long now = filled ? clock.micros() : 0;
                 Update update = next.update(names, s -> firstNamed.computeIfAbsent(s.uid(), uid -> now));
--- a/src/main/java/barrowshore/operator/Operator.java
+++ b/src/main/java/barrowshore/operator/Operator.java
@@ -26,9 +26,10 @@
 
     /**
      * The element {@code servers}: a watched list of real servers. mostLost: the share of capacity that a new version may
-     * take away unforced; filesFirst: whether the file wins where discovery names a server too.
+     * take away unforced; filesFirst: whether the file wins where discovery names a server too; keys:
+     * the directory of the keys that it must be signed by, null: none.
      */
-    public record Servers(Path file, double mostLost, boolean filesFirst) { }
+    public record Servers(Path file, double mostLost, boolean filesFirst, Path keys) { }
 
     /** What holds where there is no file. */
     public static final Operator NONE = new Operator(null, null);
@@ -91,7 +92,8 @@
         Element servers = root.one("servers");
         return new Operator(halls == null ? null : halls(file, halls), servers == null ? null
                 : new Servers(Path.of(servers.get("file")), servers.number("most-lost"),
-                "file".equals(servers.get("first"))));
+                "file".equals(servers.get("first")), servers.get("keys") == null ? null
+                : Path.of(servers.get("keys"))));
     }
 
     private static Halls halls(String file, Element e) {
--- /dev/null
+++ b/src/test/java/barrowshore/files/FileMacTest.java
@@ -0,0 +1,77 @@
+package barrowshore.files;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The keyed MAC beside a file. */
+class FileMacTest {
+    @TempDir
+    Path dir;
+
+    private Path file;
+    private byte[] bytes;
+
+    @BeforeEach
+    void write() throws IOException {
+        bytes = "what do ya want for nothing?".getBytes(StandardCharsets.US_ASCII);
+        file = Files.write(dir.resolve("list"), bytes);
+        key("old", "11".repeat(32), "rw-------");
+        key("new", "22".repeat(40), "r--------");
+    }
+
+    private void key(String id, String hex, String permissions) throws IOException {
+        Path key = dir.resolve(id + ".key");
+        Files.writeString(key, hex + "\n");
+        Files.setPosixFilePermissions(key, PosixFilePermissions.fromString(permissions));
+    }
+
+    @Test
+    void oneGoodKeyIsEnoughSoThatTwoCanOverlap() throws IOException {
+        FileMac macs = new FileMac(dir);
+        macs.sign(file, List.of("old", "new"));
+        assertThatCode(() -> macs.verify(file, bytes)).doesNotThrowAnyException();
+        Files.delete(dir.resolve("old.key"));
+        assertThatCode(() -> macs.verify(file, bytes)).doesNotThrowAnyException();
+        Files.delete(dir.resolve("new.key"));
+        assertThatThrownBy(() -> macs.verify(file, bytes)).hasMessageContaining("new.key cannot be read");
+    }
+
+    /** The figure was worked out apart: openssl's HMAC of the same bytes and key is what this must be. */
+    @Test
+    void theMacIsHmacSha256OverTheExactBytes() throws Exception {
+        key("rfc", "0b".repeat(32), "rw-------");
+        new FileMac(dir).sign(file, List.of("rfc"));
+        assertThat(Files.readString(dir.resolve("list.mac"))).isEqualTo("rfc "
+                + "c3f2649c34ea24e4d62a2c7e868bbea0233c9d4c2cc300794db76aa18d6822d8\n");
+    }
+
+    @Test
+    void whatIsNotGoodIsRefusedWithTheReason() throws IOException {
+        FileMac macs = new FileMac(dir);
+        assertThatThrownBy(() -> macs.verify(file, bytes)).hasMessageContaining("list.mac cannot be read");
+        macs.sign(file, List.of("old"));
+        byte[] other = bytes.clone();
+        other[3] ^= 1;
+        assertThatThrownBy(() -> macs.verify(file, other)).hasMessageContaining("by key old is not that of the file");
+        key("old", "11".repeat(32), "rw-r-----");
+        assertThatThrownBy(() -> macs.verify(file, bytes)).hasMessageContaining("can be read by others than its owner");
+        key("short", "11", "rw-------");
+        assertThatThrownBy(() -> macs.sign(file, List.of("short"))).hasMessageContaining("shorter than 32 bytes");
+        assertThatThrownBy(() -> macs.sign(file, List.of("../x"))).hasMessageContaining("is not a word");
+        for (String bad : List.of("", "old", "old zz\n", "old " + "00".repeat(32))) {
+            Files.writeString(dir.resolve("list.mac"), bad);
+            assertThatThrownBy(() -> macs.verify(file, bytes)).as(bad).hasMessageContaining("list.mac");
+        }
+    }
+}
