Keep the spill limit from growing with a crowd, and try each server anew when no hall is left

Cause: in a jump of traffic guests held up to 1.7 of a hall's slots where 1 is the limit. Reports do not tell of queues, so the module thinks of more slots while jobs wait, and the limit was a share of those. And a server that had proved itself in an earlier return took any number of jobs when no hall was left, where each is to get one at a time. Change: what the list says of a server's size bounds its slots for halls; proof counts only within the return it is from. A method that nothing called is gone. A test of the second fails without it.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -394,7 +394,7 @@
                 w.overdue = Math.max(w.overdue, now - (a.startedAt > 0 ? a.startedAt : a.sentAt) - expected);
             }
             w.speed = w.speed(kinds[w.kind].speed, mean.work);
-            halls.gate.see(now, w.place, w.table.slots * w.warmth, kinds[w.kind].speed, due);
+            halls.see(now, w, kinds[w.kind].speed, due);
             // Guards against machines that fall silent: their count would stand or drain and look cheap.
             boolean was = w.silent;
             w.silent = was ? w.heardAt <= w.silentAt && (!w.out.isEmpty() || now < w.downUntil)
--- a/src/main/java/barrowshore/HallSide.java
+++ b/src/main/java/barrowshore/HallSide.java
@@ -83,6 +83,15 @@
         }
     }
 
+    /**
+     * What the module believes of a worker. Reports that do not tell of a queue make it think of more slots than there
+     * are while jobs wait, and a limit must not grow with the crowd: what the list says bounds it.
+     */
+    void see(long now, Worker w, double speed, boolean silent) {
+        double slots = w.rating > 1 ? Math.min(w.rating, w.table.slots) : w.table.slots;
+        gate.see(now, w.place, slots * w.warmth, speed, silent);
+    }
+
     void refused(long now, Job job) {
         gate.refused(now, standing(job));
     }
--- a/src/main/java/barrowshore/halls/Hall.java
+++ b/src/main/java/barrowshore/halls/Hall.java
@@ -240,7 +240,8 @@
             return goDark(now, Why.LOST);   // the sign that brought it back was the last one
         }
         boolean seen = peers.well() > 0 && peers.lost() == 0 && lost == 0;   // we have no work there, others have
-        if (now - since >= rules.settle() && seen && proved == 0 || proved > 0 && provedWeight - provedLost >= BACK * weight && now - since >= rules.settle()) {
+        boolean served = proved > 0 && provedWeight - provedLost >= BACK * weight;
+        if (now - since >= rules.settle() && (served || seen && proved == 0)) {
             returnedAt = why == Why.LOST ? now : returnedAt;
             why = Why.NONE;
             return move(now, HallState.SERVING);
@@ -323,7 +324,8 @@
             trialAt = now + pause();
             pauses++;
         }
-        if (state != HallState.SERVING && !p.proved && !p.trying) {
+        // What proved itself in an earlier return has nothing to show for it once the hall is dark again.
+        if (state != HallState.SERVING && !(p.proved && state == HallState.RETURNING) && !p.trying) {
             p.trying = true;
             p.triedAt = now;
             trying++;
--- a/src/main/java/barrowshore/halls/SpillShare.java
+++ b/src/main/java/barrowshore/halls/SpillShare.java
@@ -120,13 +120,4 @@
         other.asks = asks;
         other.heardAt = now;
     }
-
-    /** What the others told lately that they use. */
-    double othersUse(long now) {
-        double sum = 0;
-        for (int j = 0; j < others.length; j++) {
-            sum += j != me && now - others[j].heardAt <= VALID ? others[j].used : 0;
-        }
-        return sum;
-    }
 }
--- a/src/test/java/barrowshore/halls/HallsTest.java
+++ b/src/test/java/barrowshore/halls/HallsTest.java
@@ -413,6 +413,19 @@
         assertThat(s.taking(allOf(s), 1, 1, false)).isEmpty();
     }
 
+    @Test
+    void whatProvedItselfBeforeIsTriedLikeTheRestWhenNoHallIsLeft() {
+        Stage s = new Stage(3, 3, 1);
+        s.pass(S, s.b, s.a);
+        s.pass(S, allOf(s), List.of());
+        s.serve(s.taking(s.a, 1, 1, true).get(0), TURN);
+        s.pass(3 * S, List.of(), allOf(s));
+        assertThat(s.halls.states()).doesNotContain(HallState.SERVING, HallState.RETURNING, HallState.DOUBTED);
+        List<Place> open = s.taking(allOf(s), 1, 1, false);
+        open.forEach(p -> s.halls.sent(s.now, p, 1, 0));
+        assertThat(s.taking(allOf(s), 1, 1, false)).isEmpty();
+    }
+
     @Test
     void aHallOfAllNewServersComesBackGently() {
         Stage s = new Stage(4, 4, 1);
