Judge lists of servers in the pure package, and hold the spill limit by a test

Change: HandList and Guard are in list, which a rule now keeps from files, sockets and threads; files only reads and watches.

--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -5,8 +5,9 @@
 import barrowshore.emulate.Rehearsal;
 import barrowshore.emulate.Scenario;
 import barrowshore.files.FileMac;
-import barrowshore.files.Guard;
 import barrowshore.files.ServersFile;
+import barrowshore.list.Guard;
+import barrowshore.list.HandList;
 import barrowshore.node.Node;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
@@ -151,7 +152,7 @@
 
         @Override
         public void run() throws IOException {
-            ServersFile list = ServersFile.read(file);
+            HandList list = ServersFile.read(file);
             switch (what) {
                 case "check" -> {
                     if (keys != null) {
@@ -170,7 +171,7 @@
                     if (other == null) {
                         throw new ConfigException("servers diff needs two files");
                     }
-                    ServersFile next = ServersFile.read(other);
+                    HandList next = ServersFile.read(other);
                     Guard.diff(list, next).forEach(System.out::println);
                     Guard.Verdict verdict = Guard.judge(list, next, mostLost);
                     System.out.println(verdict.outcome().name().toLowerCase(Locale.ROOT)
--- a/src/main/java/barrowshore/files/WatchedFile.java
+++ b/src/main/java/barrowshore/files/WatchedFile.java
@@ -1,6 +1,8 @@
 package barrowshore.files;
 
 import barrowshore.config.ConfigException;
+import barrowshore.list.Guard;
+import barrowshore.list.HandList;
 import barrowshore.net.Mailbox;
 import java.io.IOException;
 import java.io.InputStream;
@@ -38,13 +40,13 @@
     private final Path file;
     private final double mostLost;
     private final FileMac macs;
-    private final Function<ServersFile, RuntimeException> taker;
+    private final Function<HandList, RuntimeException> taker;
     private final Scheduler timers;
     private final Mailbox mailbox;
     private final WatchService watch;
     private byte[] seen;
     private byte[] judged;
-    private ServersFile inUse;
+    private HandList inUse;
     private boolean looking;
     private boolean stopped;
     private boolean paused;
@@ -56,7 +58,7 @@
      * must be signed by, null: nothing.
      */
     public WatchedFile(Path file, double mostLost, FileMac macs, Executor pool, Scheduler timers,
-                       Function<ServersFile, RuntimeException> taker) {
+                       Function<HandList, RuntimeException> taker) {
         this.file = file.toAbsolutePath();
         this.mostLost = mostLost;
         this.macs = macs;
@@ -149,7 +151,7 @@
                 macs.verify(file, bytes);
                 judged = bytes;
             }
-            ServersFile next = ServersFile.parse(file.toString(), bytes);
+            HandList next = ServersFile.parse(file.toString(), bytes);
             Guard.Verdict verdict = Guard.judge(inUse, next, mostLost);
             switch (verdict.outcome()) {
                 case TAKEN -> take(next);
@@ -162,7 +164,7 @@
         }
     }
 
-    private void take(ServersFile next) {
+    private void take(HandList next) {
         RuntimeException wrong = taker.apply(next);
         if (wrong != null) {
             say(Level.WARNING, "left unused: " + wrong.getMessage() + kept());
@@ -191,7 +193,7 @@
     }
 
     /** Shows the file in use (null: none) to one who only looks. */
-    public void look(Consumer<ServersFile> looker) {
+    public void look(Consumer<HandList> looker) {
         mailbox.post(() -> looker.accept(inUse));
     }
 
--- a/src/main/java/barrowshore/files/Guard.java
+++ b/src/main/java/barrowshore/list/Guard.java
@@ -1,6 +1,6 @@
-package barrowshore.files;
+package barrowshore.list;
 
-import barrowshore.files.ServersFile.Server;
+import barrowshore.list.HandList.Server;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -22,7 +22,7 @@
     private Guard() { }
 
     /** Judges a file against the one in use (null: none). mostLost: the share of capacity that may go at once. */
-    public static Verdict judge(ServersFile inUse, ServersFile next, double mostLost) {
+    public static Verdict judge(HandList inUse, HandList next, double mostLost) {
         if (inUse == null) {
             return next.servers().isEmpty() && !next.force()
                     ? new Verdict(Outcome.HELD, "it names no server; force=\"true\" in a later revision confirms it")
@@ -80,7 +80,7 @@
     }
 
     /** What one file makes of another, a line for each server that changes. */
-    public static List<String> diff(ServersFile from, ServersFile to) {
+    public static List<String> diff(HandList from, HandList to) {
         List<String> lines = new ArrayList<>();
         for (Server s : to.servers().values()) {
             Server was = from.servers().get(s.uid());
@@ -99,7 +99,7 @@
     }
 
     /** The list, a line for each server. */
-    public static List<String> show(ServersFile file) {
+    public static List<String> show(HandList file) {
         return file.servers().values().stream().map(s -> s.uid() + " " + describe(s)).toList();
     }
 
--- a/src/main/java/barrowshore/node/ListKeeper.java
+++ b/src/main/java/barrowshore/node/ListKeeper.java
@@ -1,8 +1,8 @@
 package barrowshore.node;
 
 import barrowshore.files.FileMac;
-import barrowshore.files.ServersFile;
 import barrowshore.files.WatchedFile;
+import barrowshore.list.HandList;
 import barrowshore.list.ServerBook;
 import barrowshore.list.ServerList.Names;
 import barrowshore.list.ServerList.Update;
@@ -66,7 +66,7 @@
         mailbox.post(() -> tell(book.say(clock.micros(), DISCOVERY, update)));
     }
 
-    private void say(String source, Update update, ServersFile from) {
+    private void say(String source, Update update, HandList from) {
         book.grace(source, from.grace());
         tell(book.say(clock.micros(), source, update));
     }
--- a/src/test/java/barrowshore/PackageRulesTest.java
+++ b/src/test/java/barrowshore/PackageRulesTest.java
@@ -30,6 +30,16 @@
                 .callMethod(System.class, "currentTimeMillis").orShould().callMethod(Math.class, "random").check(ALL);
     }
 
+    /** Addresses are values of the list; what opens, reads or waits for anything is not. */
+    @Test
+    void whatTheListIsTouchesNoSocketsFilesOrThreads() {
+        noClasses().that().resideInAPackage("barrowshore.list").should().dependOnClassesThat().resideInAnyPackage(
+                "java.nio..", "java.io..", "java.util.concurrent..", "java.time..", "org.eclipse.jetty..", "javax..",
+                "barrowshore.net..", "barrowshore.config..", "barrowshore.files..").check(ALL);
+        noClasses().that().resideInAPackage("barrowshore.list").should().dependOnClassesThat().haveNameMatching(
+                "java\\.net\\.(.*Socket|URL|HttpURLConnection)|java\\.lang\\.(Thread|Process.*|Runtime)").check(ALL);
+    }
+
     @Test
     void hallsKnowNothingOfTheModuleThatAsksThem() {
         noClasses().that().resideInAPackage("barrowshore.halls").should().dependOnClassesThat(
--- a/src/test/java/barrowshore/emulate/EmulatorTest.java
+++ b/src/test/java/barrowshore/emulate/EmulatorTest.java
@@ -77,7 +77,9 @@
 
     @Test
     void aJumpOfTrafficIntoTheHallThatIsLeftIsBounded() {
-        List<Report> on = play("hall-burst.xml", ON, 4), off = play("hall-burst.xml", Operator.NONE, 4);
+        List<Report> on = play("hall-burst.xml", ON, 8), off = play("hall-burst.xml", Operator.NONE, 8);
+        // The limit is a share of the slots that there are, and the crowd must not make them look like more.
+        assertThat(on).allSatisfy(r -> assertThat(r.mostSpillShare(1)).as(r.table()).isLessThanOrEqualTo(1));
         assertThat(on.stream().mapToDouble(r -> r.diners(1)).sum())
                 .isGreaterThan(off.stream().mapToDouble(r -> r.diners(1)).sum());
         assertThat(on.stream().mapToDouble(Report::kept).sum())
--- a/src/test/java/barrowshore/files/ServersFileTest.java
+++ b/src/test/java/barrowshore/files/ServersFileTest.java
@@ -4,7 +4,9 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import barrowshore.config.ConfigException;
-import barrowshore.files.Guard.Outcome;
+import barrowshore.list.Guard;
+import barrowshore.list.Guard.Outcome;
+import barrowshore.list.HandList;
 import barrowshore.list.ServerList;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -29,13 +31,13 @@
         }
     }
 
-    private static ServersFile parse(String text) {
+    private static HandList parse(String text) {
         return ServersFile.parse("f", text.getBytes(StandardCharsets.UTF_8));
     }
 
     @Example
     void theExampleIsReadWhole() {
-        ServersFile file = parse(good());
+        HandList file = parse(good());
         assertThat(file.revision()).isEqualTo(1);
         assertThat(file.grace()).isEqualTo(10_000_000);
         ServerList.Update update = file.update(NAMES, s -> 42);
@@ -83,7 +85,7 @@
 
     @Example
     void whatTakesTooMuchAwayIsHeldUntilForced() {
-        ServersFile inUse = parse(good());
+        HandList inUse = parse(good());
         String less = good().replace("revision=\"1\"", "revision=\"2\"").replaceFirst("(?m)^.*s-a1.*\\n", "");
         assertThat(Guard.judge(inUse, parse(less), 0.5).outcome()).isEqualTo(Outcome.TAKEN);
         assertThat(Guard.judge(inUse, parse(less), 0.3).outcome()).isEqualTo(Outcome.HELD);
@@ -101,10 +103,10 @@
 
     @Example
     void aRevisionNeverGoesBackNorSaysTwoThings() {
-        ServersFile two = parse(good().replace("revision=\"1\"", "revision=\"2\""));
+        HandList two = parse(good().replace("revision=\"1\"", "revision=\"2\""));
         assertThat(Guard.judge(two, parse(good()), 1).outcome()).isEqualTo(Outcome.REFUSED);
         assertThat(Guard.judge(two, two, 1).outcome()).isEqualTo(Outcome.SAME);
-        ServersFile other = parse(good().replace("revision=\"1\"", "revision=\"2\"").replace("weight=\"5\"", "weight=\"4\""));
+        HandList other = parse(good().replace("revision=\"1\"", "revision=\"2\"").replace("weight=\"5\"", "weight=\"4\""));
         assertThat(Guard.judge(two, other, 1).outcome()).isEqualTo(Outcome.REFUSED);
         assertThat(Guard.diff(two, other)).hasSize(2).allMatch(line -> line.startsWith("~ ") && line.contains("->"));
     }
