--- a/src/main/java/barrowshore/emulate/Report.java
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -2,7 +2,6 @@
 
 import barrowshore.halls.HallState;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -166,7 +165,7 @@
 
     /** Worth served in time against worth asked for. */
     double kept() {
-        return share(Arrays.stream(servedAt).sum(), Arrays.stream(askedAt).sum());
+        return share(servedAt, askedAt, 0, seconds);
     }
 
     /**
@@ -177,28 +176,28 @@
         return kept() - 0.1 * share(crossings, flows) - 0.3 * (work <= 0 ? 0 : wasted / work);
     }
 
+    /** The share served of what was asked for from one second to another. */
+    private double share(double[] part, double[] whole, int from, int to) {
+        double served = 0, wanted = 0;
+        for (int k = from; k < Math.min(seconds, to); k++) {
+            served += part[k];
+            wanted += whole[k];
+        }
+        return share(served, wanted);
+    }
+
     /** The same in the worst ten seconds. */
     double worst() {
         double least = 1;
         for (int from = 0; from + 10 < seconds; from++) {
-            double part = 0, whole = 0;
-            for (int k = from; k < from + 10; k++) {
-                part += servedAt[k];
-                whole += askedAt[k];
-            }
-            least = Math.min(least, share(part, whole));
+            least = Math.min(least, share(servedAt, askedAt, from, from + 10));
         }
         return least;
     }
 
     /** The same of the diners that belong to a hall, from one second to another. */
     double diners(int hall, int from, int to) {
-        double part = 0, whole = 0;
-        for (int k = Math.max(0, from); k < Math.min(seconds, to); k++) {
-            part += served[hall][k];
-            whole += asked[hall][k];
-        }
-        return share(part, whole);
+        return share(served[hall], asked[hall], from, to);
     }
 
     double diners(int hall) {
