Give operators a door with figures, and verbs that send clients away and bring them back

Nothing listened at the operators' address; SIGTERM's flag reached connections one mailbox at a time. Changed: package duty (Standing, a pure state machine that SIGTERM now goes through too; Figures and their Tally, owned by the module's actor), package ops (the door: own listener, selector and threads, the links of clients' connections). One that is turned down for want of room is now answered once its head tells for which class, so that it can be counted.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -7,7 +7,7 @@
 dir=$(mktemp -d) || exit 0
 trap 'rm -rf "$dir"' EXIT
 cat > "$dir/config.json" <<'JSON'
-{"name":"archive","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","peer_listen":"127.0.0.1:0",
+{"name":"archive","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","ops":"127.0.0.1:0","seed":"1","peer_listen":"127.0.0.1:0",
  "peers":["127.0.0.1:9"],"peers_all":"127.0.0.1:9","known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":
  "127.0.0.1:9","az":"a","model":"m","pod_group":0,"state":"Ready","capacity_hint":1.0,"boot_ms":0}]},
  "settings":{"groupSize":1,"zones":["a"],"kinds":["m"],"tick":5000,"lanes":[{"name":"job","aim":100000,
--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -168,6 +168,11 @@
         return 0;
     }
 
+    /** How many ready workers it sends nothing to just now, whatever the job. */
+    default int avoided(long now) {
+        return 0;
+    }
+
     /** Actions out. */
     interface Actions {
         /** Starts the next attempt of a request; timeout 0: until the client gives up. */
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -161,9 +161,9 @@
         double running = job.work / (1 + job.jobClass.stretch());
         for (Worker w : roster.ready) {
             double away = prices[w.hall];
-            if (away == HallGate.CLOSED || away < 0 && !halls.takes(w) || w.silent || now < w.fullUntil
+            if (away == HallGate.CLOSED || away < 0 && !halls.takes(w) || w.aside(now)
                     || job.jobClass.kind() >= 0 && w.kind != job.jobClass.kind()
-                    || now < w.downUntil || w.onTrial() || !mayGo(now, job, w)) { continue; }
+                    || !mayGo(now, job, w)) { continue; }
             Kind k = kinds[w.kind];
             double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
@@ -430,6 +430,10 @@
 
     @Override public List<HallState> halls() { return halls.gate.states(); }
 
+    @Override public int avoided(long now) {
+        return (int) Arrays.stream(roster.ready).filter(w -> w.aside(now) || !halls.open(w)).count();
+    }
+
     @Override public double spilled(int hall) { return halls.gate.spilled(hall); }
 
     /** How long an attempt may go without a sign, where notes come at a start and then at intervals. */
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -67,6 +67,9 @@
     /** Struck and not yet heard to serve: one job at a time finds out. */
     boolean onTrial() { return strikes > 0 && !out.isEmpty(); }
 
+    /** Whether it gets nothing just now, whatever the job. */
+    boolean aside(long now) { return silent || now < fullUntil || now < downUntil || onTrial(); }
+
     void failed() { ends++; errors++; }
 
     /** The share of jobs that fail here, a decaying estimate. */
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -239,7 +239,7 @@
         if (path == null || path.isEmpty()) {
             throw new ConfigException("GW_CONFIG is not set and no --config is given");
         }
-        return Config.read(Path.of(path));
+        return Config.read(Path.of(path), System.getenv("GW_OPS"));
     }
 
     public static void main(String[] args) throws Exception {
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -2,6 +2,7 @@
 
 import barrowshore.DispatchApi;
 import barrowshore.config.Config;
+import barrowshore.duty.Standing;
 import barrowshore.flow.Flow;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
@@ -19,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
@@ -49,6 +51,8 @@
      * had a flow's answer, until it is whole. The usual client sends it in one piece.
      */
     private static final long WHOLE = 2_000;
+    /** How long one that comes when there is no room may take to say what for. */
+    private static final long SHED = 200;
     /** How long a client may leave an answer unread. */
     private static final long UNREAD = 10_000;
     /** What a client is told to wait, in microseconds, that is shed before the module sees it. */
@@ -88,16 +92,17 @@
     private final Set<ClientLink> ending = new LinkedHashSet<>();
     private final Set<ClientLink> waiting = new LinkedHashSet<>();
     private final Set<ClientLink> idle = new LinkedHashSet<>();
-    private boolean draining;
+    private final Supplier<Standing> standing;
     private long cappedFrom = Long.MAX_VALUE;
     private long cap = Long.MAX_VALUE;
     private Runnable whenEmpty;
 
-    public ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, Flow.Desk desk, int most) {
+    public ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, Flow.Desk desk, Supplier<Standing> standing, int most) {
         this.clock = clock;
         this.pool = pool;
         this.timers = timers;
         this.desk = desk;
+        this.standing = standing;
         this.classes = config.classes();
         this.tenants = config.tenants();
         this.effects = config.settings().classes;
@@ -119,13 +124,18 @@
         });
     }
 
-    /** From now on each answer ends its connection and idle ones are closed; the message runs once none is left. */
-    public void drain(Runnable message) {
+    /**
+     * Closes connections without a request on them: those that have had a flow, or all of them. One without is about to
+     * bring a request, or else its time runs out by itself.
+     */
+    public void closeIdle(boolean all) {
+        mailbox.post(() -> links.forEach(link -> link.leave(all)));
+    }
+
+    /** The message runs once no connection is left. */
+    public void whenEmpty(Runnable message) {
         mailbox.post(() -> {
-            draining = true;
             whenEmpty = message;
-            links.forEach(ClientLink::drain);
-            links.forEach(link -> link.closeIfIdle(false));
             tellIfEmpty();
         });
     }
@@ -134,9 +144,7 @@
         mailbox.post(() -> {
             links.add(link);
             link.cap(cappedFrom, cap);
-            if (draining) {
-                link.drain();
-            } else if (links.size() > most && !makeRoom()) {
+            if (links.size() > most && !makeRoom()) {
                 link.shed();
             }
             waiting.add(link);
@@ -208,7 +216,6 @@
         /** The request's head as a flow, still without its body; null: it asks whether we are ready. */
         private Flow head;
         private boolean busy;
-        private boolean draining;
         /** Whether a flow has been answered here: a usual client's connection, as far as we can tell. */
         private boolean known;
         /** Whether a request is on its way in, its time running. */
@@ -216,6 +223,8 @@
         /** Whether an answer is being written; whether that was the last and the peer is let read it. */
         private boolean answering;
         private boolean lingering;
+        /** Whether it came when there was no room. */
+        private boolean shedding;
         private boolean last;
         private long cappedFrom = Long.MAX_VALUE;
         private long cap = Long.MAX_VALUE;
@@ -239,10 +248,6 @@
             mailbox.post(this::read);
         }
 
-        private void drain() {
-            mailbox.post(() -> draining = true);
-        }
-
         private void cap(long from, long at) {
             mailbox.post(() -> {
                 cappedFrom = from;
@@ -250,6 +255,14 @@
             });
         }
 
+        private void leave(boolean also) {
+            mailbox.post(() -> {
+                if (also || known) {
+                    closeIfIdle(false);
+                }
+            });
+        }
+
         /** Ends the connection unless a request is on it, or has come and is only not yet read. */
         private void closeIfIdle(boolean alsoHalf) {
             mailbox.post(() -> {
@@ -262,17 +275,23 @@
             });
         }
 
-        /** No room: one turn-down, whatever it is about to ask. */
+        /** No room: one turn-down as soon as it is known for what, or soon after. */
         private void shed() {
             mailbox.post(() -> {
-                if (!busy && !isClosed()) {
-                    busy = true;
-                    persistent = false;
-                    answer(new Flow.TurnDown(SHED_DELAY));
-                }
+                shedding = true;
+                limit(SHED);
             });
         }
 
+        private void turnDown() {
+            busy = true;
+            persistent = false;
+            if (head != null) {
+                desk.turnedAway(head.jobClass());
+            }
+            answer(new Flow.TurnDown(SHED_DELAY));
+        }
+
         @Override
         protected boolean wantsBytes() {
             return !busy;
@@ -295,7 +314,9 @@
             if (!busy) {
                 read();
             }
-            if (answering || lingering || !busy && parser.isStart()) {
+            if (shedding && !busy) {
+                turnDown();
+            } else if (answering || lingering || !busy && parser.isStart()) {
                 shut();
             } else if (!busy) {
                 reject(408, "the request is not whole");
@@ -330,6 +351,10 @@
                 reject(e.status, e.getMessage());
                 return true;
             }
+            if (shedding) {
+                turnDown();
+                return true;
+            }
             if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
                 write(new MetaData.Response(100, null, HttpVersion.HTTP_1_1, HttpFields.EMPTY), NOTHING, () -> { });
             }
@@ -349,9 +374,7 @@
             }
             if (!bytes.tryAcquire(more)) {
                 // Guards the limit on memory: many large bodies at once are shed before the heap is full.
-                persistent = false;
-                busy = true;
-                answer(new Flow.TurnDown(SHED_DELAY));
+                turnDown();
                 return true;
             }
             held += more;
@@ -387,7 +410,11 @@
             limit(0);
             stands(this, null);
             if (head == null) {
-                desk.ready(ready -> mailbox.post(() -> plain(ready ? 200 : 503, ready ? "ready" : "not ready")));
+                // Looked at as the answer is given: once clients are sent away there is no yes any more.
+                desk.ready(listed -> mailbox.post(() -> {
+                    boolean ready = listed && standing.get().welcomes();
+                    plain(ready ? 200 : 503, ready ? "ready" : "not ready");
+                }));
                 return true;
             }
             flow = head.with(body.toByteArray());
@@ -500,7 +527,7 @@
             if (isClosed()) {
                 return;
             }
-            last = !persistent || draining;
+            last = !persistent || standing.get().lastAnswers();
             if (last) {
                 extra.add(HttpHeader.CONNECTION, "close");
                 stands(this, ending);
--- a/src/main/java/barrowshore/config/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -21,7 +21,7 @@
  * else: each field is checked here, once, and a wrong one gets a {@link ConfigException} that names it. It must never
  * guess a value that is required, and never open a socket.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, Settings settings,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops, int sockets, Settings settings,
                      long keepAlive, List<String> classes, List<String> tenants, ServerList.Names names,
                      ServerList.Update known, Peering peers, Map<String, Object> fixed) {
     /** Where we are heard, the peers by their numbers, ours, and the address that reaches them all and us. */
@@ -30,7 +30,20 @@
     /** The fields that a running scheduler takes over, and those that matter only to a fresh one. */
     private static final Set<String> LIVE = Set.of("discovery", "known", "seed");
 
-    public static Config read(Path file) {
+    /**
+     * Reads the file. The operators' address may also stand in the environment, and that counts: it is this process's
+     * own, while the file may be another process's too.
+     */
+    public static Config read(Path file, String ops) {
+        return read(file).withOps(ops);
+    }
+
+    private Config withOps(String text) {
+        return text == null || text.isEmpty() ? this : new Config(name, listen, discovery, address(text, "GW_OPS"), sockets,
+                settings, keepAlive, classes, tenants, names, known, peers, fixed);
+    }
+
+    static Config read(Path file) {
         String text;
         try {
             text = Files.readString(file, StandardCharsets.UTF_8);
@@ -84,7 +97,8 @@
         root.forEach((field, value) -> fixed.put(String.valueOf(field), value));
         fixed.keySet().removeAll(LIVE);
         return new Config(text(root, "name"), address(text(root, "listen"), "listen"),
-                address(text(root, "discovery"), "discovery"), sockets, settings, keepAlive, reader.names("lanes"),
+                address(text(root, "discovery"), "discovery"),
+                root.get("ops") == null ? null : address(text(root, "ops"), "ops"), sockets, settings, keepAlive, reader.names("lanes"),
                 reader.names("tenants"), names, known, peers(root, settings.me), fixed);
     }
 
--- /dev/null
+++ b/src/main/java/barrowshore/duty/Standing.java
@@ -0,0 +1,48 @@
+package barrowshore.duty;
+
+/**
+ * Where a scheduler stands towards its clients: serving, sent away by the operators, or ending. A pure state machine: it
+ * says what follows from an order, and what clients are told and how their connections go on in each state; it must
+ * never know a clock, a connection or who reads it. {@code turn} counts the changes, so that what was set for later can
+ * tell whether it is still wanted. An end is for good: nothing brings a scheduler back from it.
+ */
+public record Standing(Phase phase, boolean away, boolean lettingGo, int turn) {
+    /** What it is there for now. */
+    public enum Phase { SERVING, AWAY, ENDING }
+
+    public static final Standing SERVING = new Standing(Phase.SERVING, false, false, 0);
+
+    /** The operators send clients away; said again, or while it ends, it changes nothing. */
+    public Standing sendAway() {
+        return phase == Phase.SERVING ? new Standing(Phase.AWAY, true, true, turn + 1) : this;
+    }
+
+    /** The operators want it back at work. */
+    public Standing activate() {
+        return phase == Phase.AWAY ? new Standing(Phase.SERVING, false, false, turn + 1) : this;
+    }
+
+    /** It has been told to end; clients that were sent away go on leaving, others may stay for now. */
+    public Standing end() {
+        return phase == Phase.ENDING ? this : new Standing(Phase.ENDING, away, away, turn + 1);
+    }
+
+    /** While it ends: clients are to leave from now on. */
+    public Standing letGo() {
+        return phase != Phase.ENDING || lettingGo ? this : new Standing(phase, away, true, turn + 1);
+    }
+
+    public boolean ending() {
+        return phase == Phase.ENDING;
+    }
+
+    /** Whether a front that asks may be told yes, as far as this goes; an end by itself has its own time for that. */
+    public boolean welcomes() {
+        return !away;
+    }
+
+    /** Whether each answer is the last on its connection. */
+    public boolean lastAnswers() {
+        return lettingGo;
+    }
+}
--- a/src/main/java/barrowshore/flow/Flow.java
+++ b/src/main/java/barrowshore/flow/Flow.java
@@ -41,6 +41,9 @@
 
         void clientGone(Flow flow);
 
+        /** A job of the class was turned down before it became a flow. */
+        void turnedAway(int jobClass);
+
         /** Answers whether flows can be served. */
         void ready(Consumer<Boolean> asker);
     }
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -8,6 +8,8 @@
 import barrowshore.DispatchApi.Request;
 import barrowshore.DispatchApi.Status;
 import barrowshore.DispatchApi;
+import barrowshore.duty.Figures;
+import barrowshore.duty.Tally;
 import barrowshore.flow.Flow;
 import barrowshore.halls.HallRules;
 import barrowshore.list.ServerList;
@@ -45,6 +47,9 @@
     /** How long a start waits for discovery before the list known from before will do. */
     private static final long LIST_MILLIS = 1000;
 
+    /** How often is counted anew what changes without an event. */
+    private static final long PUBLISH_MILLIS = 100;
+
     private final Clock clock;
     private final Scheduler timers;
     private final Mailbox mailbox;
@@ -56,12 +61,20 @@
     private final Set<String> listed = new HashSet<>();
     /** Ids of flows lately served, oldest first: an id is new with every request, so these are taken too. */
     private final Set<String> served = new LinkedHashSet<>();
-    private final int mostAttempts;
+    private int mostAttempts;
+    private final Tally tally = new Tally();
+    /** Figures as of the last change, for whoever reads them; written here alone. */
+    private volatile Figures figures = Figures.NONE;
+    private boolean publishing;
+    private int openFlows;
+    private int skipped;
+    /** Those listed that want nothing new. */
+    private final Set<String> draining = new HashSet<>();
     private final List<Runnable> whenIdle = new ArrayList<>();
     private boolean told;
     private long lastNow;
 
-    ModuleActor(Clock clock, Executor pool, Scheduler timers, int mostAttempts,
+    ModuleActor(Clock clock, Executor pool, Scheduler timers, List<String> classes, int mostAttempts,
                 Function<String, RealServer> newServer, Consumer<byte[]> tell,
                 Function<DispatchApi.Actions, DispatchApi> newModule) {
         this.clock = clock;
@@ -70,6 +83,7 @@
         this.mostAttempts = mostAttempts;
         this.tell = tell;
         this.mailbox = new Mailbox("the module", pool);
+        tally.classes(classes);
         this.module = newModule.apply(this);
     }
 
@@ -114,6 +128,14 @@
             return open.flow.deadline() - clock.micros();
         }
 
+        @Override
+        public void written() {
+            mailbox.post(() -> {
+                tally.tried();
+                publish();
+            });
+        }
+
         @Override
         public void noted(Note note, double share) {
             mailbox.post(() -> {
@@ -136,7 +158,10 @@
             guarded(null, () -> module.start(now()));
             list(known, ListKind.INITIAL);
             // Discovery may be down at a restart: what was known then has to do.
-            timers.schedule(() -> mailbox.post(() -> told |= !listed.isEmpty()), LIST_MILLIS, TimeUnit.MILLISECONDS);
+            timers.schedule(() -> mailbox.post(() -> {
+                told |= !listed.isEmpty();
+                publish();
+            }), LIST_MILLIS, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -144,6 +169,7 @@
         mailbox.post(() -> {
             list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
             told = true;
+            publish();
         });
     }
 
@@ -162,6 +188,48 @@
         mailbox.post(() -> guarded(null, () -> module.peer(now(), from, message)));
     }
 
+    /** The figures as of the last change; may be asked from anywhere. */
+    Figures figures() {
+        return figures;
+    }
+
+    /** A changed file was taken over, or turned down. */
+    void loaded(boolean taken) {
+        mailbox.post(() -> {
+            tally.loaded(taken);
+            publish();
+        });
+    }
+
+    @Override
+    public void turnedAway(int jobClass) {
+        mailbox.post(() -> {
+            tally.ended(jobClass, Tally.End.DROPPED);
+            publish();
+        });
+    }
+
+    /** From now on figures are published after each change; until then nobody reads them. */
+    void startPublishing() {
+        mailbox.post(() -> {
+            publishing = true;
+            republish();
+        });
+    }
+
+    private void publish() {
+        if (publishing) {
+            figures = tally.figures(told, openFlows, listed.size(), skipped);
+        }
+    }
+
+    /** What ages without an event, as which real servers are avoided, is looked at now and then. */
+    private void republish() {
+        guarded(null, () -> skipped = draining.size() + module.avoided(now()));
+        publish();
+        timers.schedule(() -> mailbox.post(this::republish), PUBLISH_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Answers whether the list has come and the tables are built. */
     @Override
     public void ready(Consumer<Boolean> asker) {
@@ -185,6 +253,8 @@
             }
             OpenFlow open = new OpenFlow(flow, client);
             flows.put(flow.id(), open);
+            openFlows++;
+            publish();
             long now = now();
             open.timer = timers.schedule(() -> mailbox.post(() -> expire(open)), flow.deadline() - now,
                     TimeUnit.MICROSECONDS);
@@ -232,7 +302,13 @@
             } else {
                 listed.add(e.uid());
             }
+            if (e.state() == ServerList.State.TERMINATING) {
+                draining.add(e.uid());
+            } else {
+                draining.remove(e.uid());
+            }
         });
+        draining.retainAll(listed);
         guarded(null, () -> module.list(now(), kind, members));
     }
 
@@ -300,11 +376,15 @@
 
     private void close(OpenFlow open) {
         open.answered = true;
+        openFlows--;
         open.timer.cancel();
+        publish();
     }
 
     private void answer(OpenFlow open, Flow.Answer answer) {
         if (!open.answered) {
+            tally.ended(open.flow.jobClass(), answer instanceof Flow.Served ? Tally.End.PASSED
+                    : answer instanceof Flow.TurnDown ? Tally.End.DROPPED : Tally.End.BAD_GATEWAY);
             close(open);
             open.client.answer(answer);
         }
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -5,12 +5,15 @@
 import barrowshore.client.ClientSide;
 import barrowshore.config.Config;
 import barrowshore.config.ConfigException;
+import barrowshore.duty.Figures;
+import barrowshore.duty.Standing;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
 import barrowshore.net.Mailbox;
 import barrowshore.operator.Operator;
+import barrowshore.ops.OpsDoor;
 import barrowshore.operator.Setup;
 import barrowshore.peer.PeerSide;
 import barrowshore.servers.RealServer;
@@ -31,6 +34,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -75,6 +79,10 @@
     private final PeerSide peers;
     private final Dialer dialer;
     private final ServerSocketChannel server;
+    /** The operators' door; null: none. */
+    private final OpsDoor ops;
+    /** Where we stand towards clients: set by orders from outside, read by the connections. */
+    private final AtomicReference<Standing> standing = new AtomicReference<>(Standing.SERVING);
     /** What is read again runs here, one file after the other. */
     private final Mailbox configuration = new Mailbox("the configuration", pool);
     private final Config config;
@@ -91,14 +99,14 @@
         this.rules = setup.rules();
         this.servers = setup.operator().servers();
         this.timers = timers;
-        int usable = config.sockets() - RESERVED;
+        int usable = config.sockets() - RESERVED - (config.ops() == null ? 0 : OpsDoor.DESCRIPTORS);
         int outgoing = (int) (usable * OUTGOING);
         dialer = new Dialer(pool, timers, outgoing, usable - outgoing, config.settings().connectTimeout / 1000,
                 this::accepted);
-        module = new ModuleActor(clock, pool, timers, config.settings().maxAttempts,
+        module = new ModuleActor(clock, pool, timers, config.classes(), config.settings().maxAttempts,
                 uid -> new RealServer(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
                 this::tell, newModule);
-        clients = new ClientSide(config, clock, pool, timers, module, (int) ((usable - outgoing) * 0.9));
+        clients = new ClientSide(config, clock, pool, timers, module, standing::get, (int) ((usable - outgoing) * 0.9));
         keeper = setup.operator().servers() == null ? null : new ListKeeper(setup.operator().servers(), config.names(),
                 clock, pool, timers, module::update);
         entry = new ServiceEntry(config.discovery(), config.names(), pool, dialer, timers,
@@ -107,8 +115,14 @@
         dialer.start();
         module.start(config.known());
         entry.open();
-        server = listen(config.listen());
+        server = listen(config.listen(), "listen");
         dialer.listen(server);
+        if (config.ops() == null) {
+            ops = null;
+        } else {
+            module.startPublishing();
+            ops = new OpsDoor(listen(config.ops(), "ops"), timers, new Door());
+        }
         LOG.log(Level.INFO, config.summary() + (rules == null && servers == null ? "" : "; " + setup.operator().summary()));
         if (!config.known().unknown().isEmpty()) {
             LOG.log(Level.WARNING, "known real servers of an unknown model, left out: {0}",
@@ -126,14 +140,54 @@
         }
     }
 
-    private static ServerSocketChannel listen(InetSocketAddress address) throws IOException {
+    /** What operators may ask of it; all of it published values, so that no call waits for an actor. */
+    private final class Door implements OpsDoor.Desk {
+        @Override
+        public boolean ready() {
+            return module.figures().ready() && !standing.get().ending();
+        }
+
+        @Override
+        public Figures figures() {
+            return module.figures();
+        }
+
+        @Override
+        public boolean sendAway() {
+            Standing now = standing.updateAndGet(Standing::sendAway);
+            if (!now.ending()) {
+                LOG.log(Level.INFO, "operators send clients away");
+                timers.schedule(() -> closeIdle(now, true), SETTLE, TimeUnit.MILLISECONDS);
+            }
+            return !now.ending();
+        }
+
+        @Override
+        public boolean activate() {
+            Standing now = standing.updateAndGet(Standing::activate);
+            if (!now.ending()) {
+                LOG.log(Level.INFO, "operators want clients back");
+            }
+            return !now.ending();
+        }
+    }
+
+    /** Again and again while clients are to leave: an answer may have been on its way as they were sent. */
+    private void closeIdle(Standing since, boolean first) {
+        if (standing.get().turn() == since.turn()) {
+            clients.closeIdle(first);
+            timers.schedule(() -> closeIdle(since, false), SETTLE, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static ServerSocketChannel listen(InetSocketAddress address, String field) throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             return server.bind(address, 512);
         } catch (IOException | RuntimeException e) {
             server.close();
-            throw new ConfigException("listen: cannot listen on " + address + ": " + e.getMessage());
+            throw new ConfigException(field + ": cannot listen on " + address + ": " + e.getMessage());
         }
     }
 
@@ -193,6 +247,14 @@
                     + "X-Priority-Class: " + name + "\r\nX-Timeout-Ms: 400\r\nContent-Length: 1\r\n"
                     + "Connection: close\r\n\r\nx").getBytes(StandardCharsets.ISO_8859_1));
             client.getInputStream().readAllBytes();
+            for (String call : node.ops == null ? new String[0]
+                    : new String[] {"POST /v1/scheduler/drain", "POST /v1/scheduler/activate", "GET /v1/metrics"}) {
+                try (Socket operator = new Socket(config.ops().getAddress(), node.operators().getPort())) {
+                    operator.getOutputStream().write((call + " HTTP/1.1\r\nHost: x\r\n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
+                    operator.getInputStream().readAllBytes();
+                }
+            }
         } finally {
             node.stop();
         }
@@ -233,12 +295,14 @@
                     LOG.log(Level.WARNING, "operators' settings: servers changed, but is taken over only at a start");
                 }
                 entry.move(read.discovery());
+                module.loaded(true);
                 if (!Objects.equals(rules, setup.rules())) {
                     rules = setup.rules();
                     module.rules(rules);
                     LOG.log(Level.INFO, "operators' settings read again: {0}", setup.operator().summary());
                 }
             } catch (ConfigException e) {
+                module.loaded(false);
                 LOG.log(Level.WARNING, "configuration not taken over: {0}", e.getMessage());
             }
         });
@@ -247,13 +311,15 @@
     /** Begins the end: all is answered and the clients are gone once the latch is down. */
     CountDownLatch drain() {
         CountDownLatch ended = new CountDownLatch(3);
+        standing.updateAndGet(Standing::end);
         long deadline = Arrays.stream(config.settings().classes).mapToLong(c -> c.deadline() / 1000).max().orElse(0);
         long grace = Math.min(LONGEST_GRACE, deadline) + MORE_GRACE;
         clients.endsIn(grace - LAST_WORD);
         // Guards clients against a gap: schedulers restarted one after the other were once all closed to new
         // connections for 2 s. So the first one's clients go to the others in time, and the last one's stay.
         Consumer<Boolean> release = othersServe -> timers.schedule(() -> {
-            clients.drain(ended::countDown);
+            closeIdle(standing.updateAndGet(Standing::letGo), true);
+            clients.whenEmpty(ended::countDown);
             module.whenIdle(ended::countDown);
         }, othersServe ? SETTLE : Math.max(SETTLE, grace - USUAL_JOB), TimeUnit.MILLISECONDS);
         if (peers == null) {
@@ -270,9 +336,17 @@
         return (InetSocketAddress) server.getLocalAddress();
     }
 
+    /** Where it listens to operators. */
+    InetSocketAddress operators() throws IOException {
+        return ops.address();
+    }
+
     /** Stops at once; what is open is lost. */
     public void stop() throws IOException {
         server.close();
+        if (ops != null) {
+            ops.stop();
+        }
         if (keeper != null) {
             keeper.stop();
         }
--- a/src/main/java/barrowshore/servers/RealServer.java
+++ b/src/main/java/barrowshore/servers/RealServer.java
@@ -57,6 +57,9 @@
         /** How long the scheduler will wait, in microseconds from now; at most 0: no longer wanted. */
         long left();
 
+        /** Its last byte has been written; called by the writer, so it may only post. */
+        void written();
+
         void noted(Note note, double share);
 
         void ended(Status status, Load load, byte[] result);
@@ -315,7 +318,10 @@
             fields.add("X-Request-ID", flow.id());
             fields.add("X-Timeout-Ms", String.valueOf(Math.max(1, scheduling.left() / 1000)));
             write(new MetaData.Request(flow.method(), HttpURI.from(flow.target()), HttpVersion.HTTP_1_1, fields,
-                    flow.body().length), flow.body(), () -> next.written = true);
+                    flow.body().length), flow.body(), () -> {
+                        next.written = true;
+                        scheduling.written();
+                    });
         }
 
         @Override
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -40,7 +40,8 @@
  * Plays recorded byte exchanges against a whole scheduler on loopback sockets. Each file under {@code exchanges} is a
  * script of blocks: a line {@code == WHO DOES}, then the bytes, whose lines end in CR LF unless a backslash ends them;
  * {@code @NAME ARGUMENTS} behind it stands for the bytes in {@code messages/NAME}. C1, C2.. are clients, S1, S2.. the
- * connections that the one real server accepts, in order, D1, D2.. discovery's, E1, E2.. those of a second discovery. Time stands still but for
+ * connections that the one real server accepts, in order, D1, D2.. discovery's, E1, E2.. those of a second discovery, O1,
+ * O2.. operators; {@code == figures} reads the door's figures until they hold the lines given. Time stands still but for
  * {@code == time MILLIS} and the steps that move it on until something comes; nothing here waits for a clock.
  */
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -177,6 +178,7 @@
                         assertThat(message(idle.getInputStream())).startsWith("HTTP/1.1 200");
                     }
                 }
+                case "figures" -> untilFigures(text.strip().split("\n"));
                 case "term" -> draining = node.drain();
                 case "gone" -> {
                     while (!draining.await(1, TimeUnit.MILLISECONDS)) {
@@ -221,9 +223,7 @@
                 case "sends" -> send(peer, bytes);
                 case "is-rejected" -> {
                     send(peer, bytes);
-                    assertThat(message(peer.getInputStream())).as(who).startsWith("HTTP/1.1 " + status + " ")
-                            .contains("Connection: close");
-                    assertThat(atEnd(peer)).as(who + " ends").isTrue();
+                    act(who, "ends-in-answer", status, "", "");
                 }
                 case "chunks" -> {
                     for (String line : text.strip().split("\n")) {
@@ -231,6 +231,11 @@
                     }
                 }
                 case "lists" -> list(who, text.strip());
+                case "ends-in-answer" -> {
+                    assertThat(message(peer.getInputStream())).as(who).startsWith("HTTP/1.1 " + status + " ")
+                            .contains("Connection: close");
+                    assertThat(atEnd(peer)).as(who + " ends").isTrue();
+                }
                 case "gets" -> assertThat(message(peer.getInputStream())).as(who + " gets").isEqualTo(bytes);
                 case "ends" -> assertThat(atEnd(peer)).as(who + " ends").isTrue();
                 case "closes" -> peer.close();
@@ -267,6 +272,7 @@
             Socket known = peers.get(name);
             if (known == null) {
                 known = switch (name.charAt(0)) {
+                    case 'O' -> new Socket(LOOPBACK, node.operators().getPort());
                     case 'C' -> new Socket(LOOPBACK, node.address().getPort());
                     case 'S' -> servers.accept();
                     case 'D' -> inTime ? acceptInTime() : discovery.accept();
@@ -320,6 +326,18 @@
             }
         }
 
+        /** Published by their owner when it comes to it, so they are read until they are there. */
+        private void untilFigures(String[] lines) throws IOException {
+            List<String> got = List.of();
+            for (int k = 0; k < 20_000 && !got.containsAll(List.of(lines)); k++) {
+                try (Socket asker = new Socket(LOOPBACK, node.operators().getPort())) {
+                    send(asker, "GET /v1/metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+                    got = List.of(message(asker.getInputStream()).split("\r?\n"));
+                }
+            }
+            assertThat(got).contains(lines);
+        }
+
         private static void send(Socket to, String bytes) throws IOException {
             to.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
             to.getOutputStream().flush();
