Let a new version serve beside the old one, which leaves it the door without a loss

Ruled out: TMPDIR, memory (62 of 208 MB), the start's length (0.9 s). Changed: both addresses are shared (SO_REUSEPORT) where operators have a door; a process that finds another behind the socket in TMPDIR listens to clients only once it could serve. On SIGTERM the one before takes its listener from the selector, accepts until there is none and closes it, lets clients go at once, is silent to peers, and gives all that is open an answer before the kill. Scripts seen to hang without the listener's end.

--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -88,6 +88,8 @@
         public long fall = 1_000_000;
         /** Points of the result for each attempt that crosses zones. */
         public double crossZoneCharge;
+        /** The part of what is due to one dispatcher that this one may use. */
+        public double share = 1;
         /** The operators' rules on halls, which are the zones; null: halls are not told apart but by that charge. */
         public HallRules halls;
 
@@ -168,6 +170,12 @@
         return 0;
     }
 
+    /**
+     * Two processes may act as one dispatcher for a while: the part of what is due to it that this one may use, where
+     * all dispatchers together are bound, as with cold workers.
+     */
+    default void share(double part) { }
+
     /** How many ready workers it sends nothing to just now, whatever the job. */
     default int avoided(long now) {
         return 0;
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -430,6 +430,8 @@
 
     @Override public List<HallState> halls() { return halls.gate.states(); }
 
+    @Override public void share(double part) { set.share = part; }
+
     @Override public int avoided(long now) {
         return (int) Arrays.stream(roster.ready).filter(w -> w.aside(now) || !halls.open(w)).count();
     }
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -104,7 +104,7 @@
             return false;
         }
         if (nextCold == 0 || now - nextCold > LAPSE * set.fall) {
-            double gap = set.fall * set.dispatchers * (1 + LAPSE) / mean;
+            double gap = set.fall * set.dispatchers * (1 + LAPSE) / mean / set.share;
             nextCold = now + 1 + (long) (-Math.log(1 - rng.next()) * gap);
         }
         return now >= nextCold;
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -85,7 +85,7 @@
     private final List<String> classes;
     private final List<String> tenants;
     private final DispatchApi.JobClass[] effects;
-    private final int most;
+    private int most;
     private final Mailbox mailbox;
     private final Set<ClientLink> links = new HashSet<>();
     /** Those to close when there are too many, each oldest first: ended but for the peer, without a flow yet, idle. */
@@ -132,6 +132,14 @@
         mailbox.post(() -> links.forEach(link -> link.leave(all)));
     }
 
+    /** So many connections are let be from now on; above it those go that nobody will miss. */
+    public void most(int now) {
+        mailbox.post(() -> {
+            most = now;
+            for (int over = links.size() - most; over > 0 && makeRoom(); over--) { }
+        });
+    }
+
     /** The message runs once no connection is left. */
     public void whenEmpty(Runnable message) {
         mailbox.post(() -> {
--- a/src/main/java/barrowshore/net/Dialer.java
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -9,6 +9,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -34,15 +35,19 @@
         void failed(Throwable cause);
     }
 
-    private final Semaphore budget;
-    private final Semaphore clients;
+    /** How often, and how many milliseconds apart, is looked whether those that wait for a descriptor can be taken in. */
+    private static final int MOST_SWEEPS = 100;
+    private static final long SWEEP_MILLIS = 10;
+
+    private final Budget budget;
+    private final Budget clients;
     private final Function<EndPoint, Connection> accepted;
 
     public Dialer(Executor pool, Scheduler scheduler, int outgoing, int clients, long connectMillis,
            Function<EndPoint, Connection> accepted) {
         super(pool, scheduler, 1);
-        this.budget = new Semaphore(outgoing);
-        this.clients = new Semaphore(clients);
+        this.budget = new Budget(outgoing);
+        this.clients = new Budget(clients);
         this.accepted = accepted;
         setConnectTimeout(connectMillis);
     }
@@ -76,6 +81,61 @@
         acceptor(server);
     }
 
+    /**
+     * Stops listening without a loss: a connection that waits in the queue of a socket that is closed is reset. So the
+     * socket is taken from the selector first, since one that a selector still knows is closed only later; then, in one
+     * go, all that wait are taken in and it is closed.
+     */
+    public void endListening(ServerSocketChannel server) {
+        ManagedSelector selector = getBean(ManagedSelector.class);
+        selector.submit(keys -> {
+            SelectionKey key = server.keyFor(keys);
+            if (key != null) {
+                key.cancel();
+            }
+            selector.submit(again -> sweep(selector, server, MOST_SWEEPS));
+        });
+    }
+
+    private void sweep(ManagedSelector selector, ServerSocketChannel server, int left) {
+        try {
+            for (SelectableChannel next = doAccept(server); next != null; next = doAccept(server)) {
+                accepted(next);
+            }
+            if (left > 0 && (server.isRegistered() || clients.availablePermits() <= 0)) {
+                getScheduler().schedule(() -> selector.submit(again -> sweep(selector, server, left - 1)), SWEEP_MILLIS,
+                        TimeUnit.MILLISECONDS);
+            } else {
+                server.close();
+            }
+        } catch (IOException e) {
+            IO.close(server);
+        }
+    }
+
+    /** So many descriptors more; less than 0: fewer, those in use as they are given back. */
+    public void grow(int outgoing, int more) {
+        budget.grow(outgoing);
+        clients.grow(more);
+    }
+
+    /** Permits that may become fewer while all are given out. */
+    private static final class Budget extends Semaphore {
+        private static final long serialVersionUID = 1;
+
+        Budget(int permits) {
+            super(permits);
+        }
+
+        void grow(int more) {
+            if (more < 0) {
+                reducePermits(-more);
+            } else {
+                release(more);
+            }
+        }
+    }
+
     /**
      * Guards the descriptors: 1,200 idle connections in a burst once used them all up before the client side had closed
      * any, and nothing could be dialed. Above the clients' part the rest wait in the backlog until one has ended.
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -70,6 +70,7 @@
     private int skipped;
     /** Those listed that want nothing new. */
     private final Set<String> draining = new HashSet<>();
+    private final List<Runnable> whenReady = new ArrayList<>();
     private final List<Runnable> whenIdle = new ArrayList<>();
     private boolean told;
     private long lastNow;
@@ -160,7 +161,7 @@
             // Discovery may be down at a restart: what was known then has to do.
             timers.schedule(() -> mailbox.post(() -> {
                 told |= !listed.isEmpty();
-                publish();
+                tellIfReady();
             }), LIST_MILLIS, TimeUnit.MILLISECONDS);
         });
     }
@@ -169,7 +170,7 @@
         mailbox.post(() -> {
             list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
             told = true;
-            publish();
+            tellIfReady();
         });
     }
 
@@ -178,6 +179,11 @@
         mailbox.post(() -> guarded(null, () -> module.rules(now(), rules)));
     }
 
+    /** Which part of what is due to this scheduler is this process's. */
+    void share(double part) {
+        mailbox.post(() -> guarded(null, () -> module.share(part)));
+    }
+
     /** Shows the module to one who only looks. */
     void look(Consumer<DispatchApi> looker) {
         mailbox.post(() -> looker.accept(module));
@@ -236,6 +242,28 @@
         mailbox.post(() -> asker.accept(told));
     }
 
+    /** Runs the message once flows can be served. */
+    void whenReady(Runnable message) {
+        mailbox.post(() -> {
+            whenReady.add(message);
+            tellIfReady();
+        });
+    }
+
+    private void tellIfReady() {
+        if (told) {
+            whenReady.forEach(Runnable::run);
+            whenReady.clear();
+        }
+        publish();
+    }
+
+    /** Answers every open flow that is not answered by so many milliseconds from now: the process ends after that. */
+    void endsIn(long millis) {
+        timers.schedule(() -> mailbox.post(() -> List.copyOf(flows.values()).forEach(this::expire)), millis,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Runs the message once no flow is open. */
     void whenIdle(Runnable message) {
         mailbox.post(() -> {
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -26,11 +26,13 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -78,7 +80,17 @@
     private final ListKeeper keeper;
     private final PeerSide peers;
     private final Dialer dialer;
-    private final ServerSocketChannel server;
+    /** Where clients are heard; a process that follows another opens it only when it can serve. */
+    private volatile ServerSocketChannel server;
+    private final CompletableFuture<Void> open = new CompletableFuture<>();
+    /** The other process of an upgrade; null: there can be none. */
+    private final Succession succession;
+    /** Whether a process after us serves. */
+    private volatile boolean followed;
+    /** Descriptors that go to real servers, and to clients, while there is one process; and a part of them, if two. */
+    private final int outgoing;
+    private final int incoming;
+    private boolean halved;
     /** The operators' door; null: none. */
     private final OpsDoor ops;
     /** Where we stand towards clients: set by orders from outside, read by the connections. */
@@ -92,7 +104,7 @@
     private HallRules rules;
 
     /** Starts a scheduler; the timers are started by the caller and stopped with the node. */
-    Node(Setup setup, Clock clock, Scheduler timers, Function<DispatchApi.Actions, DispatchApi> newModule)
+    Node(Setup setup, Clock clock, Scheduler timers, Path twin, Function<DispatchApi.Actions, DispatchApi> newModule)
             throws Exception {
         Config config = setup.config();
         this.config = config;
@@ -100,28 +112,40 @@
         this.servers = setup.operator().servers();
         this.timers = timers;
         int usable = config.sockets() - RESERVED - (config.ops() == null ? 0 : OpsDoor.DESCRIPTORS);
-        int outgoing = (int) (usable * OUTGOING);
-        dialer = new Dialer(pool, timers, outgoing, usable - outgoing, config.settings().connectTimeout / 1000,
+        outgoing = (int) (usable * OUTGOING);
+        incoming = usable - outgoing;
+        dialer = new Dialer(pool, timers, outgoing, incoming, config.settings().connectTimeout / 1000,
                 this::accepted);
         module = new ModuleActor(clock, pool, timers, config.classes(), config.settings().maxAttempts,
                 uid -> new RealServer(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
                 this::tell, newModule);
-        clients = new ClientSide(config, clock, pool, timers, module, standing::get, (int) ((usable - outgoing) * 0.9));
+        clients = new ClientSide(config, clock, pool, timers, module, standing::get, mostClients(incoming));
         keeper = setup.operator().servers() == null ? null : new ListKeeper(setup.operator().servers(), config.names(),
                 clock, pool, timers, module::update);
         entry = new ServiceEntry(config.discovery(), config.names(), pool, dialer, timers,
                 keeper == null ? module::update : keeper::discovered);
-        peers = config.peers() == null ? null : new PeerSide(config.peers(), pool, clock, module::peer);
+        peers = config.peers() == null ? null : new PeerSide(config.peers(), config.ops() != null, pool, clock, module::peer);
         dialer.start();
         module.start(config.known());
         entry.open();
-        server = listen(config.listen(), "listen");
-        dialer.listen(server);
+        succession = twin == null ? null : new Succession(twin, pool, new Host());
+        if (succession != null && succession.follows()) {
+            shared(true);
+            if (peers != null) {
+                peers.quiet(true);
+            }
+            module.whenReady(this::openToClients);
+        } else {
+            listenToClients();
+        }
+        if (succession != null) {
+            succession.start();
+        }
         if (config.ops() == null) {
             ops = null;
         } else {
             module.startPublishing();
-            ops = new OpsDoor(listen(config.ops(), "ops"), timers, new Door());
+            ops = new OpsDoor(listen(config.ops(), "ops", false), timers, new Door());
         }
         LOG.log(Level.INFO, config.summary() + (rules == null && servers == null ? "" : "; " + setup.operator().summary()));
         if (!config.known().unknown().isEmpty()) {
@@ -140,11 +164,88 @@
         }
     }
 
+    private void listenToClients() throws IOException {
+        server = listen(config.listen(), "listen", succession != null);
+        dialer.listen(server);
+        open.complete(null);
+    }
+
+    /** From now on new clients come to us as well as to the process before us, until that one ends. */
+    private void openToClients() {
+        try {
+            listenToClients();
+            if (peers != null) {
+                peers.quiet(false);
+            }
+            succession.serving();
+        } catch (IOException | RuntimeException e) {
+            open.completeExceptionally(e);
+        }
+    }
+
+    private static int mostClients(int descriptors) {
+        return (int) (descriptors * 0.9);
+    }
+
+    /** What the scheduler has is for one process, or for two. */
+    private void shared(boolean two) {
+        if (two != halved) {
+            halved = two;
+            int sign = two ? -1 : 1, lessOut = outgoing - outgoing * 2 / 5, lessIn = incoming - incoming * 2 / 5;
+            dialer.grow(sign * lessOut, sign * lessIn);
+            clients.most(mostClients(two ? incoming - lessIn : incoming));
+            module.share(two ? 0.5 : 1);
+        }
+    }
+
+    /** What the other process of an upgrade moves here. */
+    private final class Host implements Succession.Host {
+        @Override
+        public Standing standing() {
+            return standing.get();
+        }
+
+        @Override
+        public void follow(boolean away) {
+            Node.this.away(away);
+        }
+
+        @Override
+        public void shared(boolean two) {
+            Node.this.shared(two);
+        }
+
+        @Override
+        public void followed(boolean serving) {
+            followed = serving;
+        }
+    }
+
+    /** The operators' order, by whatever way it came; false: we are ending. */
+    private boolean away(boolean away) {
+        Standing now = standing.updateAndGet(away ? Standing::sendAway : Standing::activate);
+        if (!now.ending()) {
+            LOG.log(Level.INFO, away ? "operators send clients away" : "operators want clients back");
+            if (away) {
+                timers.schedule(() -> closeIdle(now, true), SETTLE, TimeUnit.MILLISECONDS);
+            }
+        }
+        return !now.ending();
+    }
+
+    private boolean ordered(boolean away) {
+        boolean done = away(away);
+        if (done && succession != null) {
+            succession.ordered(away);
+        }
+        return done;
+    }
+
     /** What operators may ask of it; all of it published values, so that no call waits for an actor. */
     private final class Door implements OpsDoor.Desk {
         @Override
         public boolean ready() {
-            return module.figures().ready() && !standing.get().ending();
+            return module.figures().ready() && open.isDone() && !standing.get().ending();
         }
 
         @Override
@@ -154,21 +255,12 @@
 
         @Override
         public boolean sendAway() {
-            Standing now = standing.updateAndGet(Standing::sendAway);
-            if (!now.ending()) {
-                LOG.log(Level.INFO, "operators send clients away");
-                timers.schedule(() -> closeIdle(now, true), SETTLE, TimeUnit.MILLISECONDS);
-            }
-            return !now.ending();
+            return ordered(true);
         }
 
         @Override
         public boolean activate() {
-            Standing now = standing.updateAndGet(Standing::activate);
-            if (!now.ending()) {
-                LOG.log(Level.INFO, "operators want clients back");
-            }
-            return !now.ending();
+            return ordered(false);
         }
     }
 
@@ -180,10 +272,11 @@
         }
     }
 
-    private static ServerSocketChannel listen(InetSocketAddress address, String field) throws IOException {
+    private static ServerSocketChannel listen(InetSocketAddress address, String field, boolean shared) throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            server.setOption(StandardSocketOptions.SO_REUSEPORT, shared);
             return server.bind(address, 512);
         } catch (IOException | RuntimeException e) {
             server.close();
@@ -200,7 +293,10 @@
         Config config = setup.config();
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
-        Node node = new Node(setup, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
+        String folder = System.getenv("TMPDIR");
+        Node node = new Node(setup, Clock.system(), timers, config.ops() == null || folder == null || folder.isEmpty()
+                ? null : Path.of(folder, "barrowshore-" + config.name() + ".sock"),
+                actions -> new Dispatcher(config.settings(), actions));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.drain().await();
@@ -210,6 +306,11 @@
             Runtime.getRuntime().halt(0);
         }, "drain"));
         started.complete(node);
+        try {
+            node.open.get();
+        } catch (ExecutionException e) {
+            throw e.getCause() instanceof Exception cause ? cause : e;
+        }
         new CountDownLatch(1).await();
     }
 
@@ -217,7 +318,7 @@
     public static Node start(Setup setup) throws Exception {
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
-        return new Node(setup, Clock.system(), timers, actions -> new Dispatcher(setup.config().settings(), actions));
+        return new Node(setup, Clock.system(), timers, null, actions -> new Dispatcher(setup.config().settings(), actions));
     }
 
     /** Where each hall stands with it, by number; empty where halls are off. */
@@ -240,7 +341,7 @@
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
         onHangUp(() -> { });
-        Node node = new Node(setup, Clock.system(), timers, actions -> new Dispatcher(config.settings(), actions));
+        Node node = new Node(setup, Clock.system(), timers, null, actions -> new Dispatcher(config.settings(), actions));
         try (Socket client = new Socket(config.listen().getAddress(), node.address().getPort())) {
             String name = config.classes().get(0);
             client.getOutputStream().write(("POST /" + name + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\n"
@@ -315,6 +416,7 @@
         long deadline = Arrays.stream(config.settings().classes).mapToLong(c -> c.deadline() / 1000).max().orElse(0);
         long grace = Math.min(LONGEST_GRACE, deadline) + MORE_GRACE;
         clients.endsIn(grace - LAST_WORD);
+        module.endsIn(grace - LAST_WORD);
         // Guards clients against a gap: schedulers restarted one after the other were once all closed to new
         // connections for 2 s. So the first one's clients go to the others in time, and the last one's stay.
         Consumer<Boolean> release = othersServe -> timers.schedule(() -> {
@@ -322,7 +424,15 @@
             clients.whenEmpty(ended::countDown);
             module.whenIdle(ended::countDown);
         }, othersServe ? SETTLE : Math.max(SETTLE, grace - USUAL_JOB), TimeUnit.MILLISECONDS);
-        if (peers == null) {
+        if (followed) {
+            // The process after us has our clients and speaks to our peers; what we have taken is ours to answer.
+            dialer.endListening(server);
+            if (peers != null) {
+                peers.stopHearing();
+            }
+            standing.updateAndGet(Standing::letGo);
+            release.accept(true);
+        } else if (peers == null) {
             release.accept(false);
         } else {
             peers.ending(release);
@@ -341,9 +451,24 @@
         return ops.address();
     }
 
+    /** Whether a process after this one serves. */
+    boolean isFollowed() {
+        return followed;
+    }
+
+    /** Whether new clients may come to this process. */
+    boolean listens() {
+        return server != null && server.isOpen();
+    }
+
     /** Stops at once; what is open is lost. */
     public void stop() throws IOException {
-        server.close();
+        if (server != null) {
+            server.close();
+        }
+        if (succession != null) {
+            succession.stop();
+        }
         if (ops != null) {
             ops.stop();
         }
--- /dev/null
+++ b/src/main/java/barrowshore/node/Succession.java
@@ -0,0 +1,101 @@
+package barrowshore.node;
+
+import barrowshore.duty.Standing;
+import barrowshore.upgrade.Twin;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+import java.util.concurrent.Executor;
+
+/**
+ * What two processes of one scheduler owe each other while both are there: who speaks to clients and peers, what each
+ * may use of what the scheduler has, and what the later one is told. It owns the twin's link and nothing else; all of it
+ * runs in the twin's mailbox. It must never make a process wait for the other.
+ */
+final class Succession implements Twin.Listener {
+    private static final System.Logger LOG = System.getLogger(Succession.class.getName());
+    private static final String AWAY = "away", BACK = "back", SERVING = "serving";
+
+    /** What it moves in its own process. */
+    interface Host {
+        Standing standing();
+
+        /** The operators' order came by the other process. */
+        void follow(boolean away);
+
+        /** Whether there are two processes that share what the scheduler has. */
+        void shared(boolean two);
+
+        /** Whether the process after us serves. */
+        void followed(boolean serving);
+    }
+
+    private final Host host;
+    private final Twin twin;
+    private boolean beforeThere;
+    private boolean afterThere;
+
+    Succession(Path file, Executor pool, Host host) {
+        this.host = host;
+        this.twin = new Twin(file, pool, this);
+        this.beforeThere = twin.found();
+    }
+
+    /** Whether this process follows another that is still there. */
+    boolean follows() {
+        return twin.found();
+    }
+
+    void start() {
+        twin.start();
+    }
+
+    /** We listen to clients from now on. */
+    void serving() {
+        twin.tell(true, SERVING);
+    }
+
+    /** The operators' order came by us. */
+    void ordered(boolean away) {
+        twin.tell(true, away ? AWAY : BACK);
+        twin.tell(false, away ? AWAY : BACK);
+    }
+
+    @Override
+    public void joined() {
+        LOG.log(Level.INFO, "a new version has come up beside this one");
+        afterThere = true;
+        host.shared(true);
+        if (!host.standing().welcomes()) {
+            twin.tell(false, AWAY);
+        }
+    }
+
+    @Override
+    public void told(boolean before, String line) {
+        switch (line.split(" ", 2)[0]) {
+            case AWAY -> host.follow(true);
+            case BACK -> host.follow(false);
+            case SERVING -> {
+                if (!before) {
+                    host.followed(true);
+                }
+            }
+            default -> { }   // a later version may say more
+        }
+    }
+
+    @Override
+    public void left(boolean before) {
+        LOG.log(Level.INFO, before ? "the version before this one has ended" : "the new version beside this one has ended");
+        beforeThere &= !before;
+        afterThere &= before;
+        host.shared(beforeThere || afterThere);
+        if (!before) {
+            host.followed(false);
+        }
+    }
+
+    void stop() {
+        twin.stop();
+    }
+}
--- a/src/main/java/barrowshore/peer/PeerSide.java
+++ b/src/main/java/barrowshore/peer/PeerSide.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
@@ -43,13 +44,21 @@
     private final Map<Integer, Long> heardAt = new HashMap<>();
     private final Map<Integer, Long> endingAt = new HashMap<>();
 
-    public PeerSide(Config.Peering addresses, Executor pool, Clock clock, BiConsumer<Integer, byte[]> listener) throws IOException {
+    /** What we tell nobody, because another process speaks for us: one not yet in service, or one that has been followed. */
+    private boolean quiet;
+
+    /** Hears and speaks at the address; shared: another process of ours may be there too. */
+    public PeerSide(Config.Peering addresses, boolean shared, Executor pool, Clock clock,
+            BiConsumer<Integer, byte[]> listener) throws IOException {
         this.addresses = addresses;
         this.clock = clock;
         this.listener = listener;
         this.mailbox = new Mailbox("the peers", pool);
         this.channel = DatagramChannel.open();
         try {
+            if (shared) {
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
             channel.bind(addresses.listen());
         } catch (IOException | RuntimeException e) {
             channel.close();
@@ -67,6 +76,9 @@
             return;
         }
         mailbox.post(() -> {
+            if (quiet) {
+                return;
+            }
             try {
                 channel.send(ByteBuffer.wrap(message), addresses.all());
             } catch (IOException e) {
@@ -75,6 +87,11 @@
         });
     }
 
+    /** Whether another process speaks for us: two at once would take back one another's figures. */
+    public void quiet(boolean now) {
+        mailbox.post(() -> quiet = now);
+    }
+
     /** Tells the others that we are ending, and the asker whether one of them can take our clients. */
     public void ending(Consumer<Boolean> othersServe) {
         for (int k = 0; k < TOLD; k++) {
@@ -117,6 +134,18 @@
         }
     }
 
+    /** Another process of ours hears them from now on, and speaks for us. */
+    public void stopHearing() {
+        quiet(true);
+        mailbox.post(() -> {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                LOG.log(Level.DEBUG, "a close failed", e);
+            }
+        });
+    }
+
     public void stop() throws IOException {
         channel.close();
     }
--- /dev/null
+++ b/src/main/java/barrowshore/upgrade/Twin.java
@@ -0,0 +1,186 @@
+package barrowshore.upgrade;
+
+import barrowshore.net.Mailbox;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.lang.System.Logger.Level;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Executor;
+
+/**
+ * The other process of an upgrade: a line of text each over a Unix socket in the folder that both share. An actor; it owns
+ * the socket's file, the listener behind it, the links to the process before and the one after, and the threads that wait
+ * on them. Whoever listens there is alive: a file that a dead process left is replaced. It must never keep a scheduler from
+ * starting or serving: without the link, two processes only know less of one another.
+ */
+public final class Twin {
+    private static final System.Logger LOG = System.getLogger(Twin.class.getName());
+
+    /** What is heard of the other process; called in this actor's mailbox. */
+    public interface Listener {
+        /** A line from the process before us (else after us). */
+        void told(boolean before, String line);
+
+        /** A process after us has come up and wants to know what we know. */
+        void joined();
+
+        /** The link has ended, and as good as always its process. */
+        void left(boolean before);
+    }
+
+    private final Path file;
+    private final Mailbox mailbox;
+    private final Listener listener;
+    private ServerSocketChannel server;
+    private SocketChannel before;
+    private SocketChannel after;
+
+    /** Looks for a process before us; {@link #start} tells of it, and lets the next one find us. */
+    public Twin(Path file, Executor pool, Listener listener) {
+        this.file = file;
+        this.listener = listener;
+        this.mailbox = new Mailbox("the twin", pool);
+        this.before = connect();
+    }
+
+    /** Whether a process was there before us as we came up. */
+    public boolean found() {
+        return before != null;
+    }
+
+    private SocketChannel connect() {
+        SocketChannel channel = null;
+        try {
+            channel = SocketChannel.open(StandardProtocolFamily.UNIX);
+            channel.connect(UnixDomainSocketAddress.of(file));
+            return channel;
+        } catch (IOException | RuntimeException e) {
+            close(channel);   // none there, or one that is dead, or no such sockets here
+            return null;
+        }
+    }
+
+    public void start() {
+        SocketChannel found = before;
+        listen();
+        if (found != null) {
+            read(found, true);
+        }
+    }
+
+    private void listen() {
+        ServerSocketChannel fresh = null;
+        try {
+            Files.deleteIfExists(file);
+            fresh = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
+            fresh.bind(UnixDomainSocketAddress.of(file), 2);
+            server = fresh;
+            ServerSocketChannel listening = fresh;
+            thread("the next process", () -> {
+                while (listening.isOpen()) {
+                    SocketChannel channel = listening.accept();
+                    mailbox.post(() -> joined(channel));
+                }
+            });
+        } catch (IOException | RuntimeException e) {
+            close(fresh);
+            LOG.log(Level.WARNING, "a new version will not be told what we know: {0}", e.getMessage());
+        }
+    }
+
+    private void joined(SocketChannel channel) {
+        close(after);
+        after = channel;
+        read(channel, false);
+        listener.joined();
+    }
+
+    private void read(SocketChannel channel, boolean isBefore) {
+        thread(isBefore ? "the process before" : "the process after", () -> {
+            try (BufferedReader in = new BufferedReader(new InputStreamReader(Channels.newInputStream(channel),
+                    StandardCharsets.UTF_8))) {
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    String told = line;
+                    mailbox.post(() -> listener.told(isBefore, told));
+                }
+            } finally {
+                mailbox.post(() -> ended(channel, isBefore));
+            }
+        });
+    }
+
+    private void ended(SocketChannel channel, boolean isBefore) {
+        close(channel);
+        if (isBefore && channel == before) {
+            before = null;
+            listener.left(true);
+        } else if (channel == after) {
+            after = null;
+            // It had put its own socket in the place of ours; the next one is to find us again.
+            close(server);
+            listen();
+            listener.left(false);
+        }
+    }
+
+    /** Tells the other process: the one before us, or the one after. What cannot be told is lost with the link. */
+    public void tell(boolean toBefore, String line) {
+        mailbox.post(() -> {
+            SocketChannel to = toBefore ? before : after;
+            if (to != null) {
+                try {
+                    ByteBuffer bytes = ByteBuffer.wrap((line + "\n").getBytes(StandardCharsets.UTF_8));
+                    while (bytes.hasRemaining()) {
+                        to.write(bytes);
+                    }
+                } catch (IOException e) {
+                    LOG.log(Level.DEBUG, "the twin is not told", e);   // its reader hears of the end
+                }
+            }
+        });
+    }
+
+    private interface Wait {
+        void run() throws IOException;
+    }
+
+    private static void thread(String name, Wait wait) {
+        Thread thread = new Thread(() -> {
+            try {
+                wait.run();
+            } catch (IOException e) {
+                LOG.log(Level.DEBUG, name + " is heard no more", e);
+            }
+        }, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void close(java.nio.channels.Channel channel) {
+        if (channel != null) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                LOG.log(Level.DEBUG, "a close failed", e);
+            }
+        }
+    }
+
+    /** Ends the links; the file stays to whoever has it now. */
+    public void stop() {
+        mailbox.post(() -> {
+            close(server);
+            close(before);
+            close(after);
+        });
+    }
+}
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -124,6 +124,9 @@
         private String config = Files.readString(FILES.resolve("config.json"));
         private String module = "real";
         private Node node;
+        /** The process that the node follows, once it does. */
+        private Node former;
+        private final Path folder = Files.createTempDirectory("twin");
         private CountDownLatch draining;
 
         Stage() throws IOException { }
@@ -164,6 +167,33 @@
                 }
                 case "module" -> module = words[1];
                 case "start" -> start();
+                case "follow" -> {
+                    former = node;
+                    config = config.replace("127.0.0.1:0\",\"discovery", "127.0.0.1:" + node.address().getPort() + "\",\"discovery");
+                    start();
+                }
+                case "followed" -> {
+                    while (!former.isFollowed()) {
+                        Thread.onSpinWait();
+                    }
+                }
+                case "left-to-the-next" -> {
+                    while (former.listens()) {
+                        Thread.onSpinWait();
+                    }
+                }
+                case "former-ends" -> {
+                    former.stop();
+                    former = null;
+                }
+                case "next-dies" -> {
+                    node.stop();
+                    node = former;
+                    former = null;
+                    while (node.isFollowed()) {
+                        Thread.onSpinWait();
+                    }
+                }
                 case "ready" -> {
                     start();
                     list("D1", LIST);
@@ -179,7 +209,7 @@
                     }
                 }
                 case "figures" -> untilFigures(text.strip().split("\n"));
-                case "term" -> draining = node.drain();
+                case "term" -> draining = (former == null ? node : former).drain();
                 case "gone" -> {
                     while (!draining.await(1, TimeUnit.MILLISECONDS)) {
                         time.advance(100);
@@ -250,7 +280,7 @@
         private void start() throws Exception {
             config = named(config);
             Config read = Config.parse(config);
-            node = new Node(new Setup(read, Operator.NONE), new Clock(1_700_000_000_000L, time::nanos), time, actions -> switch (module) {
+            node = new Node(new Setup(read, Operator.NONE), new Clock(1_700_000_000_000L, time::nanos), time, folder.resolve("t"), actions -> switch (module) {
                 case "silent" -> faulty(false);
                 case "broken" -> faulty(true);
                 default -> new Dispatcher(read.settings(), actions);
@@ -373,9 +403,13 @@
             for (Socket peer : peers.values()) {
                 peer.close();
             }
-            if (node != null) {
-                node.stop();
+            for (Node each : new Node[] {node, former}) {
+                if (each != null) {
+                    each.stop();
+                }
             }
+            Files.deleteIfExists(folder.resolve("t"));
+            Files.delete(folder);
             servers.close();
             discovery.close();
             elsewhere.close();
--- a/src/test/java/barrowshore/peer/PeerSideTest.java
+++ b/src/test/java/barrowshore/peer/PeerSideTest.java
@@ -37,7 +37,7 @@
                 DatagramSocket ours = new DatagramSocket(0, LOOPBACK)) {
             InetSocketAddress at = new InetSocketAddress(LOOPBACK, peer.getLocalPort());
             PeerSide side = new PeerSide(new Config.Peering(new InetSocketAddress(LOOPBACK, 0),
-                    List.of(new InetSocketAddress(LOOPBACK, ours.getLocalPort()), at), 0, at), Runnable::run, new Clock(0, time::get),
+                    List.of(new InetSocketAddress(LOOPBACK, ours.getLocalPort()), at), 0, at), false, Runnable::run, new Clock(0, time::get),
                     (from, message) -> heard.add(from + " " + HexFormat.of().formatHex(message)));
             side.tell(new byte[257]);   // not sent: a longer one is forbidden
             side.tell(new byte[] {1, 2, 3});
--- /dev/null
+++ b/src/test/java/barrowshore/upgrade/TwinTest.java
@@ -0,0 +1,101 @@
+package barrowshore.upgrade;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class TwinTest {
+    @TempDir
+    private Path folder;
+    private final ExecutorService pool = Executors.newFixedThreadPool(2);
+
+    @AfterEach
+    void end() {
+        pool.shutdownNow();
+    }
+
+    /** A process and what it has heard. */
+    private final class Process implements Twin.Listener {
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final Twin twin = new Twin(folder.resolve("t"), pool, this);
+
+        Process() {
+            twin.start();
+        }
+
+        @Override
+        public void told(boolean before, String line) {
+            heard.add((before ? "before: " : "after: ") + line);
+        }
+
+        @Override
+        public void joined() {
+            heard.add("joined");
+        }
+
+        @Override
+        public void left(boolean before) {
+            heard.add("left " + before);
+        }
+    }
+
+    @Test
+    void twoProcessesTellEachOtherAndHearOfAnEnd() throws Exception {
+        Process first = new Process();
+        assertThat(first.twin.found()).isFalse();
+        Process second = new Process();
+        assertThat(second.twin.found()).isTrue();
+        assertThat(first.heard.take()).isEqualTo("joined");
+        second.twin.tell(true, "serving");
+        assertThat(first.heard.take()).isEqualTo("after: serving");
+        first.twin.tell(false, "away");
+        assertThat(second.heard.take()).isEqualTo("before: away");
+        first.twin.stop();
+        assertThat(second.heard.take()).isEqualTo("left true");
+    }
+
+    @Test
+    void afterTheNextOneDiedTheOneAfterItIsFoundAgain() throws Exception {
+        Process first = new Process();
+        Process second = new Process();
+        assertThat(first.heard.take()).isEqualTo("joined");
+        second.twin.stop();
+        assertThat(first.heard.take()).isEqualTo("left false");
+        Process third = new Process();
+        assertThat(third.twin.found()).isTrue();
+        assertThat(first.heard.take()).isEqualTo("joined");
+    }
+
+    @Test
+    void whatADeadProcessLeftIsReplaced() throws Exception {
+        try (ServerSocketChannel dead = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            dead.bind(UnixDomainSocketAddress.of(folder.resolve("t")));
+        }
+        assertThat(Files.exists(folder.resolve("t"))).isTrue();
+        Process first = new Process();
+        assertThat(first.twin.found()).isFalse();
+        assertThat(new Twin(folder.resolve("t"), pool, first).found()).isTrue();
+    }
+
+    @Test
+    void aFolderThatCannotBeUsedKeepsNobodyFromStarting() {
+        Twin twin = new Twin(folder.resolve("none").resolve("x".repeat(200)), pool, null);
+        assertThat(twin.found()).isFalse();
+        twin.start();
+        twin.tell(false, "away");
+        twin.stop();
+    }
+}
