Take changed settings over at SIGHUP while flows are open, whole or not at all

Ruled out: the reading (both broken files were turned down, loads counted right). Changed: Config.inPlaceOf numbers classes for the life of the process and turns down what is short of a key that the file in use has (Shape); DispatchApi.settings tells the module, which now has its own copy of its settings; the clients' side takes its terms as one value.

--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -47,7 +47,7 @@
         public JobClass {
             Settings.require(deadline > 0, "class deadline must be positive");
             Settings.require(aim >= 0, "class aim must not be negative");
-            Settings.require(worth >= 0, "class worth must not be negative");
+            Settings.require(worth >= 0 && worth < Double.POSITIVE_INFINITY, "class worth must be a number from 0");
             Settings.require(effect != null && scope != null, "class effect and scope must be set");
         }
     }
@@ -108,6 +108,50 @@
             require(m.kind() >= 0 && m.kind() < kinds, "member kind is not in settings");
         }
 
+        /** The same, apart from these. */
+        Settings copy() {
+            Settings copy = new Settings();
+            copy.stand(this);
+            copy.take(this);
+            return copy;
+        }
+
+        /** Takes over another's settings, but for what {@link #stand} does: it may change while jobs are under way. */
+        public void take(Settings next) {
+            classes = next.classes;
+            tenantQuota = next.tenantQuota;
+            overShareWorth = next.overShareWorth;
+            worthByWork = next.worthByWork;
+            maxAttempts = next.maxAttempts;
+            secondCopies = next.secondCopies;
+            mayCancel = next.mayCancel;
+            mayProbe = next.mayProbe;
+            mayTell = next.mayTell;
+            maxRetryAfter = next.maxRetryAfter;
+            askForList = next.askForList;
+            askEvery = next.askEvery;
+            reports = next.reports;
+            tellsStart = next.tellsStart;
+            progressEvery = next.progressEvery;
+            startCapacity = next.startCapacity;
+            cold = next.cold;
+            fallMultiple = next.fallMultiple;
+            fall = next.fall;
+            crossZoneCharge = next.crossZoneCharge;
+        }
+
+        /** Takes over who it is among whom, and what is built on that: once, at a start. */
+        public void stand(Settings other) {
+            seed = other.seed;
+            dispatchers = other.dispatchers;
+            me = other.me;
+            zone = other.zone;
+            kinds = other.kinds;
+            tick = other.tick;
+            connectTimeout = other.connectTimeout;
+            halls = other.halls;
+        }
+
         /** Throws an IllegalArgumentException that names the first setting that cannot work. */
         public void validate() {
             require(classes.length > 0, "classes must name at least one class");
@@ -160,6 +204,12 @@
     /** The operators' rules on halls have changed; null: there are none any more. What is out runs on. */
     default void rules(long now, HallRules rules) { }
 
+    /**
+     * Other settings from now on; who it is among whom stays. Classes keep their numbers: there may be more of them, and
+     * none is left out that jobs under way have; those keep the class that they came with.
+     */
+    default void settings(long now, Settings next) { }
+
     /** Where each hall stands, by number; empty where halls are off. */
     default List<HallState> halls() {
         return List.of();
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -42,12 +42,12 @@
     private final Traffic mean;
     private final Kind[] kinds;
     private final Peers peers;
-    private final TokenBucket[] quotas;
+    private TokenBucket[] quotas;
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
     private final IndexTables tables;
     private double loadOthers, loadAll, missing = 1, pressure = 1;
     private long creditAt, loadAt;
-    private int askFailures, topPriority, probeNext, refreshes;
+    private int askFailures, probeNext, refreshes;
     private boolean high, asking;
 
     /** A dispatcher that decides by the settings and orders through the actions; call start first. */
@@ -57,7 +57,7 @@
     public Dispatcher(Settings settings, Actions actions, IndexTables shared) {
         tables = shared;
         settings.validate();
-        set = settings;
+        set = settings.copy();
         act = actions;
         rng = new Rng(settings.seed);
         ledger = new Ledger(set.kinds);
@@ -67,12 +67,14 @@
         kinds = new Kind[set.kinds];
         Arrays.setAll(kinds, k -> new Kind(mean.work));
         peers = new Peers(set.dispatchers, set.me, (int) (rng.next() * (1 << 16)));
+        terms();
+    }
+
+    /** What follows from the classes and tenants; buckets start full. */
+    private void terms() {
+        mean.enter(kinds);
         quotas = new TokenBucket[set.tenantQuota.length];
         Arrays.setAll(quotas, t -> new TokenBucket(Math.max(2, quota(t) * QUOTA_SECONDS), 1));
-        for (JobClass type : set.classes) {
-            topPriority = Math.max(topPriority, type.priority());
-            kinds[Math.max(0, type.kind())].named |= type.kind() >= 0;
-        }
     }
 
     private double quota(int tenant) { return set.tenantQuota[tenant] / set.dispatchers; }
@@ -249,7 +251,8 @@
     private void learn(long now, Job.Attempt a, Status status, long latency) {
         Worker w = a.worker;
         // Guards against taking a job pushed out by one of higher priority for a crash of the worker.
-        boolean pushed = a.job.jobClass.effect() == Effect.SAFE && a.job.jobClass.priority() < topPriority;
+        JobClass type = a.job.jobClass;
+        boolean pushed = type.effect() == Effect.SAFE && type.priority() < mean.topPriority;
         if (status == Status.ERROR) { w.heardAt = now; }
         halls.ended(now, a, status, pushed);
         if (status == Status.OK) {
@@ -430,11 +433,15 @@
 
     @Override public List<HallState> halls() { return halls.gate.states(); }
 
+    @Override public void settings(long now, Settings next) {
+        set.take(next);
+        terms();
+        refresh(now);
+    }
+
     @Override public void share(double part) { set.share = part; }
 
-    @Override public int avoided(long now) {
-        return (int) Arrays.stream(roster.ready).filter(w -> w.aside(now) || !halls.open(w)).count();
-    }
+    @Override public int avoided(long now) { return roster.avoided(now); }
 
     @Override public double spilled(int hall) { return halls.gate.spilled(hall); }
 
--- a/src/main/java/barrowshore/Roster.java
+++ b/src/main/java/barrowshore/Roster.java
@@ -1,6 +1,7 @@
 package barrowshore;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -63,6 +64,11 @@
         return byName.getOrDefault(name, List.of());
     }
 
+    /** How many ready workers get nothing just now, whatever the job. */
+    int avoided(long now) {
+        return (int) Arrays.stream(ready).filter(w -> w.aside(now) || !halls.open(w)).count();
+    }
+
     /** Every worker that a list has named. */
     Collection<Worker> all() {
         return workers.values();
--- a/src/main/java/barrowshore/Traffic.java
+++ b/src/main/java/barrowshore/Traffic.java
@@ -8,10 +8,11 @@
 final class Traffic {
     private final Settings set;
     /** Work at speed 1 by class. Until jobs are served: the aim, what the site holds for a usual job. */
-    final double[] classWork;
+    double[] classWork;
     /** Work at speed 1, work times slots and its square, worth for each unit of work, aim, 1/(1+stretch). */
     double work, size, square, density, aim, running = 1, arrivals;
     boolean hinted;
+    int topPriority;
 
     Traffic(Settings set) {
         this.set = set;
@@ -56,6 +57,22 @@
         return square / size;
     }
 
+    /**
+     * The classes have been set. There may be more than before; those that were there keep what was learned. One that is
+     * gone is there still, and nothing comes of it.
+     */
+    void enter(Kind[] kinds) {
+        for (JobClass type : set.classes) {
+            topPriority = Math.max(topPriority, type.priority());
+            kinds[Math.max(0, type.kind())].named |= type.kind() >= 0;
+        }
+        int known = classWork.length;
+        classWork = Arrays.copyOf(classWork, set.classes.length);
+        for (int c = known; c < classWork.length; c++) {
+            classWork[c] = Math.max(set.tick, set.classes[c].aim());
+        }
+    }
+
     void rescale(double scale) {
         Arrays.setAll(classWork, c -> classWork[c] * scale);
     }
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -82,9 +82,8 @@
     private final Scheduler timers;
     private final Flow.Desk desk;
     private final Semaphore bytes = new Semaphore(MOST_BYTES);
-    private final List<String> classes;
-    private final List<String> tenants;
-    private final DispatchApi.JobClass[] effects;
+    /** What jobs may be; replaced whole. */
+    private volatile Terms terms;
     private int most;
     private final Mailbox mailbox;
     private final Set<ClientLink> links = new HashSet<>();
@@ -103,13 +102,23 @@
         this.timers = timers;
         this.desk = desk;
         this.standing = standing;
-        this.classes = config.classes();
-        this.tenants = config.tenants();
-        this.effects = config.settings().classes;
+        this.terms = Terms.of(config);
         this.most = most;
         this.mailbox = new Mailbox("the client side", pool);
     }
 
+    /** Jobs that come from now on are judged by this configuration; those whose head has come keep their class. */
+    public void terms(Config config) {
+        terms = Terms.of(config);
+    }
+
+    /** Classes by number and those that are taken, tenants by number, what the classes are. */
+    private record Terms(List<String> classes, Set<String> served, List<String> tenants, DispatchApi.JobClass[] types) {
+        static Terms of(Config config) {
+            return new Terms(config.classes(), config.served(), config.tenants(), config.settings().classes);
+        }
+    }
+
     public Connection accept(EndPoint endPoint) {
         return new ClientLink(endPoint);
     }
@@ -436,7 +445,9 @@
                 throw new BadRequest(400, "the target cannot be read");
             }
             String path = target.substring(1).split("[/?;]", 2)[0];
-            if (!classes.contains(path)) {
+            Terms terms = ClientSide.this.terms;
+            List<String> tenants = terms.tenants();
+            if (!terms.served().contains(path)) {
                 throw new BadRequest(404, "no such path");
             }
             if (!method.equals("POST")) {
@@ -478,10 +489,10 @@
                 }
             }
             long deadline = firstByteAt + timeout - Math.min(MARGIN, timeout / 4);
-            int jobClass = classes.indexOf(path);
+            int jobClass = terms.classes().indexOf(path);
             return new Flow(id, jobClass, tenant, slots, hint,
                     firstByteAt >= cappedFrom ? Math.min(deadline, cap) : deadline,
-                    effects[jobClass].effect() == DispatchApi.Effect.SAFE, method, target, NOTHING);
+                    terms.types()[jobClass].effect() == DispatchApi.Effect.SAFE, method, target, NOTHING);
         }
 
         private String header(String name) throws BadRequest {
--- a/src/main/java/barrowshore/config/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -1,5 +1,6 @@
 package barrowshore.config;
 
+import barrowshore.DispatchApi.JobClass;
 import barrowshore.DispatchApi.Settings;
 import barrowshore.list.ServerList;
 import barrowshore.wire.Json;
@@ -9,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,12 +25,18 @@
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops, int sockets, Settings settings,
                      long keepAlive, List<String> classes, List<String> tenants, ServerList.Names names,
-                     ServerList.Update known, Peering peers, Map<String, Object> fixed) {
+                     ServerList.Update known, Peering peers, Set<String> served, Map<String, Object> fixed,
+                     Map<?, ?> raw) {
     /** Where we are heard, the peers by their numbers, ours, and the address that reaches them all and us. */
     public record Peering(InetSocketAddress listen, List<InetSocketAddress> peers, int me, InetSocketAddress all) { }
 
     /** The fields that a running scheduler takes over, and those that matter only to a fresh one. */
-    private static final Set<String> LIVE = Set.of("discovery", "known", "seed");
+    private static final Set<String> LIVE = Set.of("discovery", "known", "seed", "settings");
+    /** The settings that it does not take over: what the rest is numbered and built by. */
+    private static final List<String> BUILT_ON = List.of("groupSize", "me", "zone", "zones", "kinds", "tick", "tier",
+            "policyLimits.dialTimeout", "policyLimits.keepalive");
+    /** Names of classes that one life of a process knows at most. */
+    private static final int MOST_CLASSES = 1000;
 
     /**
      * Reads the file. The operators' address may also stand in the environment, and that counts: it is this process's
@@ -40,19 +48,67 @@
 
     private Config withOps(String text) {
         return text == null || text.isEmpty() ? this : new Config(name, listen, discovery, address(text, "GW_OPS"), sockets,
-                settings, keepAlive, classes, tenants, names, known, peers, fixed);
+                settings, keepAlive, classes, tenants, names, known, peers, served, fixed, raw);
     }
 
     static Config read(Path file) {
-        String text;
         try {
-            text = Files.readString(file, StandardCharsets.UTF_8);
+            String text = Files.readString(file, StandardCharsets.UTF_8);
+            // It may be in the middle of being replaced: half of each is neither.
+            for (int k = 0; k < MOST_READS; k++) {
+                String again = Files.readString(file, StandardCharsets.UTF_8);
+                if (again.equals(text)) {
+                    break;
+                }
+                text = again;
+            }
+            return parse(text);
         } catch (IOException e) {
             throw new ConfigException("configuration " + file + " cannot be read: " + e.getClass().getSimpleName());
         }
-        return parse(text);
     }
 
+    /**
+     * This one, read later, for a process that goes by the former: classes keep their numbers, and what is built on at a
+     * start stays. A {@link ConfigException} tells why it cannot take the former's place.
+     */
+    public Config inPlaceOf(Config former) {
+        Map<Object, Object> needed = new HashMap<>(former.raw);
+        needed.remove("known");
+        String lost = Shape.lost("", needed, raw);
+        if (lost != null) {
+            throw new ConfigException(lost);
+        }
+        List<String> numbered = new ArrayList<>(former.classes);
+        List<JobClass> types = new ArrayList<>(List.of(former.settings.classes));
+        for (int k = 0; k < classes.size(); k++) {
+            int at = numbered.indexOf(classes.get(k));
+            if (settings.classes[k].kind() >= former.settings.kinds) {
+                throw new ConfigException("settings: domain.classKind." + k + " is no kind of machine since the start");
+            }
+            if (at >= 0) {
+                types.set(at, settings.classes[k]);
+            } else {
+                numbered.add(classes.get(k));
+                types.add(settings.classes[k]);
+            }
+        }
+        if (numbered.size() > MOST_CLASSES) {
+            throw new ConfigException("settings: lanes have had more than " + MOST_CLASSES + " names since the start");
+        }
+        Settings merged = new Settings();
+        merged.take(former.settings);
+        merged.stand(former.settings);
+        merged.take(settings);
+        merged.halls = settings.halls;
+        merged.classes = types.toArray(JobClass[]::new);
+        return new Config(former.name, former.listen, discovery, former.ops, former.sockets, merged, former.keepAlive,
+                List.copyOf(numbered), tenants, former.names, known, former.peers, Set.copyOf(classes), former.fixed, raw);
+    }
+
+    /** How often a file is read again that changes meanwhile. */
+    private static final int MOST_READS = 5;
+
     public static Config parse(String text) {
         Map<?, ?> root;
         try {
@@ -67,6 +123,11 @@
         long keepAlive;
         long seed = seed(text(root, "seed"));
         try {
+            over0(reader, "lanes.count", "lanes", 0);
+            for (int k = 0; k < reader.names("lanes").size(); k++) {
+                over0(reader, "lanes." + k + ".deadline", "lanes." + k + ".deadline", 1);
+            }
+            over0(reader, "policyLimits.sendCap", "policyLimits.sendCap", 1);
             settings = reader.settings(seed);
             settings.validate();
             keepAlive = (long) reader.number("policyLimits.keepalive", 60e6);
@@ -89,17 +150,22 @@
             }
         }
         for (String list : List.of("lanes", "tenants")) {
-            if (reader.names(list).contains("")) {
-                throw new ConfigException("settings: " + list + "." + reader.names(list).indexOf("") + ".name is missing");
+            List<String> named = reader.names(list);
+            for (int k = 0; k < named.size(); k++) {
+                if (named.get(k).isEmpty() || named.indexOf(named.get(k)) < k) {
+                    throw new ConfigException("settings: " + list + "." + k + ".name is "
+                            + (named.get(k).isEmpty() ? "missing" : "there twice: " + named.get(k)));
+                }
             }
         }
         Map<String, Object> fixed = new HashMap<>();
         root.forEach((field, value) -> fixed.put(String.valueOf(field), value));
         fixed.keySet().removeAll(LIVE);
+        BUILT_ON.forEach(key -> fixed.put("settings." + key, reader.text(key)));
         return new Config(text(root, "name"), address(text(root, "listen"), "listen"),
                 address(text(root, "discovery"), "discovery"),
                 root.get("ops") == null ? null : address(text(root, "ops"), "ops"), sockets, settings, keepAlive, reader.names("lanes"),
-                reader.names("tenants"), names, known, peers(root, settings.me), fixed);
+                reader.names("tenants"), names, known, peers(root, settings.me), Set.copyOf(reader.names("lanes")), fixed, root);
     }
 
     /** The fields that differ from another configuration's and are taken over only at a start. */
@@ -116,6 +182,12 @@
                 + tenants.size() + " tenants, " + known.entries().size() + " known real servers";
     }
 
+    private static void over0(SettingsReader reader, String key, String named, double otherwise) {
+        if (!(reader.number(key, otherwise) >= 1)) {
+            throw new IllegalArgumentException(named + (named.equals(key) ? " must be over 0" : " names no class"));
+        }
+    }
+
     /** Null where schedulers cannot reach one another. */
     private static Peering peers(Map<?, ?> root, int me) {
         if (root.get("peer_listen") == null) {
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -6,6 +6,7 @@
 import barrowshore.DispatchApi.Member;
 import barrowshore.DispatchApi.Note;
 import barrowshore.DispatchApi.Request;
+import barrowshore.DispatchApi.Settings;
 import barrowshore.DispatchApi.Status;
 import barrowshore.DispatchApi;
 import barrowshore.duty.Figures;
@@ -174,6 +175,16 @@
         });
     }
 
+    /** Other settings from now on, with the names of their classes by number. */
+    void settings(Settings next, List<String> classes) {
+        mailbox.post(() -> {
+            mostAttempts = next.maxAttempts;
+            tally.classes(classes);
+            guarded(null, () -> module.settings(now(), next));
+            publish();
+        });
+    }
+
     /** The operators' rules on halls have changed. */
     void rules(HallRules rules) {
         mailbox.post(() -> guarded(null, () -> module.rules(now(), rules)));
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -97,7 +97,8 @@
     private final AtomicReference<Standing> standing = new AtomicReference<>(Standing.SERVING);
     /** What is read again runs here, one file after the other. */
     private final Mailbox configuration = new Mailbox("the configuration", pool);
-    private final Config config;
+    /** As last taken over. */
+    private volatile Config config;
     /** The operators' servers' file; null: none. */
     private final Operator.Servers servers;
     /** The rules on halls last taken over. */
@@ -386,15 +387,18 @@
         configuration.post(() -> {
             try {
                 Setup setup = source.get();
-                Config read = setup.config();
+                Config read = setup.config().inPlaceOf(config);
                 LOG.log(Level.INFO, "configuration read again: discovery {0}", read.discovery());
-                List<String> later = config.differing(read);
+                List<String> later = config.differing(setup.config());
                 if (!later.isEmpty()) {
                     LOG.log(Level.WARNING, "changed, but taken over only at a start: {0}", String.join(", ", later));
                 }
                 if (!Objects.equals(servers, setup.operator().servers())) {
                     LOG.log(Level.WARNING, "operators' settings: servers changed, but is taken over only at a start");
                 }
+                module.settings(read.settings(), read.classes());
+                clients.terms(read);
+                config = read;
                 entry.move(read.discovery());
                 module.loaded(true);
                 if (!Objects.equals(rules, setup.rules())) {
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -152,6 +152,11 @@
         };
     }
 
+    /** What stands under a key, as text; empty where it is absent. */
+    public String text(String key) {
+        return pairs.getOrDefault(key, "");
+    }
+
     /** A number, or the other value where the key is absent. */
     public double number(String key, double otherwise) {
         String value = pairs.get(key);
