Hand what was learned of servers and classes to the next version

The new process of an upgrade is blind to slow and failing servers. DispatchApi.memory and recall carry averages and each server's evidence as lines over the twin's link; what cannot be read is passed over. The test fails without recall.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -29,7 +29,6 @@
     private static final double RETRY_SHARE = 0.1, RETRIES_SAVED = 100;   // repeats: a request; saved at most
     private static final double TRUST = 0.3;   // in a fresh report against the level: it came late
     private static final double CROSSING = 3;   // mean aims of delay worth a point for crossing zones
-    private static final double QUOTA_SECONDS = 1;   // of its quota that a tenant may save up
     private static final int TELL_REFRESHES = 6;   // refreshes between two tellings of all our slots
     private static final double PEER_FRESH = 4;   // such tellings until a silent peer is guessed at
 
@@ -42,11 +41,11 @@
     private final Traffic mean;
     private final Kind[] kinds;
     private final Peers peers;
-    private TokenBucket[] quotas;
+    private final Quotas quotas;
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
     private final IndexTables tables;
     private double loadOthers, loadAll, missing = 1, pressure = 1;
-    private long creditAt, loadAt;
+    private long loadAt;
     private int askFailures, probeNext, refreshes;
     private boolean high, asking;
 
@@ -67,20 +66,19 @@
         kinds = new Kind[set.kinds];
         Arrays.setAll(kinds, k -> new Kind(mean.work));
         peers = new Peers(set.dispatchers, set.me, (int) (rng.next() * (1 << 16)));
+        quotas = new Quotas(set);
         terms();
     }
 
-    /** What follows from the classes and tenants; buckets start full. */
+    /** What follows from the classes and tenants. */
     private void terms() {
         mean.enter(kinds);
-        quotas = new TokenBucket[set.tenantQuota.length];
-        Arrays.setAll(quotas, t -> new TokenBucket(Math.max(2, quota(t) * QUOTA_SECONDS), 1));
+        quotas.enter();
     }
 
-    private double quota(int tenant) { return set.tenantQuota[tenant] / set.dispatchers; }
-
     @Override public void start(long now) {
-        creditAt = loadAt = now;
+        quotas.start(now);
+        loadAt = now;
         act.timer((long) (REFRESH_TICKS * set.tick * (0.5 + rng.next())), "refresh");
         if (set.askForList) { ask(); }
     }
@@ -108,7 +106,7 @@
 
     @Override public void request(long now, Request r) {
         set.check(r);
-        Job job = new Job(r, set.classes[r.jobClass()], overQuota(now, r.tenant()), now);
+        Job job = new Job(r, set.classes[r.jobClass()], quotas.over(now, r.tenant()), now);
         ledger.open(job);
         mean.enter(job, LEARN);
         retries.add(RETRY_SHARE);
@@ -121,13 +119,6 @@
         }
     }
 
-    /** Token bucket: this dispatcher's even part of the tenant's quota. Traffic over it yields first. */
-    private boolean overQuota(long now, int tenant) {
-        for (int t = 0; t < quotas.length; t++) { quotas[t].add(quota(t) * (now - creditAt) / 1e6); }
-        creditAt = now;
-        return tenant >= 0 && tenant < quotas.length && !quotas[tenant].take();
-    }
-
     /** Sends the job to the lowest index, or answers it. */
     private void dispatch(long now, Job job) {
         Worker w = job.attempts.size() < set.maxAttempts && now < job.answerBy ? pick(now, job) : null;
@@ -440,6 +431,13 @@
         refresh(now);
     }
 
+    @Override public List<String> memory() { return Memory.write(mean, kinds, roster); }
+
+    @Override public void recall(long now, List<String> memory) {
+        Memory.read(memory, mean, kinds, roster);
+        refresh(now);
+    }
+
     @Override public void share(double part) { set.share = part; }
 
     @Override public int avoided(long now) { return roster.avoided(now); }
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -21,7 +21,7 @@
     int kind, zone, cell, hall, strikes;
     double rating;
     boolean listed, draining, silent;
-    long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt, decayedAt, nextCold;
+    long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt, nextCold;
     /** Our attempts that are out; the slots they take; those of others, expected, told by them, reported. */
     final ArrayList<Job.Attempt> out = new ArrayList<>();
     double own, left, others, told, reported, overdue;
@@ -30,39 +30,30 @@
     double speed = 1, warmth = 1, wait, charge;
     IndexTable table;
     barrowshore.halls.Place place;
-    private double work, took, errors, ends;
+    final Evidence seen = new Evidence();
 
     Worker(String id) { this.id = id; }
 
     /** What was held against a worker is void once it has restarted. */
     void restarted(long now) {
         downUntil = fullUntil = reportedAt = nextCold = 0;
-        errors = ends = strikes = 0;
+        seen.errors = seen.ends = strikes = 0;
         heardAt = now;
         silent = false;
     }
 
-    private void decay(long now, Settings set) {
-        double keep = Math.pow(0.5, (now - decayedAt) / (MEMORY * set.cold));
-        work *= keep;
-        took *= keep;
-        errors *= keep;
-        ends *= keep;
-        decayedAt = now;
-    }
-
     /** Only served jobs count as completions: a fast failer or a crashed worker must not look cheap. */
     void served(long now) {
         heardAt = now;
-        ends++;
+        seen.ends++;
         downUntil = strikes = 0;
     }
 
     /** Evidence of speed: a job's expected work at speed 1, and how long it ran. */
     void ran(long now, double expected, double took, Settings set) {
-        decay(now, set);
-        work += expected;
-        this.took += took;
+        seen.fade(now, MEMORY * set.cold);
+        seen.work += expected;
+        seen.took += took;
     }
 
     /** Struck and not yet heard to serve: one job at a time finds out. */
@@ -71,18 +62,18 @@
     /** Whether it gets nothing just now, whatever the job. */
     boolean aside(long now) { return silent || now < fullUntil || now < downUntil || onTrial(); }
 
-    void failed() { ends++; errors++; }
+    void failed() { seen.ends++; seen.errors++; }
 
     /** The share of jobs that fail here, a decaying estimate. */
     double errorShare(long now, Settings set) {
-        decay(now, set);
-        return (errors + PRIOR_ERRORS) / (ends + 1);
+        seen.fade(now, MEMORY * set.cold);
+        return (seen.errors + PRIOR_ERRORS) / (seen.ends + 1);
     }
 
     /** Speed from the kind's, the worker's own served jobs, and how overdue its outstanding ones are. */
     double speed(double usual, double meanWork) {
         double prior = PRIOR_JOBS * meanWork;
-        return (prior + work) / (prior / usual + took + overdue);
+        return (prior + seen.work) / (prior / usual + seen.took + overdue);
     }
 
     /** The share of its capacity that it surely has: it grows no slower than evenly. */
