--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -226,14 +226,6 @@
      */
     default void share(double part) { }
 
-    /** What was learned, as lines for another that takes this one's place; whoever is told may pass over any of it. */
-    default List<String> memory() {
-        return List.of();
-    }
-
-    /** What one whose place this takes had learned. */
-    default void recall(long now, List<String> memory) { }
-
     /** How many ready workers it sends nothing to just now, whatever the job. */
     default int avoided(long now) {
         return 0;
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -431,13 +431,6 @@
         refresh(now);
     }
 
-    @Override public List<String> memory() { return Memory.write(mean, kinds, roster); }
-
-    @Override public void recall(long now, List<String> memory) {
-        Memory.read(memory, mean, kinds, roster);
-        refresh(now);
-    }
-
     @Override public void share(double part) { set.share = part; }
 
     @Override public int avoided(long now) { return roster.avoided(now); }
--- a/src/main/java/barrowshore/Evidence.java
+++ b/src/main/java/barrowshore/Evidence.java
@@ -14,17 +14,4 @@
         ends *= keep;
         fadedAt = now;
     }
-
-    /** As figures for another dispatcher; the order is that of {@link #recall}. */
-    double[] figures() {
-        return new double[] {work, took, errors, ends, fadedAt};
-    }
-
-    void recall(double[] f) {
-        work = f[0];
-        took = f[1];
-        errors = f[2];
-        ends = f[3];
-        fadedAt = (long) f[4];
-    }
 }
--- a/src/main/java/barrowshore/Kind.java
+++ b/src/main/java/barrowshore/Kind.java
@@ -17,16 +17,6 @@
         speed = this.work / this.took;
     }
 
-    /** What another had learned; the order is that of {@link Memory}. */
-    void recall(double[] f) {
-        speed = Traffic.above0(f[0]);
-        work = Traffic.above0(f[1]);
-        took = Traffic.above0(f[2]);
-        jobs = f[3];
-        slots = f[4];
-        worth = Traffic.above0(f[5]);
-    }
-
     void rescale(double scale) {
         speed *= scale;
         work *= scale;
--- a/src/main/java/barrowshore/Traffic.java
+++ b/src/main/java/barrowshore/Traffic.java
@@ -73,31 +73,6 @@
         }
     }
 
-    /** What another had learned; the order is that of {@link Memory}. */
-    void recall(double[] f) {
-        work = above0(f[0]);
-        size = above0(f[1]);
-        square = above0(f[2]);
-        density = above0(f[3]);
-        aim = above0(f[4]);
-        running = above0(f[5]);
-        arrivals = f[6];
-        hinted = f[7] > 0;
-    }
-
-    void recallClasses(double[] f) {
-        for (int c = 0; c < Math.min(f.length, classWork.length); c++) {
-            classWork[c] = above0(f[c]);
-        }
-    }
-
-    static double above0(double figure) {
-        if (figure > 0) {
-            return figure;
-        }
-        throw new IllegalArgumentException("not above 0");
-    }
-
     void rescale(double scale) {
         Arrays.setAll(classWork, c -> classWork[c] * scale);
     }
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -195,11 +195,6 @@
         mailbox.post(() -> guarded(null, () -> module.share(part)));
     }
 
-    /** What another process of ours had learned. */
-    void recall(List<String> memory) {
-        mailbox.post(() -> guarded(null, () -> module.recall(now(), memory)));
-    }
-
     /** Shows the module to one who only looks. */
     void look(Consumer<DispatchApi> looker) {
         mailbox.post(() -> looker.accept(module));
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -216,19 +216,6 @@
             Node.this.shared(two);
         }
 
-        @Override
-        public void memory(Consumer<String> taker) {
-            module.look(looked -> {
-                looked.memory().forEach(taker);
-                taker.accept(null);
-            });
-        }
-
-        @Override
-        public void recall(List<String> memory) {
-            module.recall(memory);
-        }
-
         @Override
         public void followed(boolean serving) {
             followed = serving;
--- a/src/main/java/barrowshore/node/Succession.java
+++ b/src/main/java/barrowshore/node/Succession.java
@@ -4,10 +4,7 @@
 import barrowshore.upgrade.Twin;
 import java.lang.System.Logger.Level;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
 
 /**
  * What two processes of one scheduler owe each other while both are there: who speaks to clients and peers, what each
@@ -16,7 +13,7 @@
  */
 final class Succession implements Twin.Listener {
     private static final System.Logger LOG = System.getLogger(Succession.class.getName());
-    private static final String AWAY = "away", BACK = "back", SERVING = "serving", LEARNED = "learned";
+    private static final String AWAY = "away", BACK = "back", SERVING = "serving";
 
     /** What it moves in its own process. */
     interface Host {
@@ -28,12 +25,6 @@
         /** Whether there are two processes that share what the scheduler has. */
         void shared(boolean two);
 
-        /** Hands out, line by line and then null, what the decisions were learned from. */
-        void memory(Consumer<String> taker);
-
-        /** What the process before us had learned. */
-        void recall(List<String> memory);
-
         /** Whether the process after us serves. */
         void followed(boolean serving);
     }
@@ -42,8 +33,6 @@
     private final Twin twin;
     private boolean beforeThere;
     private boolean afterThere;
-    /** What the process before us is telling, until it is whole. */
-    private final List<String> learned = new ArrayList<>();
 
     Succession(Path file, Executor pool, Host host) {
         this.host = host;
@@ -79,7 +68,6 @@
         if (!host.standing().welcomes()) {
             twin.tell(false, AWAY);
         }
-        host.memory(line -> twin.tell(false, line == null ? LEARNED : LEARNED + " " + line));
     }
 
     @Override
@@ -92,14 +80,6 @@
                     host.followed(true);
                 }
             }
-            case LEARNED -> {
-                if (before && line.length() > LEARNED.length()) {
-                    learned.add(line.substring(LEARNED.length() + 1));
-                } else if (before) {
-                    host.recall(List.copyOf(learned));
-                    learned.clear();
-                }
-            }
             default -> { }   // a later version may say more
         }
     }
