Notice a changed configuration also where SIGHUP is ignored, as under nohup

Ruled out: a file turned down (no warning), an exception, a start that missed the change, the watch. At fault: Node.onHangUp, which did not look whether the handler was taken. Changed: it tells, one warning is logged, and the file is looked at every 250 ms there; what it holds is taken and counted as if the signal had come. Checked by hand under nohup: a changed file is read. The script fails without the look.

--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -1,6 +1,5 @@
 package barrowshore.cli;
 
-import barrowshore.config.Config;
 import barrowshore.config.ConfigException;
 import barrowshore.emulate.Rehearsal;
 import barrowshore.emulate.Scenario;
@@ -11,6 +10,7 @@
 import barrowshore.node.Node;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
+import barrowshore.operator.SetupFiles;
 import barrowshore.standin.Demo;
 import barrowshore.wire.WireException;
 import barrowshore.wire.WireHost;
@@ -64,7 +64,7 @@
 
         @Override
         public void run() throws Exception {
-            Node.serve(() -> read(config, operator));
+            Node.serve(files(config, operator));
         }
     }
 
@@ -76,7 +76,7 @@
 
         @Override
         public void run() throws Exception {
-            Node.rehearse(read(config, null));
+            Node.rehearse(files(config, null).read());
         }
     }
 
@@ -96,7 +96,7 @@
                 System.out.println(operator + ": " + Operator.read(operator).summary());
                 return;
             }
-            Setup setup = read(config, operator);
+            Setup setup = files(config, operator).read();
             System.out.println(setup.config().summary()
                     + (operator == null ? "" : "\n" + operator + ": " + setup.operator().summary()));
         }
@@ -230,16 +230,12 @@
         @SubCommand(name = "rehearse", impl = Rehearse.class), @SubCommand(name = "version", impl = Version.class)})
     Command command;
 
-    private static Setup read(Path config, Path operator) {
-        return new Setup(read(config), operator == null ? Operator.NONE : Operator.read(operator));
-    }
-
-    private static Config read(Path file) {
+    private static SetupFiles files(Path file, Path operator) {
         String path = file != null ? file.toString() : System.getenv("GW_CONFIG");
         if (path == null || path.isEmpty()) {
             throw new ConfigException("GW_CONFIG is not set and no --config is given");
         }
-        return Config.read(Path.of(path), System.getenv("GW_OPS"));
+        return new SetupFiles(Path.of(path), System.getenv("GW_OPS"), operator);
     }
 
     public static void main(String[] args) throws Exception {
--- a/src/main/java/barrowshore/config/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -39,19 +39,16 @@
     private static final int MOST_CLASSES = 1000;
 
     /**
-     * Reads the file. The operators' address may also stand in the environment, and that counts: it is this process's
-     * own, while the file may be another process's too.
+     * The same, but for the operators' address that stands in the environment: it is this process's own, while the file may
+     * be another one's too. Null or empty: there is none.
      */
-    public static Config read(Path file, String ops) {
-        return read(file).withOps(ops);
-    }
-
-    private Config withOps(String text) {
+    public Config withOps(String text) {
         return text == null || text.isEmpty() ? this : new Config(name, listen, discovery, address(text, "GW_OPS"), sockets,
                 settings, keepAlive, classes, tenants, names, known, peers, served, fixed, raw);
     }
 
-    static Config read(Path file) {
+    /** The text of a configuration's file. */
+    public static String text(Path file) {
         try {
             String text = Files.readString(file, StandardCharsets.UTF_8);
             // It may be in the middle of being replaced: half of each is neither.
@@ -62,7 +59,7 @@
                 }
                 text = again;
             }
-            return parse(text);
+            return text;
         } catch (IOException e) {
             throw new ConfigException("configuration " + file + " cannot be read: " + e.getClass().getSimpleName());
         }
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -15,6 +15,7 @@
 import barrowshore.operator.Operator;
 import barrowshore.ops.OpsDoor;
 import barrowshore.operator.Setup;
+import barrowshore.operator.SetupFiles;
 import barrowshore.peer.PeerSide;
 import barrowshore.servers.RealServer;
 import barrowshore.servers.ServiceEntry;
@@ -71,6 +72,9 @@
     /** Milliseconds after SIGTERM before which the process does not end. */
     private static final long STAY = 700;
 
+    /** How often is looked whether the configuration has changed, where no signal can tell. */
+    private static final long LOOK_MILLIS = 250;
+
     private final ExecutorService pool = Executors.newFixedThreadPool(THREADS);
     private final Scheduler timers;
     private final ModuleActor module;
@@ -286,11 +290,11 @@
     }
 
     /** Serves until SIGTERM; then goes on until all is answered and the clients' connections are gone. */
-    public static void serve(Supplier<Setup> source) throws Exception {
+    public static void serve(SetupFiles files) throws Exception {
         CompletableFuture<Node> started = new CompletableFuture<>();
         // Guards against the JVM's own way with SIGHUP, which is to end: in place before there is anything to end.
-        onHangUp(() -> started.thenAccept(node -> node.reload(source)));
-        Setup setup = source.get();
+        boolean signalled = onHangUp(() -> started.thenAccept(node -> node.reload(files::read)));
+        Setup setup = files.read();
         Config config = setup.config();
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
@@ -307,6 +311,10 @@
             Runtime.getRuntime().halt(0);
         }, "drain"));
         started.complete(node);
+        if (!signalled) {
+            LOG.log(Level.WARNING, "SIGHUP is ignored, as under nohup: the configuration is looked at now and then instead");
+            node.keepLooking(files);
+        }
         try {
             node.open.get();
         } catch (ExecutionException e) {
@@ -364,9 +372,10 @@
 
     /**
      * The JDK has no other way to take a signal; a shutdown hook hears of SIGHUP too, but cannot stop the end. By
-     * reflection, since every direct use of this class is a warning that nothing silences.
+     * reflection, since every direct use of this class is a warning that nothing silences. False: the signal was ignored
+     * when the process started, and the JVM leaves it so.
      */
-    static void onHangUp(Runnable run) {
+    static boolean onHangUp(Runnable run) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal"), handler = Class.forName("sun.misc.SignalHandler");
             Object proxy = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (self, method, args) -> {
@@ -376,43 +385,64 @@
                 }
                 return method.invoke(run, args);   // what every object can be asked
             });
-            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+            Object former = signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), proxy);
+            return former != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             LOG.log(Level.WARNING, "SIGHUP cannot be handled and will end the process", e);
+            return false;
         }
     }
 
-    /** Reads the configuration again and takes over what may change while flows are open; a bad one changes nothing. */
-    void reload(Supplier<Setup> source) {
+    /** Stands in for a signal that cannot be heard: a file that has changed is read as if it had come. */
+    void lookAgain(SetupFiles files) {
         configuration.post(() -> {
-            try {
-                Setup setup = source.get();
-                Config read = setup.config().inPlaceOf(config);
-                LOG.log(Level.INFO, "configuration read again: discovery {0}", read.discovery());
-                List<String> later = config.differing(setup.config());
-                if (!later.isEmpty()) {
-                    LOG.log(Level.WARNING, "changed, but taken over only at a start: {0}", String.join(", ", later));
-                }
-                if (!Objects.equals(servers, setup.operator().servers())) {
-                    LOG.log(Level.WARNING, "operators' settings: servers changed, but is taken over only at a start");
-                }
-                module.settings(read.settings(), read.classes());
-                clients.terms(read);
-                config = read;
-                entry.move(read.discovery());
-                module.loaded(true);
-                if (!Objects.equals(rules, setup.rules())) {
-                    rules = setup.rules();
-                    module.rules(rules);
-                    LOG.log(Level.INFO, "operators' settings read again: {0}", setup.operator().summary());
-                }
-            } catch (ConfigException e) {
-                module.loaded(false);
-                LOG.log(Level.WARNING, "configuration not taken over: {0}", e.getMessage());
+            if (files.changed()) {
+                module.loaded(takeOver(files::read));
             }
         });
     }
 
+    private void keepLooking(SetupFiles files) {
+        timers.schedule(() -> {
+            lookAgain(files);
+            keepLooking(files);
+        }, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads the configuration again and takes over what may change while flows are open; a bad one changes nothing. */
+    void reload(Supplier<Setup> source) {
+        configuration.post(() -> module.loaded(takeOver(source)));
+    }
+
+    private boolean takeOver(Supplier<Setup> source) {
+        try {
+            Setup setup = source.get();
+            Config read = setup.config().inPlaceOf(config);
+            LOG.log(Level.INFO, "configuration read again: discovery {0}", read.discovery());
+            List<String> later = config.differing(setup.config());
+            if (!later.isEmpty()) {
+                LOG.log(Level.WARNING, "changed, but taken over only at a start: {0}", String.join(", ", later));
+            }
+            if (!Objects.equals(servers, setup.operator().servers())) {
+                LOG.log(Level.WARNING, "operators' settings: servers changed, but is taken over only at a start");
+            }
+            module.settings(read.settings(), read.classes());
+            clients.terms(read);
+            config = read;
+            entry.move(read.discovery());
+            if (!Objects.equals(rules, setup.rules())) {
+                rules = setup.rules();
+                module.rules(rules);
+                LOG.log(Level.INFO, "operators' settings read again: {0}", setup.operator().summary());
+            }
+            return true;
+        } catch (ConfigException e) {
+            LOG.log(Level.WARNING, "configuration not taken over: {0}", e.getMessage());
+            return false;
+        }
+    }
+
     /** Begins the end: all is answered and the clients are gone once the latch is down. */
     CountDownLatch drain() {
         CountDownLatch ended = new CountDownLatch(3);
--- a/src/test/java/barrowshore/config/ChangedConfigTest.java
+++ b/src/test/java/barrowshore/config/ChangedConfigTest.java
@@ -127,15 +127,9 @@
     }
 
     @Test
-    void theAddressOfTheEnvironmentCounts() throws IOException {
-        Path file = Files.createTempFile("config", ".json");
-        try {
-            Files.writeString(file, text);
-            assertThat(Config.read(file, "127.0.0.1:77").ops().getPort()).isEqualTo(77);
-            assertThat(Config.read(file, null).ops().getPort()).isZero();
-            assertThatThrownBy(() -> Config.read(file, "77")).isInstanceOf(ConfigException.class).hasMessageContaining("GW_OPS");
-        } finally {
-            Files.delete(file);
-        }
+    void theAddressOfTheEnvironmentCounts() {
+        assertThat(now.withOps("127.0.0.1:77").ops().getPort()).isEqualTo(77);
+        assertThat(now.withOps(null).ops().getPort()).isZero();
+        assertThatThrownBy(() -> now.withOps("77")).isInstanceOf(ConfigException.class).hasMessageContaining("GW_OPS");
     }
 }
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -9,6 +9,7 @@
 import barrowshore.net.Clock;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
+import barrowshore.operator.SetupFiles;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PushbackInputStream;
@@ -165,6 +166,17 @@
                     String file = config;
                     node.reload(() -> new Setup(Config.parse(file), Operator.NONE));
                 }
+                case "look-again" -> {
+                    Path file = folder.resolve("config.json");
+                    Files.writeString(file, config);
+                    SetupFiles files = new SetupFiles(file, null, null);
+                    files.read();
+                    node.lookAgain(files);   // it is as it was
+                    config = config.replace(named(words[1]), named(words[2]));
+                    Files.writeString(file, config);
+                    node.lookAgain(files);
+                    node.lookAgain(files);
+                }
                 case "module" -> module = words[1];
                 case "start" -> start();
                 case "follow" -> {
@@ -408,6 +420,7 @@
                     each.stop();
                 }
             }
+            Files.deleteIfExists(folder.resolve("config.json"));
             Files.deleteIfExists(folder.resolve("t"));
             Files.delete(folder);
             servers.close();
--- /dev/null
+++ b/src/test/java/barrowshore/operator/SetupFilesTest.java
@@ -0,0 +1,34 @@
+package barrowshore.operator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import barrowshore.config.ConfigException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SetupFilesTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void onlyAnotherTextIsAChangeAndReadingItEndsThat() throws IOException {
+        Path file = folder.resolve("config.json");
+        String text = Files.readString(Path.of("src/test/resources/exchanges/config.json")).replaceAll("\\$[DS]", "127.0.0.1:9");
+        Files.writeString(file, text);
+        SetupFiles files = new SetupFiles(file, "127.0.0.1:77", null);
+        assertThat(files.read().config().ops().getPort()).isEqualTo(77);
+        assertThat(files.changed()).isFalse();
+        Files.writeString(file, text);
+        assertThat(files.changed()).isFalse();
+        Files.delete(file);
+        assertThat(files.changed()).isFalse();
+        Files.writeString(file, "half");
+        assertThat(files.changed()).isTrue();
+        assertThatThrownBy(files::read).isInstanceOf(ConfigException.class);
+        assertThat(files.changed()).isFalse();
+    }
+}
