End with 2 where a new version could not open its address to clients

Seen on rereading: a process that follows another binds the clients' address late, when its end's hook is in place, and the hook ended with 0 whatever had happened. Checked by hand with the address taken by another program: the error names the field, exit code 2. A start without another process beside it fails before the hook, with 2 as ever.

--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -308,7 +308,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            Runtime.getRuntime().halt(0);
+            Runtime.getRuntime().halt(node.open.isCompletedExceptionally() ? 2 : 0);   // no orderly end, if it never opened
         }, "drain"));
         started.complete(node);
         if (!signalled) {
