Share a cold worker's budget by turns on the shared clock, not by chance

Ruled out: discovery (lists came, 16 and 15 ready), descriptors (140 of 384).

Lines at fault: Worker.coldMay, the Poisson stream with CHANCE = 3 deviations.

Change: dispatchers take turns of 2.5 windows at each cold worker, in an order that its id gives, each turn ending in 1.1 windows of quiet; the owner holds its own sends in any window to 0.7 of the budget.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -131,7 +131,7 @@
         // Departure, on kinds that a class names: there a job that could go elsewhere pays for those that
         // cannot, so the wait that it causes counts by their worth against its own.
         kinds[w.kind].worth += LEARN * job.slots * (mean.value(job) - kinds[w.kind].worth);
-        w.nextCold = 0;
+        if (w.warmth < 1) { w.coldSent(now, Math.max(mean.chanceSize(), job.work * job.slots), set); }
         price(now, w);
         act.send(job.id, w.id, 0);
     }
@@ -165,7 +165,7 @@
             cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
             if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, Math.max(mean.chanceSize(),
-                    job.work * job.slots), set, rng))) {
+                    job.work * job.slots), set))) {
                 lowest = cost;
                 best = w;
                 bestWait = wait;
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -12,20 +12,19 @@
     private static final double MEMORY = 0.25;
     /** Errors a worker is taken to have had in the one job before its first. */
     private static final double PRIOR_ERRORS = 0.01;
-    /** Standard deviations of chance kept free under a cold worker's limit. */
-    private static final double CHANCE = 3;
-    /** A cold worker's chance to get a job lapses after this share of the rules' window: none pile up. */
-    private static final double LAPSE = 0.25;
+    /** A turn at a cold worker and its quiet end, in windows of the rule; a turn's share of the budget. */
+    private static final double TURN = 2.5, QUIET = 1.1, COLD_SHARE = 0.7;
 
     final String id;
     int kind, zone, cell, hall, strikes;
     double rating;
     boolean listed, draining, silent;
-    long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt, nextCold;
+    long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt;
     /** Our attempts that are out; the slots they take; those of others, expected, told by them, reported. */
     final ArrayList<Job.Attempt> out = new ArrayList<>();
     double own, left, others, told, reported, overdue;
     final ArrayList<Ledger.Left> leftRunning = new ArrayList<>(0);
+    final ArrayList<double[]> coldSent = new ArrayList<>(0);
     /** As of the last refresh: speed, warm share, what a job waits and makes wait, cost of errors. */
     double speed = 1, warmth = 1, wait, charge;
     IndexTable table;
@@ -36,7 +35,8 @@
 
     /** What was held against a worker is void once it has restarted. */
     void restarted(long now) {
-        downUntil = fullUntil = reportedAt = nextCold = 0;
+        downUntil = fullUntil = reportedAt = 0;
+        coldSent.clear();
         seen.errors = seen.ends = strikes = 0;
         heardAt = now;
         silent = false;
@@ -84,22 +84,27 @@
 
     /**
      * Guards against pushing a cold worker over: all dispatchers together may send it fallMultiple times its
-     * capacity in any window of length fall. Each sends at instants of its own drawing, a Poisson stream;
-     * its mean is CHANCE deviations under the limit; one not used soon lapses, lest demand use up many
-     * at once. Counted in jobs of size E[w^2]/E[w].
+     * capacity in any window of length fall. Dispatchers take turns at it, in an order that its id gives,
+     * on the one clock that all read; each turn ends in a quiet time longer than that window, so a window
+     * meets the sends of one turn alone, held to COLD_SHARE of the budget against estimates of speed and
+     * work that may be high. Chance does not enter, so a budget of a few jobs is used too. Jobs count at no
+     * less than E[w^2]/E[w].
      */
-    boolean coldMay(long now, double usualSpeed, double jobSize, Settings set, Rng rng) {
-        double limit = set.fallMultiple * warmth(now, set) * table.slots * usualSpeed * set.fall / jobSize;
-        double mean = Math.min(limit / set.fallMultiple, limit - CHANCE * Math.sqrt(limit) - 1);
-        if (mean <= 0) {
-            nextCold = 0;
-            return false;
-        }
-        if (nextCold == 0 || now - nextCold > LAPSE * set.fall) {
-            double gap = set.fall * set.dispatchers * (1 + LAPSE) / mean / set.share;
-            nextCold = now + 1 + (long) (-Math.log(1 - rng.next()) * gap);
-        }
-        return now >= nextCold;
+    boolean coldMay(long now, double usualSpeed, double work, Settings set) {
+        long period = (long) (TURN * set.fall);
+        long turn = Math.floorDiv(now, period);
+        if (Math.floorMod(now, period) >= period - QUIET * set.fall
+                || Math.floorMod(turn + id.hashCode(), set.dispatchers) != set.me) { return false; }
+        double used = work;
+        for (double[] sent : coldSent) { used += sent[0] > now - set.fall ? sent[1] : 0; }
+        return used <= set.share * COLD_SHARE * set.fallMultiple * warmth(now, set) * table.slots * usualSpeed
+                * set.fall;
+    }
+
+    /** What was sent to it while cold, for the window of the rule; older sends are dropped. */
+    void coldSent(long now, double work, Settings set) {
+        coldSent.removeIf(s -> s[0] <= now - set.fall);
+        coldSent.add(new double[] {now, work});
     }
 
     /** Down: each strike doubles the time aside, jittered so that dispatchers do not return in unison. */
--- a/src/test/java/barrowshore/RulesTest.java
+++ b/src/test/java/barrowshore/RulesTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import barrowshore.DispatchApi.Effect;
 import barrowshore.DispatchApi.Health;
+import barrowshore.DispatchApi.JobClass;
 import barrowshore.DispatchApi.ListKind;
 import barrowshore.DispatchApi.Member;
 import barrowshore.DispatchApi.Request;
@@ -184,19 +185,44 @@
     @Nested
     class NoColdWorkerIsPushedOver {
         @ParameterizedTest
-        @CsvSource({"1,40", "4,40", "40,40", "40,8"})
-        void allDispatchersTogetherStayUnderTheBudgetInEveryWindow(int dispatchers, int slots) {
+        @CsvSource({"1,40,100000", "4,40,100000", "40,40,100000", "40,8,100000", "14,5,500000", "14,5,100000"})
+        void allDispatchersTogetherStayUnderTheBudgetInEveryWindow(int dispatchers, int slots, long work) {
+            List<Long> sent = coldSends(dispatchers, slots, work);
+            for (int i = 0, from = 0; i < sent.size(); i++) {
+                while (sent.get(from) <= sent.get(i) - 1_000_000) {
+                    from++;
+                }
+                double share = 0.1 + 0.9 * Math.max(0, sent.get(i) - 1_000_000 - START) / COLD;
+                double limit = 3 * share * slots * 1e6 / work;
+                assertTrue(i - from + 1 <= limit + 1, i - from + 1 + " sent, limit " + limit);
+            }
+            assertTrue(sent.size() > 10, "a warming worker is used: " + sent.size());
+        }
+
+        /** Fourteen dispatchers, a budget of three jobs a window: taking turns, it is still used from the start. */
+        @Test
+        void aBudgetOfAFewJobsIsUsedFromTheStart() {
+            List<Long> sent = coldSends(14, 5, 500_000);
+            long early = sent.stream().filter(at -> at < START + COLD / 4).count();
+            assertTrue(early >= 4, early + " sent in the first quarter of the warm-up");
+        }
+
+        private static final long START = 1_000_000_000L, COLD = 20_000_000L;
+
+        /** When each of so many dispatchers, with demand without end, sent to one worker that starts cold. */
+        private List<Long> coldSends(int dispatchers, int slots, long work) {
             List<Long> sent = new ArrayList<>();
-            long start = 1_000_000_000L, cold = 20_000_000L, work = 100_000;
             for (int d = 0; d < dispatchers; d++) {
                 Settings set = Bench.settings(Effect.SAFE, Scope.ALL);
+                set.classes[0] = new JobClass(work, 0, 2_000_000, 1, 0, Effect.SAFE, Scope.ALL, 500_000, -1, 0);
                 set.dispatchers = dispatchers;
+                set.me = d;
                 set.seed = 77 + d;
                 Bench bench = new Bench(set);
-                Member fresh = new Member("cold", Health.READY, slots, 0, 0, 0, start);
+                Member fresh = new Member("cold", Health.READY, slots, 0, 0, 0, START);
                 bench.dispatcher.list(bench.now, ListKind.INITIAL, List.of(fresh));
-                // Demand without end: a request every 5 ms at each dispatcher, served in the usual time.
-                for (int i = 0; bench.now < start + cold; i++) {
+                // A request every 5 ms at each dispatcher, served in the usual time.
+                for (int i = 0; bench.now < START + COLD; i++) {
                     bench.until(bench.now + 5_000);
                     if (bench.request("r" + i) != null) {
                         sent.add(bench.now);
@@ -205,15 +231,7 @@
                 }
             }
             sent.sort(null);
-            for (int i = 0, from = 0; i < sent.size(); i++) {
-                while (sent.get(from) <= sent.get(i) - 1_000_000) {
-                    from++;
-                }
-                double share = 0.1 + 0.9 * Math.max(0, sent.get(i) - 1_000_000 - start) / cold;
-                double limit = 3 * share * slots * 1e6 / work;
-                assertTrue(i - from + 1 <= limit + 1, i - from + 1 + " sent, limit " + limit);
-            }
-            assertTrue(sent.size() > 10, "a warming worker is used: " + sent.size());
+            return sent;
         }
     }
 
