Send to a cold worker only what would still meet its aim there

A late answer earns nothing; a turn-down may be tried again by the client. Checked: Dispatcher.lowest refused only what would miss the deadline, and weighed a cold worker's slowness only against other workers, never against the job's aim.

Change: a cold worker is passed over for a job whose wait and run there, at its present warmth, would end past the class's aim (aim plus stretch times the work).

RulesTest: a job that would miss its aim at a worker at a tenth of its speed is turned down (sent before), and sent once the worker is warm.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -161,6 +161,9 @@
             double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
             if (now + job.work / (w.speed * w.warmth) > job.answerBy) { continue; }
+            // A cold worker is slow: what misses its aim there earns nothing; a turn-down may be tried again.
+            if (w.warmth < 1 && now + wait + job.work / (w.speed * w.warmth)
+                    > job.arrivedAt + job.jobClass.aim() + job.jobClass.stretch() * job.work) { continue; }
             double cost = running / (w.speed * w.warmth) + wait * (k.named ? k.worth / mean.value(job) : 1);
             cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
