--- a/src/test/java/barrowshore/emulate/EmulatorTest.java
+++ b/src/test/java/barrowshore/emulate/EmulatorTest.java
@@ -55,6 +55,15 @@
         }
     }
 
+    /** Fourteen schedulers share nodes that return cold: each is used, and all together stay under its budget. */
+    @Test
+    void coldNodesAreSharedByAFleetWithoutFallingOver() {
+        for (Report r : play("fleet-cold.xml", Operator.NONE, 4)) {
+            assertThat(r.fallen()).as(r.table()).isZero();
+            assertThat(r.coldUse()).as(r.table()).isBetween(0.1, 1.0);
+        }
+    }
+
     @Test
     void aDarkHallGetsNextToNothingAndComesBack() {
         for (Report r : play("hall-dark.xml", ON, 4)) {
