Wait for a discovery that answers 503 instead of serving from the known list

Ruled out: the cold turns (the untouched code has the same start path), the watch's silence limit (no watch had been opened).

Lines at fault: ModuleActor.start handed the known list to the module at once, and ServiceEntry.again paused in step without jitter.

Change: the known list is handed in only where discovery has been silent for a second; where it answered without a list, the process waits for the list and turns jobs down meanwhile. Pauses are drawn between half and all of the back-off, and a Retry-After in seconds is honoured up to the longest pause.

--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -73,7 +73,7 @@
     private final Set<String> draining = new HashSet<>();
     private final List<Runnable> whenReady = new ArrayList<>();
     private final List<Runnable> whenIdle = new ArrayList<>();
-    private boolean told;
+    private boolean told, discoveryBusy;
     private long lastNow;
 
     ModuleActor(Clock clock, Executor pool, Scheduler timers, List<String> classes, int mostAttempts,
@@ -158,15 +158,23 @@
     void start(ServerList.Update known) {
         mailbox.post(() -> {
             guarded(null, () -> module.start(now()));
-            list(known, ListKind.INITIAL);
-            // Discovery may be down at a restart: what was known then has to do.
+            // Discovery may be down at a restart: what was known then has to do. Where it answers with no list, it
+            // is up and what it has to tell counts as told; the known list may be from long before, so it waits.
             timers.schedule(() -> mailbox.post(() -> {
-                told |= !listed.isEmpty();
+                if (!told && !discoveryBusy) {
+                    list(known, ListKind.INITIAL);
+                    told = !listed.isEmpty();
+                }
                 tellIfReady();
             }), LIST_MILLIS, TimeUnit.MILLISECONDS);
         });
     }
 
+    /** Discovery answered, but with no list. */
+    void discoveryBusy() {
+        mailbox.post(() -> discoveryBusy = true);
+    }
+
     void update(ServerList.Update update) {
         mailbox.post(() -> {
             list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
--- a/src/main/java/barrowshore/servers/ServiceEntry.java
+++ b/src/main/java/barrowshore/servers/ServiceEntry.java
@@ -12,9 +12,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
@@ -45,7 +47,10 @@
     private final Scheduler timers;
     private final Names names;
     private final Consumer<Update> listener;
+    private final Runnable busy;
     private final Mailbox mailbox;
+    /** Draws each pause: processes restarted together must not ask again in step. */
+    private final SplittableRandom jitter = new SplittableRandom();
     private InetSocketAddress address;
     /** Counts the addresses: what belongs to an earlier one is told by it. */
     private int life;
@@ -53,10 +58,15 @@
     private boolean whole;
     private long rev;
     private long pause = FIRST_PAUSE;
+    /** What discovery asked for in a Retry-After, up to the longest pause; 0: nothing. */
+    private long wanted;
     /** The watch whose changes count; it may be of the former address until the present one has told its list. */
     private Watch heard;
 
-    public ServiceEntry(InetSocketAddress address, Names names, Executor pool, Dialer dialer, Scheduler timers, Consumer<Update> listener) {
+    /** busy: discovery has answered, but with no list; it is up, so what it has to tell counts as told. */
+    public ServiceEntry(InetSocketAddress address, Names names, Executor pool, Dialer dialer, Scheduler timers,
+            Consumer<Update> listener, Runnable busy) {
+        this.busy = busy;
         this.dialer = dialer;
         this.timers = timers;
         this.address = address;
@@ -107,7 +117,9 @@
 
     private void again(int of) {
         if (of == life) {
-            timers.schedule(() -> mailbox.post(() -> dial(of)), pause, TimeUnit.MILLISECONDS);
+            long wait = Math.max(wanted, pause / 2 + jitter.nextLong(pause / 2 + 1));
+            wanted = 0;
+            timers.schedule(() -> mailbox.post(() -> dial(of)), wait, TimeUnit.MILLISECONDS);
             pause = Math.min(LONGEST_PAUSE, pause * 2);
         }
     }
@@ -116,7 +128,7 @@
     private final class Watch extends HttpLink implements HttpParser.ResponseHandler {
         private final int of;
         private final LineBuffer lines = new LineBuffer(LONGEST_LINE);
-        private boolean listing;
+        private boolean listing, refused;
 
         Watch(EndPoint endPoint, int of) {
             super(endPoint, ServiceEntry.this.mailbox, timers);
@@ -147,10 +159,32 @@
         @Override
         public void startResponse(HttpVersion version, int status, String reason) {
             persistent = version == HttpVersion.HTTP_1_1;
-            if (status != 200) {
-                LOG.log(Level.WARNING, "discovery answered {0}", status);
+            refused = status != 200;
+            if (refused) {
+                LOG.log(Level.WARNING, "discovery answered {0}: asked again; the list known from before is not used",
+                        status);
+                busy.run();
+            }
+        }
+
+        @Override
+        public void parsedHeader(HttpField field) {
+            super.parsedHeader(field);
+            if (refused && field.getHeader() == HttpHeader.RETRY_AFTER) {
+                try {
+                    wanted = Math.min(LONGEST_PAUSE, Math.max(0, Long.parseLong(field.getValue().trim()) * 1000));
+                } catch (NumberFormatException e) {
+                    wanted = 0;   // a date, or nothing that can be read: the back-off decides
+                }
+            }
+        }
+
+        @Override
+        public boolean headerComplete() {
+            if (refused) {
                 mailbox.post(this::shut);
             }
+            return false;
         }
 
         @Override
