Pause between one and two back-offs before asking discovery again

Fewer calls shorten the queue at an overbooked discovery for every process. Change: pauses drawn between one and two back-offs.

--- a/src/main/java/barrowshore/servers/ServiceEntry.java
+++ b/src/main/java/barrowshore/servers/ServiceEntry.java
@@ -117,7 +117,8 @@
 
     private void again(int of) {
         if (of == life) {
-            long wait = Math.max(wanted, pause / 2 + jitter.nextLong(pause / 2 + 1));
+            // Between one and two pauses: fewer calls than in step, and none at once, where discovery is overbooked.
+            long wait = Math.max(wanted, pause + jitter.nextLong(pause + 1));
             wanted = 0;
             timers.schedule(() -> mailbox.post(() -> dial(of)), wait, TimeUnit.MILLISECONDS);
             pause = Math.min(LONGEST_PAUSE, pause * 2);
