Use load reports that tell only free slots, pass keys on, read X-Cost

On sockets RealServer.carry sent X-Request-ID and X-Timeout-Ms only, so every keyed job was altered; ClientSide.head read no X-Cost. Ruled out: the classes' settings (stretch, effect, window are read) and the list (all workers ready).

LoadReader works out others' slots from whatever a report tells, and a kind's slots from the most that was free beside what runs. Flow carries the key, checked to be plain text and required on keyed classes; X-Cost is the hint, absent where malformed. Figures of a report that no machine can have count as not told.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -24,7 +24,7 @@
     private static final double ASIDE = 4;   // connect time-outs aside, at first, for a broken worker
     private static final double ERROR_COST = 3;   // mean aims that an error costs: the job is lost or redone
     private static final double LOAD_JOBS = 8;   // half-life of the fleet's load, in mean jobs
-    private static final double LEARN = 0.01, SLOTS_LEARN = 0.05;   // weight of a job, of a report, in a mean
+    private static final double LEARN = 0.01;   // weight of a job in a mean
     private static final double MAX_WEIGHT = 4;   // jobs that one noted job may count for
     private static final double RETRY_SHARE = 0.1, RETRIES_SAVED = 100;   // repeats: a request; saved at most
     private static final double TRUST = 0.3;   // in a fresh report against the level: it came late
@@ -220,7 +220,7 @@
         ledger.leave(a, status, now);
         tell(a.worker);
         learn(now, a, status, latency);
-        if (load != null) { report(now, a.worker, load); }
+        if (load != null) { LoadReader.enter(now, a.worker, kinds[a.worker.kind], load); }
         price(now, a.worker);
         // The budget guards against retries that amplify an overload; what never ran may go on at once.
         boolean again = !closed && (status.neverRan() || status != Status.CANCELLED && retries.take())
@@ -285,19 +285,6 @@
         k.ran(Math.max(LEARN, 1 / (5 + k.jobs)) * weight, a.job.work, ran);
     }
 
-    private void report(long now, Worker w, Load load) {
-        if (Double.isNaN(load.inFlight())) { return; }
-        w.reported = Math.max(0, load.inFlight() - w.out.size());
-        w.reportedAt = now;
-        boolean told = !Double.isNaN(load.freeSlots());
-        double queue = Double.isNaN(load.queue()) ? 0 : load.queue();
-        double seen = load.inFlight() - queue + (told ? load.freeSlots() : 0);
-        if (told || queue >= 1) {
-            Kind k = kinds[w.kind];
-            k.slots += k.slots > 0 ? SLOTS_LEARN * (seen - k.slots) : seen;
-        }
-    }
-
     @Override public void note(long now, String id, int number, Note note, double share) {
         Job.Attempt a = ledger.attempt(id, number);
         if (a != null) {
@@ -316,7 +303,7 @@
     @Override public void probed(long now, String worker, Status status, long latency, Load load) {
         Worker w = roster.worker(worker);
         if (w == null) { return; }
-        if (status == Status.OK && load != null) { report(now, w, load); }
+        if (status == Status.OK && load != null) { LoadReader.enter(now, w, kinds[w.kind], load); }
         halls.probed(now, w, status);
     }
 
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -69,10 +69,12 @@
     private static final Pattern ID = Pattern.compile("[0-9A-Za-z._-]{1,64}");
     private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,9}");
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,10}(\\.[0-9]{1,9})?");
+    /** What goes on to the real server as it is: nothing that another reader might take for the end of a line. */
+    private static final Pattern KEY = Pattern.compile("[!-~]([ -~]*[!-~])?");
     private static final Pattern TARGET = Pattern.compile("/[A-Za-z0-9._~:/?\\[\\]@!$&'()*+,;=%-]{0,4095}");
     /** What decides of a flow; said twice, it says nothing. */
     private static final List<String> ONCE = List.of("X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout-Ms",
-            "X-Attrs");
+            "X-Attrs", "Idempotency-Key");
     /** Bytes of request bodies held at once, over all connections: a quarter of the heap. */
     private static final int MOST_BYTES = 14 << 20;
     private static final byte[] NOTHING = new byte[0];
@@ -474,7 +476,7 @@
             }
             long timeout = 1000 * (long) positive("X-Timeout-Ms", header("X-Timeout-Ms"), WHOLE_NUMBER, LONGEST_WAIT);
             double slots = 1;
-            double hint = 0;
+            double hint = cost();
             String attrs = fields.get("X-Attrs");
             for (String pair : attrs == null || attrs.isBlank() ? new String[0] : attrs.split(",")) {
                 int eq = pair.indexOf('=');
@@ -490,9 +492,25 @@
             }
             long deadline = firstByteAt + timeout - Math.min(MARGIN, timeout / 4);
             int jobClass = terms.classes().indexOf(path);
+            DispatchApi.Effect effect = terms.types()[jobClass].effect();
+            String key = fields.get("Idempotency-Key");
+            if (key == null && effect == DispatchApi.Effect.KEYED) {
+                throw new BadRequest(400, "Idempotency-Key is missing");   // its repeats could not be told
+            }
+            if (key != null && !KEY.matcher(key).matches()) {
+                throw new BadRequest(400, "Idempotency-Key is not plain text");
+            }
             return new Flow(id, jobClass, tenant, slots, hint,
                     firstByteAt >= cappedFrom ? Math.min(deadline, cap) : deadline,
-                    terms.types()[jobClass].effect() == DispatchApi.Effect.SAFE, method, target, NOTHING);
+                    effect == DispatchApi.Effect.SAFE, method, target, key, NOTHING);
+        }
+
+        /** The client's guess at the work, in microseconds; one that cannot be read is none: the job is whole without. */
+        private double cost() {
+            List<String> told = fields.getValuesList("X-Cost");
+            double value = told.size() == 1 && DECIMAL.matcher(told.get(0).strip()).matches()
+                    ? Double.parseDouble(told.get(0).strip()) : 0;
+            return value <= MOST_HINT ? value : 0;
         }
 
         private String header(String name) throws BadRequest {
--- a/src/main/java/barrowshore/servers/RealServer.java
+++ b/src/main/java/barrowshore/servers/RealServer.java
@@ -50,6 +50,9 @@
     /** A result of 64 KiB with every byte escaped, and what stands round it. */
     private static final int LONGEST_LINE = 400 * 1024;
 
+    /** More requests, or free slots, than any machine has. */
+    private static final double MOST_LOAD = 1e5;
+
     /** One scheduling, as the module actor knows it; it gets one end. */
     public interface Scheduling {
         Flow flow();
@@ -244,8 +247,10 @@
                 ? new Load(number(map, "inflight"), number(map, "queue"), number(map, "x0")) : null;
     }
 
+    /** A figure that no machine can have is none: it must not poison what is learned. */
     private static double number(Map<?, ?> map, String name) {
-        return map.get(name) instanceof Number n ? n.doubleValue() : Double.NaN;
+        double value = map.get(name) instanceof Number n ? n.doubleValue() : Double.NaN;
+        return value >= 0 && value <= MOST_LOAD ? value : Double.NaN;
     }
 
     /** One connection: idle, or carrying one piece of work. */
@@ -317,6 +322,9 @@
             Flow flow = scheduling.flow();
             fields.add("X-Request-ID", flow.id());
             fields.add("X-Timeout-Ms", String.valueOf(Math.max(1, scheduling.left() / 1000)));
+            if (flow.key() != null) {
+                fields.add("Idempotency-Key", flow.key());
+            }
             write(new MetaData.Request(flow.method(), HttpURI.from(flow.target()), HttpVersion.HTTP_1_1, fields,
                     flow.body().length), flow.body(), () -> {
                         next.written = true;
--- /dev/null
+++ b/src/test/java/barrowshore/LoadReaderTest.java
@@ -0,0 +1,51 @@
+package barrowshore;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import barrowshore.DispatchApi.Effect;
+import barrowshore.DispatchApi.Load;
+import barrowshore.DispatchApi.Scope;
+import barrowshore.DispatchApi.Status;
+import org.junit.jupiter.api.Test;
+
+/** Load reports of sites that tell different figures. */
+class LoadReaderTest {
+    private static final Load IDLE = new Load(Double.NaN, 0, 4), BUSY = new Load(Double.NaN, 6, 0);
+
+    @Test
+    void whereOnlyFreeSlotsAreToldABusyWorkerIsLeftAlone() {
+        Bench bench = new Bench(Bench.settings(Effect.SAFE, Scope.ALL)).workers(2);
+        for (int i = 0; i < 40; i++) {
+            bench.now += 20_000;
+            String w = bench.request("r" + i);
+            bench.dispatcher.outcome(bench.now, "r" + i, 0, true, Status.OK, 10_000, w.equals("w0") ? BUSY : IDLE);
+        }
+        bench.until(bench.now + 100_000);
+        for (int i = 0; i < 10; i++) {
+            assertThat(bench.request("s" + i)).isEqualTo("w1");
+            bench.dispatcher.outcome(bench.now, "s" + i, 0, true, Status.OK, 10_000, IDLE);
+        }
+    }
+
+    @Test
+    void slotsAreTheMostThatWasFreeBesideWhatRuns() {
+        Kind kind = new Kind(1);
+        Worker w = new Worker("w");
+        for (int i = 0; i < 200; i++) {
+            LoadReader.enter(i + 1, w, kind, new Load(Double.NaN, i % 3 == 0 ? 0 : 2, i % 3 == 0 ? 5 : 0));
+        }
+        assertThat(kind.slots).isCloseTo(5, within(0.5));
+        assertThat(w.reported).isCloseTo(7, within(0.5));
+        assertThat(w.usual).isBetween(3.0, 6.0);
+    }
+
+    @Test
+    void aReportWithoutAnyFigureOfUseChangesNothing() {
+        Kind kind = new Kind(1);
+        Worker w = new Worker("w");
+        LoadReader.enter(1, w, kind, new Load(Double.NaN, 3, Double.NaN));
+        assertThat(w.reportedAt).isZero();
+        assertThat(kind.slots).isZero();
+    }
+}
