Ask each worker's wait, read reports against what we usually hold, spare tight aims

Dispatcher.lowest compared only the cheapest worker's wait with the worth, so the crossing price hid free workers.

LoadReader takes what we usually hold from a report and keeps what others usually hold; fill() stands on that, the level where reports are missing. Each worker's wait is held against the worth. Running over 0.6 of the aim costs extra. In-flight is turned into slots; without a queue figure slots are only learned while one is free.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -27,7 +27,8 @@
     private static final double LEARN = 0.01;   // weight of a job in a mean
     private static final double MAX_WEIGHT = 4;   // jobs that one noted job may count for
     private static final double RETRY_SHARE = 0.1, RETRIES_SAVED = 100;   // repeats: a request; saved at most
-    private static final double TRUST = 0.3;   // in a fresh report against the level: it came late
+    private static final double TRUST = 0.3, FORGET = 8;   // in a fresh report: it came late; until the level
+    private static final double TIGHT = 0.6;   // share of the aim in running from which each bit more costs
     private static final double CROSSING = 3;   // mean aims of delay worth a point for crossing zones
     private static final int TELL_REFRESHES = 6;   // refreshes between two tellings of all our slots
     private static final double PEER_FRESH = 4;   // such tellings until a silent peer is guessed at
@@ -145,13 +146,18 @@
         return best;
     }
 
-    /** The lowest current index among ready, eligible workers; null if none, or above its worth. */
+    /** The lowest current index among eligible workers where the wait is within the worth; null if none. */
     private Worker lowest(long now, Job job, double[] prices) {
         Worker best = null;
-        double lowest = Double.POSITIVE_INFINITY, bestWait = 0;
+        double lowest = Double.POSITIVE_INFINITY;
         double crossing = CROSSING * set.crossZoneCharge * mean.aim;
         // Departure: where the aim grows with the job's own work, running slowly costs less than waiting.
         double running = job.work / (1 + job.jobClass.stretch());
+        double budget = job.jobClass.aim() + job.jobClass.stretch() * job.work;
+        // The paper's R for this job, by its worth for each unit of work. Above capacity a wait is passed on
+        // to all that follow, which a table of load 0.9 does not know.
+        double worth = PATIENCE * mean.aim * mean.value(job) / (pressure * pressure);
+        worth *= job.overQuota ? set.overShareWorth : 1;
         for (Worker w : roster.ready) {
             double away = prices[w.hall];
             if (away == HallGate.CLOSED || away < 0 && !halls.takes(w) || w.aside(now)
@@ -159,25 +165,24 @@
                     || !mayGo(now, job, w)) { continue; }
             Kind k = kinds[w.kind];
             double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
+            // Not only the cheapest is asked: where that one is crowded, one across a border may not be.
+            if (wait > worth) { continue; }
+            double run = job.work / (w.speed * w.warmth);
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
-            if (now + job.work / (w.speed * w.warmth) > job.answerBy) { continue; }
+            if (now + run > job.answerBy) { continue; }
             // A cold worker is slow: what misses its aim there earns nothing; a turn-down may be tried again.
-            if (w.warmth < 1 && now + wait + job.work / (w.speed * w.warmth)
-                    > job.arrivedAt + job.jobClass.aim() + job.jobClass.stretch() * job.work) { continue; }
+            if (w.warmth < 1 && now + wait + run > job.arrivedAt + budget) { continue; }
             double cost = running / (w.speed * w.warmth) + wait * (k.named ? k.worth / mean.value(job) : 1);
+            cost += Math.max(0, run - TIGHT * budget);   // little is left of the aim: any wait is one too long
             cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
             if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, Math.max(mean.chanceSize(),
                     job.work * job.slots), set))) {
                 lowest = cost;
                 best = w;
-                bestWait = wait;
             }
         }
-        // The paper's R for this job, by its worth for each unit of work. Above capacity a wait is passed on
-        // to all that follow, which a table of load 0.9 does not know.
-        double worth = PATIENCE * mean.aim * mean.value(job) / (pressure * pressure);
-        return bestWait > worth * (job.overQuota ? set.overShareWorth : 1) ? null : best;
+        return best;
     }
 
     /** Whether the class allows the job at this worker after its earlier attempts (rule: no effect twice). */
@@ -220,7 +225,7 @@
         ledger.leave(a, status, now);
         tell(a.worker);
         learn(now, a, status, latency);
-        if (load != null) { LoadReader.enter(now, a.worker, kinds[a.worker.kind], load); }
+        reported(now, a.worker, load);
         price(now, a.worker);
         // The budget guards against retries that amplify an overload; what never ran may go on at once.
         boolean again = !closed && (status.neverRan() || status != Status.CANCELLED && retries.take())
@@ -285,6 +290,12 @@
         k.ran(Math.max(LEARN, 1 / (5 + k.jobs)) * weight, a.job.work, ran);
     }
 
+    private void reported(long now, Worker w, Load load) {
+        if (load != null) {
+            LoadReader.enter(now, w, kinds[w.kind], load, mean.size / mean.work, LOAD_JOBS * mean.work);
+        }
+    }
+
     @Override public void note(long now, String id, int number, Note note, double share) {
         Job.Attempt a = ledger.attempt(id, number);
         if (a != null) {
@@ -303,7 +314,7 @@
     @Override public void probed(long now, String worker, Status status, long latency, Load load) {
         Worker w = roster.worker(worker);
         if (w == null) { return; }
-        if (status == Status.OK && load != null) { LoadReader.enter(now, w, kinds[w.kind], load); }
+        if (status == Status.OK) { reported(now, w, load); }
         halls.probed(now, w, status);
     }
 
@@ -370,6 +381,7 @@
             w.table = table(w);
             w.overdue = 0;
             ledger.settle(now, w);
+            w.ownUsual = keep * w.ownUsual + (1 - keep) * (w.own + w.left);
             boolean due = false;
             for (int i = 0; i < w.out.size(); i++) {
                 Job.Attempt a = w.out.get(i);
@@ -447,9 +459,12 @@
         }
         level(now, -1, missing * loadOthers);
         for (Worker w : roster.ready) {
-            // A report tells more than the level, for about the time that a job takes.
-            double trust = TRUST * Math.pow(0.5, (now - w.reportedAt) / (2 * mean.work));
-            w.others += w.reportedAt == 0 || missing == 0 ? 0 : trust * (w.reported - w.others);
+            if (w.reportedAt == 0 || missing == 0) { continue; }
+            // Others need not spread as we would: what they usually hold there counts for more than the level,
+            // and what the last report told counts a little, for about the time that a job takes.
+            double age = now - w.reportedAt, last = TRUST * Math.pow(0.5, age / (2 * mean.work));
+            double held = w.usual + last * (w.reported - w.usual);
+            w.others += Math.pow(0.5, age / (FORGET * LOAD_JOBS * mean.work)) * (held - w.others);
         }
     }
 
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -20,9 +20,9 @@
     double rating;
     boolean listed, draining, silent;
     long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt;
-    /** Our attempts that are out; their slots; others' slots: expected, told by them, reported, usual. */
+    /** Our attempts that are out; their slots; others' slots: expected, told by them, reported; usual. */
     final ArrayList<Job.Attempt> out = new ArrayList<>();
-    double own, left, others, told, reported, usual, overdue;
+    double own, left, others, told, reported, usual, ownUsual, overdue;
     final ArrayList<Ledger.Left> leftRunning = new ArrayList<>(0);
     final ArrayList<double[]> coldSent = new ArrayList<>(0);
     /** As of the last refresh: speed, warm share, what a job waits and makes wait, cost of errors. */
--- a/src/test/java/barrowshore/LoadReaderTest.java
+++ b/src/test/java/barrowshore/LoadReaderTest.java
@@ -33,18 +33,36 @@
         Kind kind = new Kind(1);
         Worker w = new Worker("w");
         for (int i = 0; i < 200; i++) {
-            LoadReader.enter(i + 1, w, kind, new Load(Double.NaN, i % 3 == 0 ? 0 : 2, i % 3 == 0 ? 5 : 0));
+            LoadReader.enter(i + 1, w, kind, new Load(Double.NaN, i % 3 == 0 ? 0 : 2, i % 3 == 0 ? 5 : 0), 1, 20);
         }
         assertThat(kind.slots).isCloseTo(5, within(0.5));
         assertThat(w.reported).isCloseTo(7, within(0.5));
         assertThat(w.usual).isBetween(3.0, 6.0);
     }
 
+    /** Both schedulers read the same report: whoever has more there by now must not think that there are fewer others. */
+    @Test
+    void whatWasSentSinceTheReportIsNotTakenForRoomOfOthers() {
+        Kind kind = new Kind(1);
+        kind.slots = 6;
+        Worker w = new Worker("w");
+        w.own = 4;
+        LoadReader.enter(1, w, kind, new Load(Double.NaN, 0, 2), 1, 20);
+        assertThat(w.reported).isCloseTo(4, within(0.1));
+    }
+
+    @Test
+    void whatIsCountedInJobsTakesAsManySlotsAsJobsDo() {
+        Worker w = new Worker("w");
+        LoadReader.enter(1, w, new Kind(1), new Load(3, 0, 2), 2, 20);
+        assertThat(w.reported).isEqualTo(6);
+    }
+
     @Test
     void aReportWithoutAnyFigureOfUseChangesNothing() {
         Kind kind = new Kind(1);
         Worker w = new Worker("w");
-        LoadReader.enter(1, w, kind, new Load(Double.NaN, 3, Double.NaN));
+        LoadReader.enter(1, w, kind, new Load(Double.NaN, 3, Double.NaN), 1, 20);
         assertThat(w.reportedAt).isZero();
         assertThat(kind.slots).isZero();
     }
