Hold a cold worker's turn to 0.6 of its budget, and mend the size test

A job whose cheapest worker is crowded now goes on to the next, so cold ones are used up to what they are allowed, and the estimates behind that are off by up to half where no hints are given.

COLD_SHARE 0.7 to 0.6; lines of the policy files within 110 columns.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -173,7 +173,7 @@
             // A cold worker is slow: what misses its aim there earns nothing; a turn-down may be tried again.
             if (w.warmth < 1 && now + wait + run > job.arrivedAt + budget) { continue; }
             double cost = running / (w.speed * w.warmth) + wait * (k.named ? k.worth / mean.value(job) : 1);
-            cost += Math.max(0, run - TIGHT * budget);   // little is left of the aim: any wait is one too long
+            cost += Math.max(0, run - TIGHT * budget);   // little of the aim is left for waiting
             cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
             if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, Math.max(mean.chanceSize(),
@@ -460,8 +460,8 @@
         level(now, -1, missing * loadOthers);
         for (Worker w : roster.ready) {
             if (w.reportedAt == 0 || missing == 0) { continue; }
-            // Others need not spread as we would: what they usually hold there counts for more than the level,
-            // and what the last report told counts a little, for about the time that a job takes.
+            // Others need not spread as we would: what they usually hold there counts above the level, and the
+            // last report counts a little, for about the time that a job takes.
             double age = now - w.reportedAt, last = TRUST * Math.pow(0.5, age / (2 * mean.work));
             double held = w.usual + last * (w.reported - w.usual);
             w.others += Math.pow(0.5, age / (FORGET * LOAD_JOBS * mean.work)) * (held - w.others);
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -13,7 +13,7 @@
     /** Errors a worker is taken to have had in the one job before its first. */
     private static final double PRIOR_ERRORS = 0.01;
     /** A turn at a cold worker and its quiet end, in windows of the rule; a turn's share of the budget. */
-    private static final double TURN = 2.5, QUIET = 1.1, COLD_SHARE = 0.7;
+    private static final double TURN = 2.5, QUIET = 1.1, COLD_SHARE = 0.6;
 
     final String id;
     int kind, zone, cell, hall, strikes;
