--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -460,8 +460,8 @@
         level(now, -1, missing * loadOthers);
         for (Worker w : roster.ready) {
             if (w.reportedAt == 0 || missing == 0) { continue; }
-            // Others need not spread as we would: what they usually hold there counts above the level, and the
-            // last report counts a little, for about the time that a job takes.
+            // Others need not spread as we would: what they usually hold there counts above the level, and
+            // the last report counts a little, for about the time that a job takes.
             double age = now - w.reportedAt, last = TRUST * Math.pow(0.5, age / (2 * mean.work));
             double held = w.usual + last * (w.reported - w.usual);
             w.others += Math.pow(0.5, age / (FORGET * LOAD_JOBS * mean.work)) * (held - w.others);
