Take a cold worker for one with fewer cores, and share it on tracks of turns

Logged: jobs on cold workers ran at 1.06 to 1.14 of the usual speed at any age while Dispatcher.lowest, waiting and patience divided by the share of capacity; the guard "would miss its aim" shut them out. Worker.coldMay let one scheduler in fourteen at a worker (98 of 100 looks outside a turn, almost none over budget), and fill() put the others' level on workers where the others had no turn. Ruled out: the budget itself, crossing, hints.

Worker.share: a job's part of its speed on the cores there are. ColdTurns, a pure package: the budget in tracks of turns, as many as hold a few jobs by the settings alone. Where hints are given a job weighs its own work.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
+import barrowshore.budget.ColdTurns;
 import barrowshore.halls.HallGate;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
@@ -45,6 +46,7 @@
     private final Quotas quotas;
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
     private final IndexTables tables;
+    private final ColdTurns.Terms turns;
     private double loadOthers, loadAll, missing = 1, pressure = 1;
     private long loadAt;
     private int askFailures, probeNext, refreshes;
@@ -62,6 +64,7 @@
         rng = new Rng(settings.seed);
         ledger = new Ledger(set.kinds);
         mean = new Traffic(set);
+        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, mean.work);
         halls = new HallSide(set, act, rng, mean);
         roster = new Roster(halls);
         kinds = new Kind[set.kinds];
@@ -124,15 +127,14 @@
     private void dispatch(long now, Job job) {
         Worker w = job.attempts.size() < set.maxAttempts && now < job.answerBy ? pick(now, job) : null;
         if (w == null) { answer(now, job); return; }
-        double over = Math.max(0, w.own + w.left + w.told + w.others + job.slots - w.table.slots);
         Job.Attempt a = ledger.enter(job, w, now);
-        a.wait = over / w.table.slots * mean.work / (w.speed * w.warmth);
+        a.wait = queueing(w, job.slots);
         halls.sent(now, a, mean.aim);
         tell(w);
         // Departure, on kinds that a class names: there a job that could go elsewhere pays for those that
         // cannot, so the wait that it causes counts by their worth against its own.
         kinds[w.kind].worth += LEARN * job.slots * (mean.value(job) - kinds[w.kind].worth);
-        if (w.warmth < 1) { w.coldSent(now, Math.max(mean.chanceSize(), job.work * job.slots), set); }
+        if (w.warmth < 1) { w.cold.sent(now, turns, coldSize(job)); }
         price(now, w);
         act.send(job.id, w.id, 0);
     }
@@ -167,17 +169,16 @@
             double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
             // Not only the cheapest is asked: where that one is crowded, one across a border may not be.
             if (wait > worth) { continue; }
-            double run = job.work / (w.speed * w.warmth);
+            double run = job.work / w.pace(job.slots);
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
             if (now + run > job.answerBy) { continue; }
-            // A cold worker is slow: what misses its aim there earns nothing; a turn-down may be tried again.
-            if (w.warmth < 1 && now + wait + run > job.arrivedAt + budget) { continue; }
-            double cost = running / (w.speed * w.warmth) + wait * (k.named ? k.worth / mean.value(job) : 1);
+            // What misses its aim at a cold worker earns nothing; a turn-down may be tried again.
+            if (w.warmth < 1 && now + queueing(w, job.slots) + run > job.arrivedAt + budget) { continue; }
+            double cost = running / w.pace(job.slots) + wait * (k.named ? k.worth / mean.value(job) : 1);
             cost += Math.max(0, run - TIGHT * budget);   // little of the aim is left for waiting
             cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
-            if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, Math.max(mean.chanceSize(),
-                    job.work * job.slots), set))) {
+            if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, coldSize(job), set, turns))) {
                 lowest = cost;
                 best = w;
             }
@@ -185,6 +186,11 @@
         return best;
     }
 
+    /** What a job weighs in a cold worker's budget: where its work is a guess, no less than E[w^2]/E[w]. */
+    private double coldSize(Job job) {
+        return Math.max(mean.hinted ? 0 : mean.chanceSize(), job.work * job.slots);
+    }
+
     /** Whether the class allows the job at this worker after its earlier attempts (rule: no effect twice). */
     private boolean mayGo(long now, Job job, Worker w) {
         JobClass type = job.jobClass;
@@ -350,14 +356,21 @@
     private IndexTable table(Worker w) {
         // Until reports tell, the rating is taken as the number of slots: the proportions matter most.
         double known = kinds[w.kind].slots > 0 ? kinds[w.kind].slots : w.rating > 1 ? w.rating : FIRST_SLOTS;
-        int slots = Math.max(1, Math.min(MAX_SLOTS, (int) Math.round(known)));
+        w.slots = Math.max(1, Math.min(MAX_SLOTS, (int) Math.round(known)));
+        int slots = Math.max(1, (int) (w.slots * w.warmth));
         return tables.get(slots, slots * DEPTH, high ? HIGH_TABLE : LOW_TABLE);
     }
 
     /** What one more mean job waits there and makes others wait: the index above an idle worker's. */
     private double waiting(Worker w, double more) {
         double above = w.table.expected(w.own + w.left + w.told + more, w.others) - w.table.idle();
-        return above * mean.work / (w.speed * w.warmth);
+        return above * mean.work / w.pace(1);
+    }
+
+    /** How long a job of so many slots is expected to wait there for its start. */
+    private double queueing(Worker w, double slots) {
+        double over = Math.max(0, w.own + w.left + w.told + w.others + slots - w.table.slots);
+        return over / w.table.slots * mean.work / w.pace(1);
     }
 
     private void price(long now, Worker w) {
@@ -387,7 +400,7 @@
                 Job.Attempt a = w.out.get(i);
                 if (now - a.signAt() > patience(a)) { late.add(a.job); }
                 due |= now - Math.max(a.sentAt, w.heardAt) > patience(a);
-                double expected = a.job.work / (kinds[w.kind].speed * w.warmth);
+                double expected = a.job.work / (kinds[w.kind].speed * w.share(a.job.slots));
                 w.overdue = Math.max(w.overdue, now - (a.startedAt > 0 ? a.startedAt : a.sentAt) - expected);
             }
             w.speed = w.speed(kinds[w.kind].speed, mean.work);
@@ -401,7 +414,7 @@
                 w.strike(now, ASIDE * set.connectTimeout, rng);
             }
             aside += w.silent ? 1 : 0;
-            capacity += halls.open(w) ? w.table.slots * w.warmth : 0;
+            capacity += halls.open(w) ? w.slots * w.warmth : 0;
             speed += kinds[w.kind].speed / roster.ready.length;
         }
         pressure = Math.max(1, loadAll / Math.max(1, capacity));
@@ -441,7 +454,7 @@
 
     /** How long an attempt may go without a sign, where notes come at a start and then at intervals. */
     private double patience(Job.Attempt a) {
-        double expected = a.job.work / (kinds[a.worker.kind].speed * a.worker.warmth);
+        double expected = a.job.work / (kinds[a.worker.kind].speed * a.worker.share(a.job.slots));
         if (!set.tellsStart || set.progressEvery == 0) { return 4 * (a.wait + expected + set.progressEvery); }
         return SILENT * (a.startedAt > 0 ? set.progressEvery : a.wait + START * set.connectTimeout
                 + (a.wait > 0 ? set.progressEvery : 0));
@@ -486,8 +499,8 @@
 
     /** The others' view of a worker is the usual one: our own evidence of its speed is not theirs. */
     private double filled(long now, Worker w, double level) {
-        double rate = kinds[w.kind].speed * w.warmth / mean.work;
-        boolean out = w.silent || now < w.downUntil || !halls.open(w);
+        double rate = kinds[w.kind].speed * w.share(1) / mean.work;
+        boolean out = w.silent || now < w.downUntil || !halls.open(w) || w.warmth < 1;   // cold: in turns
         return out ? 0 : w.table.inverse(level * rate + (1 - mean.running) * w.table.idle());
     }
 }
--- a/src/main/java/barrowshore/HallSide.java
+++ b/src/main/java/barrowshore/HallSide.java
@@ -88,7 +88,7 @@
      * are while jobs wait, and a limit must not grow with the crowd: what the list says bounds it.
      */
     void see(long now, Worker w, double speed, boolean silent) {
-        double slots = w.rating > 1 ? Math.min(w.rating, w.table.slots) : w.table.slots;
+        double slots = w.rating > 1 ? Math.min(w.rating, w.slots) : w.slots;
         gate.see(now, w.place, slots * w.warmth, speed, silent);
     }
 
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -3,6 +3,7 @@
 
 import java.util.ArrayList;
 import barrowshore.DispatchApi.Settings;
+import barrowshore.budget.ColdTurns;
 
 /** What one dispatcher knows of one worker: speed, jobs in flight, health, and its budget while cold. */
 final class Worker {
@@ -12,11 +13,9 @@
     private static final double MEMORY = 0.25;
     /** Errors a worker is taken to have had in the one job before its first. */
     private static final double PRIOR_ERRORS = 0.01;
-    /** A turn at a cold worker and its quiet end, in windows of the rule; a turn's share of the budget. */
-    private static final double TURN = 2.5, QUIET = 1.1, COLD_SHARE = 0.6;
 
     final String id;
-    int kind, zone, cell, hall, strikes;
+    int kind, zone, cell, hall, strikes, slots;
     double rating;
     boolean listed, draining, silent;
     long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt;
@@ -24,7 +23,7 @@
     final ArrayList<Job.Attempt> out = new ArrayList<>();
     double own, left, others, told, reported, usual, ownUsual, overdue;
     final ArrayList<Ledger.Left> leftRunning = new ArrayList<>(0);
-    final ArrayList<double[]> coldSent = new ArrayList<>(0);
+    final ColdTurns cold = new ColdTurns();
     /** As of the last refresh: speed, warm share, what a job waits and makes wait, cost of errors. */
     double speed = 1, warmth = 1, wait, charge;
     IndexTable table;
@@ -36,7 +35,7 @@
     /** What was held against a worker is void once it has restarted. */
     void restarted(long now) {
         downUntil = fullUntil = reportedAt = 0;
-        coldSent.clear();
+        cold.clear();
         seen.errors = seen.ends = strikes = 0;
         heardAt = now;
         silent = false;
@@ -76,35 +75,21 @@
         return (prior + seen.work) / (prior / usual + seen.took + overdue);
     }
 
+    /** The share of its speed for a job of so many slots: a cold worker has fewer cores, not slower ones. */
+    double share(double filled) { return Math.min(1, slots * warmth / Math.max(1, filled)); }
+
+    double pace(double filled) { return speed * share(filled); }
+
     /** The share of its capacity that it surely has: it grows no slower than evenly. */
     double warmth(long now, Settings set) {
         double share = startedAt > 0 ? Math.max(0, (now - startedAt) / (double) set.cold) : 1;
         return share >= 1 ? 1 : set.startCapacity + (1 - set.startCapacity) * share;
     }
 
-    /**
-     * Guards against pushing a cold worker over: all dispatchers together may send it fallMultiple times its
-     * capacity in any window of length fall. Dispatchers take turns at it, in an order that its id gives,
-     * on the one clock that all read; each turn ends in a quiet time longer than that window, so a window
-     * meets the sends of one turn alone, held to COLD_SHARE of the budget against estimates of speed and
-     * work that may be high. Chance does not enter, so a budget of a few jobs is used too. Jobs count at no
-     * less than E[w^2]/E[w].
-     */
-    boolean coldMay(long now, double usualSpeed, double work, Settings set) {
-        long period = (long) (TURN * set.fall);
-        long turn = Math.floorDiv(now, period);
-        if (Math.floorMod(now, period) >= period - QUIET * set.fall
-                || Math.floorMod(turn + id.hashCode(), set.dispatchers) != set.me) { return false; }
-        double used = work;
-        for (double[] sent : coldSent) { used += sent[0] > now - set.fall ? sent[1] : 0; }
-        return used <= set.share * COLD_SHARE * set.fallMultiple * warmth(now, set) * table.slots * usualSpeed
-                * set.fall;
-    }
-
-    /** What was sent to it while cold, for the window of the rule; older sends are dropped. */
-    void coldSent(long now, double work, Settings set) {
-        coldSent.removeIf(s -> s[0] <= now - set.fall);
-        coldSent.add(new double[] {now, work});
+    /** Guards against pushing a cold worker over: a bound for all dispatchers together in any window. */
+    boolean coldMay(long now, double usualSpeed, double size, Settings set, ColdTurns.Terms terms) {
+        double whole = set.share * set.fallMultiple * warmth(now, set) * slots * usualSpeed * set.fall;
+        return cold.may(now, terms, id.hashCode(), whole, size);
     }
 
     /** Down: each strike doubles the time aside, jittered so that dispatchers do not return in unison. */
--- /dev/null
+++ b/src/main/java/barrowshore/budget/ColdTurns.java
@@ -0,0 +1,80 @@
+package barrowshore.budget;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One scheduler's part in what all of them together may send to one worker that has just started. It owns what this
+ * scheduler has sent there lately. Its sums hold without a word between schedulers, so it must never lean on what one has
+ * learned and another has not: whose turn it is follows from the settings, the worker's name and the clock that all
+ * read.
+ *
+ * <p>The whole, an amount of work in any window, is cut into equal tracks. On each track schedulers take turns that end
+ * in a quiet time longer than the window, so that a window meets the sends of one turn of each track alone, and chance
+ * does not enter. Tracks are out of phase, so that some scheduler may send at any time. Many tracks serve many
+ * schedulers at once, but each must hold a few jobs to be of use.
+ */
+public final class ColdTurns {
+    /** A turn and its quiet end, in windows; the share of the whole that is used, against estimates that may be high. */
+    private static final double TURN = 2.5, QUIET = 1.1, USED = 0.6;
+    /** Usual jobs, as the classes' aims have them, for which a fully warm core has room in a track's window. */
+    private static final double TRACK_JOBS = 10;
+
+    /**
+     * What all schedulers share: how many they are, this one's number from 0, the window in microseconds, and the number
+     * of tracks.
+     */
+    public record Terms(int schedulers, int me, long window, int tracks) {
+        public Terms {
+            if (schedulers < 1 || me < 0 || window <= 0 || tracks < 1) {
+                throw new IllegalArgumentException("a turn needs a scheduler, a window and a track");
+            }
+        }
+
+        /** As many tracks as hold a few jobs each: multiple times the window against the mean aim of the classes. */
+        public static Terms of(int schedulers, int me, long window, double multiple, double meanAim) {
+            int tracks = (int) Math.min(schedulers, multiple * window / Math.max(1, meanAim) / TRACK_JOBS);
+            return new Terms(schedulers, me, window, Math.max(1, tracks));
+        }
+
+        /** Whether this scheduler has a turn at the worker of that name, and it is not in its quiet end. */
+        public boolean turn(long now, int name) {
+            long period = (long) (TURN * window);
+            for (int track = 0; track < tracks; track++) {
+                long at = now + track * period / tracks;
+                long owner = Math.floorDiv(at, period) + name + (long) track * schedulers / tracks;
+                if (Math.floorMod(at, period) < period - QUIET * window && Math.floorMod(owner, schedulers) == me) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
+
+    private record Sent(long at, double size) { }
+
+    private final List<Sent> sent = new ArrayList<>(0);
+
+    /** Whether a job of that size may go now, where all schedulers may send so much in any window. */
+    public boolean may(long now, Terms terms, int name, double whole, double size) {
+        if (!terms.turn(now, name)) {
+            return false;
+        }
+        double used = size;
+        for (Sent s : sent) {
+            used += s.at > now - terms.window ? s.size : 0;
+        }
+        return used <= USED * whole / terms.tracks;
+    }
+
+    /** A job of that size goes now; what has left the window is forgotten. */
+    public void sent(long now, Terms terms, double size) {
+        sent.removeIf(s -> s.at <= now - terms.window);
+        sent.add(new Sent(now, size));
+    }
+
+    /** The worker has started anew: what came before weighs no more. */
+    public void clear() {
+        sent.clear();
+    }
+}
