Share a cold worker's cores among what runs there; let keyed jobs use kept connections

Logged there: a job's running time at a cold worker against the usual one (median over the median of an exponential, 1.44) was 0.49 at an assumed 0.36 of capacity, 0.73 at 0.59: several jobs share the few cores, and Worker.share took a job to be alone.

Worker.share by what is held there; the wait for a start counts against all slots. Flow.repeatable is all but what must never run twice.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -169,12 +169,12 @@
             double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
             // Not only the cheapest is asked: where that one is crowded, one across a border may not be.
             if (wait > worth) { continue; }
-            double run = job.work / w.pace(job.slots);
+            double pace = w.pace(w.held() + job.slots), run = job.work / pace;
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
             if (now + run > job.answerBy) { continue; }
             // What misses its aim at a cold worker earns nothing; a turn-down may be tried again.
             if (w.warmth < 1 && now + queueing(w, job.slots) + run > job.arrivedAt + budget) { continue; }
-            double cost = running / w.pace(job.slots) + wait * (k.named ? k.worth / mean.value(job) : 1);
+            double cost = running / pace + wait * (k.named ? k.worth / mean.value(job) : 1);
             cost += Math.max(0, run - TIGHT * budget);   // little of the aim is left for waiting
             cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
@@ -363,14 +363,14 @@
 
     /** What one more mean job waits there and makes others wait: the index above an idle worker's. */
     private double waiting(Worker w, double more) {
-        double above = w.table.expected(w.own + w.left + w.told + more, w.others) - w.table.idle();
+        double above = w.table.expected(w.held() - w.others + more, w.others) - w.table.idle();
         return above * mean.work / w.pace(1);
     }
 
     /** How long a job of so many slots is expected to wait there for its start. */
     private double queueing(Worker w, double slots) {
-        double over = Math.max(0, w.own + w.left + w.told + w.others + slots - w.table.slots);
-        return over / w.table.slots * mean.work / w.pace(1);
+        double over = Math.max(0, w.held() + slots - w.slots);
+        return over / (w.slots * w.warmth) * mean.work / w.speed;
     }
 
     private void price(long now, Worker w) {
@@ -400,7 +400,7 @@
                 Job.Attempt a = w.out.get(i);
                 if (now - a.signAt() > patience(a)) { late.add(a.job); }
                 due |= now - Math.max(a.sentAt, w.heardAt) > patience(a);
-                double expected = a.job.work / (kinds[w.kind].speed * w.share(a.job.slots));
+                double expected = a.job.work / (kinds[w.kind].speed * w.share(w.held()));
                 w.overdue = Math.max(w.overdue, now - (a.startedAt > 0 ? a.startedAt : a.sentAt) - expected);
             }
             w.speed = w.speed(kinds[w.kind].speed, mean.work);
@@ -454,7 +454,7 @@
 
     /** How long an attempt may go without a sign, where notes come at a start and then at intervals. */
     private double patience(Job.Attempt a) {
-        double expected = a.job.work / (kinds[a.worker.kind].speed * a.worker.share(a.job.slots));
+        double expected = a.job.work / (kinds[a.worker.kind].speed * a.worker.share(a.worker.held()));
         if (!set.tellsStart || set.progressEvery == 0) { return 4 * (a.wait + expected + set.progressEvery); }
         return SILENT * (a.startedAt > 0 ? set.progressEvery : a.wait + START * set.connectTimeout
                 + (a.wait > 0 ? set.progressEvery : 0));
@@ -499,7 +499,7 @@
 
     /** The others' view of a worker is the usual one: our own evidence of its speed is not theirs. */
     private double filled(long now, Worker w, double level) {
-        double rate = kinds[w.kind].speed * w.share(1) / mean.work;
+        double rate = kinds[w.kind].speed / mean.work;
         boolean out = w.silent || now < w.downUntil || !halls.open(w) || w.warmth < 1;   // cold: in turns
         return out ? 0 : w.table.inverse(level * rate + (1 - mean.running) * w.table.idle());
     }
--- a/src/main/java/barrowshore/Ledger.java
+++ b/src/main/java/barrowshore/Ledger.java
@@ -51,7 +51,7 @@
         a.job.mayHaveRun |= !a.neverRan;
         w.out.remove(a);
         count(a, -1);
-        double until = (a.startedAt > 0 ? a.startedAt : now + a.wait) + a.job.work / w.pace(a.job.slots);
+        double until = (a.startedAt > 0 ? a.startedAt : now + a.wait) + a.job.work / w.pace(w.held());
         if ((status == Status.CANCELLED || status == Status.TIMEOUT) && until > now) {
             w.leftRunning.add(new Left(a.job.slots, (long) until));
             w.left += a.job.slots;
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -75,8 +75,13 @@
         return (prior + seen.work) / (prior / usual + seen.took + overdue);
     }
 
-    /** The share of its speed for a job of so many slots: a cold worker has fewer cores, not slower ones. */
-    double share(double filled) { return Math.min(1, slots * warmth / Math.max(1, filled)); }
+    /** Slots that are taken there, as far as is known or guessed. */
+    double held() { return own + left + told + others; }
+
+    /** The part of its speed that jobs get which fill so many slots: a cold worker has fewer cores. */
+    double share(double filled) {
+        return warmth >= 1 ? 1 : Math.min(1, slots * warmth / Math.max(1, Math.min(slots, filled)));
+    }
 
     double pace(double filled) { return speed * share(filled); }
 
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -502,7 +502,7 @@
             }
             return new Flow(id, jobClass, tenant, slots, hint,
                     firstByteAt >= cappedFrom ? Math.min(deadline, cap) : deadline,
-                    effect == DispatchApi.Effect.SAFE, method, target, key, NOTHING);
+                    effect != DispatchApi.Effect.UNSAFE, method, target, key, NOTHING);
         }
 
         /** The client's guess at the work, in microseconds; one that cannot be read is none: the job is whole without. */
--- a/src/main/java/barrowshore/flow/Flow.java
+++ b/src/main/java/barrowshore/flow/Flow.java
@@ -6,7 +6,8 @@
  * What any client protocol hands to the desk that serves it, and the one final answer that it takes back. These records own no
  * resource and know no protocol: a second protocol beside HTTP brings its flows in this form. Times in microseconds of
  * the scheduler's clock; {@code deadline} is when the answer must have been given;
- * {@code repeatable}: it does no harm if it runs twice; {@code key}: what real servers know its repeats by, null if none.
+ * {@code repeatable}: it may be sent again though it may have run, since that does no harm or its repeats are dropped;
+ * {@code key}: what real servers know its repeats by, null if none.
  */
 public record Flow(String id, int jobClass, int tenant, double slots, double hint, long deadline, boolean repeatable,
             String method, String target, String key, byte[] body) {
