--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -246,7 +246,7 @@
         System.exit(run(args));
     }
 
-    /** What a command is for, and its options: of the one named among the words, or of all. */
+    /** What a command is for, and its options: of the one that the words begin with, or of all. */
     private static int help(List<String> args) throws ReflectiveOperationException {
         SubCommand[] all = Main.class.getDeclaredField("command").getAnnotation(SubCommands.class).value();
         for (SubCommand one : all) {
@@ -257,6 +257,10 @@
                 return 0;
             }
         }
+        if (!args.isEmpty() && !args.get(0).startsWith("-")) {
+            System.err.println("barrowshore: " + args.get(0) + " is no command; barrowshore --help lists them");
+            return 2;
+        }
         System.out.println("usage: barrowshore COMMAND [options]; barrowshore COMMAND --help says more");
         for (SubCommand one : all) {
             System.out.printf("  %-10s %s%n", one.name(), one.impl().getAnnotation(About.class).value());
@@ -271,7 +275,8 @@
 
     static int run(String... args) throws Exception {
         if (args.length == 0 || Arrays.asList(args).contains("--help") || args[0].equals("help")) {
-            return args.length == 0 ? usage() : help(Arrays.asList(args));
+            List<String> words = Arrays.asList(args);
+            return args.length == 0 ? usage() : help(words.get(0).equals("help") ? words.subList(1, words.size()) : words);
         }
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
--- a/src/main/java/barrowshore/config/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -173,6 +173,11 @@
         return List.copyOf(all);
     }
 
+    /** The settings that this program has not heard of, and so does not heed. */
+    public List<String> unknownSettings() {
+        return SettingsReader.of(map(raw.get("settings"), "settings")).unknown();
+    }
+
     /** One line for a person. */
     public String summary() {
         return name + ": listen " + listen + ", discovery " + discovery + ", " + classes.size() + " classes, "
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -153,6 +153,13 @@
             ops = new OpsDoor(listen(config.ops(), "ops", false), timers, new Door());
         }
         LOG.log(Level.INFO, config.summary() + (rules == null && servers == null ? "" : "; " + setup.operator().summary()));
+        // Once ready, since a start is short of processor time.
+        module.whenReady(() -> {
+            List<String> unknown = config.unknownSettings();
+            if (!unknown.isEmpty()) {
+                LOG.log(Level.WARNING, "settings not known here, and not heeded: {0}", String.join(", ", unknown));
+            }
+        });
         if (!config.known().unknown().isEmpty()) {
             LOG.log(Level.WARNING, "known real servers of an unknown model, left out: {0}",
                     String.join(", ", config.known().unknown()));
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import barrowshore.DispatchApi.Effect;
 import barrowshore.DispatchApi.JobClass;
@@ -17,6 +18,23 @@
  * pairs, so that both readings end in one place.
  */
 public final class SettingsReader {
+    /** What the protocol pages name, read here or not; numbers as in {@link #unknown}. */
+    private static final Set<String> NAMED = Set.of("groupSize", "me", "zone", "zones", "kinds", "tick", "tier", "family",
+            "stages", "discovery", "weights", "worthBy", "overShareWorth", "lanes.count", "lanes.N.name", "lanes.N.aim",
+            "lanes.N.aimStretch", "lanes.N.deadline", "lanes.N.worth", "lanes.N.lateShare", "lanes.N.idempotency",
+            "lanes.N.keyScope", "lanes.N.repeatWindow", "lanes.N.streaming", "tenants", "tenants.count", "tenants.N.name",
+            "tenants.N.share", "tenants.N.quotaPerS", "clients.marksRetry", "domain.classKind", "domain.classStretch",
+            "domain.classPriority", "domain.memoryUnit", "domain.notes", "domain.progress", "domain.queueOrder",
+            "domain.reportX0", "domain.reportX1", "domain.tellsStart", "goal.whole", "goal.worstClass", "goal.worstTenant",
+            "goal.worstWindow", "policyLimits.cancel", "policyLimits.keepalive", "policyLimits.dialTimeout",
+            "policyLimits.cpuUsPerRequest", "policyLimits.cpuUsPerS", "policyLimits.sendCap", "policyLimits.openCap",
+            "policyLimits.maxRetryAfter", "policyLimits.mayTell", "policyLimits.probing", "policyLimits.retryAfter",
+            "policyLimits.secondCopies", "policyLimits.multiplex", "charges.connection", "charges.crossZone",
+            "charges.discovery", "charges.fleet", "charges.handshake", "charges.lateFail", "charges.moves",
+            "charges.origin", "charges.peer", "charges.probe", "charges.waste", "telemetry.columns", "telemetry.how",
+            "rules.answerSlack", "rules.askEvery", "rules.startCapacity", "rules.cold", "rules.stopSendingWithin",
+            "rules.fallMultiple", "rules.fall");
+
     private final Map<String, String> pairs = new HashMap<>();
 
     private SettingsReader(String conf) {
@@ -63,6 +81,12 @@
         return value == null ? "" : value.toString().replaceAll("[ ,]", "_");
     }
 
+    /** The settings that no page names, in order, numbers in their paths as N: a new site's news, which nothing here heeds. */
+    public List<String> unknown() {
+        return pairs.keySet().stream().map(key -> key.replaceAll("\\.[0-9]+(?=\\.|$)", ".N")).distinct()
+                .filter(key -> !NAMED.contains(key)).sorted().toList();
+    }
+
     /** The items of a list of plain values. */
     public List<String> items(String key) {
         return List.of(list(key));
--- /dev/null
+++ b/src/test/java/barrowshore/PlacingTest.java
@@ -0,0 +1,26 @@
+package barrowshore;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import barrowshore.DispatchApi.Effect;
+import barrowshore.DispatchApi.Scope;
+import barrowshore.DispatchApi.Settings;
+import org.junit.jupiter.api.Test;
+
+/** Where jobs go when what is cheapest is not what is best. */
+class PlacingTest {
+    /** With a price on crossing, a crowded worker at home once hid an idle one abroad, and jobs were turned down. */
+    @Test
+    void aJobCrossesOnceNobodyAtHomeIsWorthWaitingFor() {
+        Settings set = Bench.settings(Effect.SAFE, Scope.ALL);
+        set.crossZoneCharge = 1;
+        Bench bench = new Bench(set).workers(2);
+        int sent = 0;
+        while (bench.request("r" + sent) != null) {
+            sent++;
+        }
+        assertThat(bench.sends.values().stream().filter(to -> to.contains("w1")).count())
+                .as("jobs abroad before the first is turned down").isGreaterThanOrEqualTo(4);
+        assertThat(bench.last("r0")).isEqualTo("w0");
+    }
+}
--- a/src/test/java/barrowshore/wire/SettingsReaderTest.java
+++ b/src/test/java/barrowshore/wire/SettingsReaderTest.java
@@ -29,4 +29,13 @@
         assertThat(Arrays.asList(flat.classes)).hasSize(1);
         assertThat(flat.kinds).isEqualTo(2);
     }
+
+    /** A new site's news is seen, each once however many classes have it; what the pages name is not. */
+    @Test
+    void whatNoPageNamesIsTold() {
+        SettingsReader reader = SettingsReader.of(Map.of("groupSize", 2L, "hue", "red", "lanes", List.of(
+                Map.of("name", "menu", "aim", 1L, "tint", 1L), Map.of("name", "order", "tint", 2L)),
+                "rules", Map.of("fall", 1L, "rise", Map.of("by", 2L))));
+        assertThat(reader.unknown()).containsExactly("hue", "lanes.N.tint", "rules.rise.by");
+    }
 }
