Count a job once in its expected wait, take turns by the settings in force

Found on rereading. Dispatcher.dispatch asked queueing() after ledger.enter, so the job's own slots counted twice: a worker filled by it seemed to owe a wait, and its silence was excused for a progress interval. The turns' terms were made once in the constructor: after SIGHUP with another `rules.fall` the budget was of the new window and the turns of the old.

The wait is taken before the job is entered; terms() derives the turns wherever settings are taken over. A keyed job's key is read by the same header() as what else is required.

TroubleTest (a filled worker that says nothing) and RulesTest (turns after a change of settings) fail on the code before.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -46,7 +46,7 @@
     private final Quotas quotas;
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
     private final IndexTables tables;
-    private final ColdTurns.Terms turns;
+    private ColdTurns.Terms turns;
     private double loadOthers, loadAll, missing = 1, pressure = 1;
     private long loadAt;
     private int askFailures, probeNext, refreshes;
@@ -64,7 +64,6 @@
         rng = new Rng(settings.seed);
         ledger = new Ledger(set.kinds);
         mean = new Traffic(set);
-        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, mean.work);
         halls = new HallSide(set, act, rng, mean);
         roster = new Roster(halls);
         kinds = new Kind[set.kinds];
@@ -78,6 +77,8 @@
     private void terms() {
         mean.enter(kinds);
         quotas.enter();
+        double aim = Arrays.stream(set.classes).mapToLong(JobClass::aim).average().orElse(0);
+        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, aim);
     }
 
     @Override public void start(long now) {
@@ -127,8 +128,9 @@
     private void dispatch(long now, Job job) {
         Worker w = job.attempts.size() < set.maxAttempts && now < job.answerBy ? pick(now, job) : null;
         if (w == null) { answer(now, job); return; }
+        double wait = queueing(w, job.slots);
         Job.Attempt a = ledger.enter(job, w, now);
-        a.wait = queueing(w, job.slots);
+        a.wait = wait;
         halls.sent(now, a, mean.aim);
         tell(w);
         // Departure, on kinds that a class names: there a job that could go elsewhere pays for those that
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -493,10 +493,8 @@
             long deadline = firstByteAt + timeout - Math.min(MARGIN, timeout / 4);
             int jobClass = terms.classes().indexOf(path);
             DispatchApi.Effect effect = terms.types()[jobClass].effect();
-            String key = fields.get("Idempotency-Key");
-            if (key == null && effect == DispatchApi.Effect.KEYED) {
-                throw new BadRequest(400, "Idempotency-Key is missing");   // its repeats could not be told
-            }
+            // A keyed job's repeats could not be told without.
+            String key = effect == DispatchApi.Effect.KEYED ? header("Idempotency-Key") : fields.get("Idempotency-Key");
             if (key != null && !KEY.matcher(key).matches()) {
                 throw new BadRequest(400, "Idempotency-Key is not plain text");
             }
--- a/src/test/java/barrowshore/RulesTest.java
+++ b/src/test/java/barrowshore/RulesTest.java
@@ -187,7 +187,7 @@
         @ParameterizedTest
         @CsvSource({"1,40,100000", "4,40,100000", "40,40,100000", "40,8,100000", "14,5,500000", "14,5,100000"})
         void allDispatchersTogetherStayUnderTheBudgetInEveryWindow(int dispatchers, int slots, long work) {
-            List<Long> sent = coldSends(dispatchers, slots, work);
+            List<Long> sent = coldSends(dispatchers, slots, work, 0);
             for (int i = 0, from = 0; i < sent.size(); i++) {
                 while (sent.get(from) <= sent.get(i) - 1_000_000) {
                     from++;
@@ -202,9 +202,10 @@
         /** Fourteen dispatchers, a budget of three jobs a window: taking turns, it is still used from the start. */
         @Test
         void aBudgetOfAFewJobsIsUsedFromTheStart() {
-            List<Long> sent = coldSends(14, 5, 500_000);
+            List<Long> sent = coldSends(14, 5, 500_000, 0);
             long early = sent.stream().filter(at -> at < START + COLD / 4).count();
             assertTrue(early >= 4, early + " sent in the first quarter of the warm-up");
+            assertEquals(sent, coldSends(14, 5, 500_000, 3_000_000), "settings taken over later give the same turns");
         }
 
         private static final long START = 1_000_000_000L, COLD = 20_000_000L;
@@ -230,8 +231,11 @@
             assertEquals("cold", bench.request("q"), String.join("; ", bench.actions));
         }
 
-        /** When each of so many dispatchers, with demand without end, sent to one worker that starts cold. */
-        private List<Long> coldSends(int dispatchers, int slots, long work) {
+        /**
+         * When each of so many dispatchers, with demand without end and clocks somewhat apart, sent to one worker that
+         * starts cold. With a former window they are told of the rule's after their start.
+         */
+        private List<Long> coldSends(int dispatchers, int slots, long work, long formerWindow) {
             List<Long> sent = new ArrayList<>();
             for (int d = 0; d < dispatchers; d++) {
                 Settings set = Bench.settings(Effect.SAFE, Scope.ALL);
@@ -240,14 +244,19 @@
                 set.dispatchers = dispatchers;
                 set.me = d;
                 set.seed = 77 + d;
+                long fall = set.fall, ahead = d * 7_919 % 40_000;
+                set.fall = formerWindow > 0 ? formerWindow : fall;
                 Bench bench = new Bench(set);
+                set.fall = fall;
+                bench.now += ahead;
+                bench.dispatcher.settings(bench.now, set);
                 Member fresh = new Member("cold", Health.READY, slots, 0, 0, 0, START);
                 bench.dispatcher.list(bench.now, ListKind.INITIAL, List.of(fresh));
                 // A request every 5 ms at each dispatcher, served in the usual time.
                 for (int i = 0; bench.now < START + COLD; i++) {
                     bench.until(bench.now + 5_000);
                     if (bench.request("r" + i) != null) {
-                        sent.add(bench.now);
+                        sent.add(bench.now - ahead);
                         bench.dispatcher.outcome(bench.now, "r" + i, 0, true, Status.OK, work, null);
                     }
                 }
--- a/src/test/java/barrowshore/TroubleTest.java
+++ b/src/test/java/barrowshore/TroubleTest.java
@@ -57,10 +57,12 @@
         return new Bench(set).workers(3);
     }
 
+    /** The job fills the worker: its own slots are no wait that would excuse the silence. */
     @Test
     void aFreeWorkerThatTellsNoStartIsSetAsideUntilItGivesASign() {
         Bench bench = noting(Effect.UNSAFE);
-        String silent = bench.request("r");
+        bench.dispatcher.request(bench.now, new Request("r", 0, 0, 4, 0, 9_000_000));
+        String silent = bench.last("r");
         bench.until(bench.now + 1_000_000);
         for (int i = 0; i < 20; i++) {
             assertThat(bench.request("s" + i)).isNotEqualTo(silent);
