Let the emulator's cold nodes have fewer cores in place of slower ones

The module takes a cold worker for one with fewer cores, as logged on both sites; the emulator's NodeModel still slowed each job by the share of capacity, so scenarios with cold nodes tried the module against another platform.

NodeModel.pace: running slots share the cores that there are; while it is cold, all are planned anew as one starts or ends.

NodeModelTest (a lone job at 0.2 of ten cores takes its usual 500 ms, eight then share) fails on the model before.

--- a/src/main/java/barrowshore/model/NodeModel.java
+++ b/src/main/java/barrowshore/model/NodeModel.java
@@ -140,30 +140,44 @@
         return share >= 1 ? 1 : spec.coldFrom() + (1 - spec.coldFrom()) * Math.max(0, share);
     }
 
-    /** Work that a core does from one time to another. */
+    /**
+     * The part of its speed that each running slot gets: while cold there are fewer cores than slots, shared evenly, so a
+     * lone job runs as fast as ever.
+     */
+    private double pace(long at) {
+        return Math.min(1, warmth(at) * spec.cores() / Math.max(1, used()));
+    }
+
+    /** From when on there is a whole core for each slot that runs now. */
+    private long whole() {
+        double needed = Math.max(1, used()) / spec.cores();
+        double share = (needed - spec.coldFrom()) / Math.max(1e-9, 1 - spec.coldFrom());
+        return bornAt + (long) Math.ceil(spec.coldTime() * Math.max(0, Math.min(1, share)));
+    }
+
+    /** Work that a slot does from one time to another, as many as now running. */
     private double work(long from, long to) {
         if (hung || to <= from) {
             return 0;
         }
-        long warm = bornAt + spec.coldTime();
-        long bend = Math.max(from, Math.min(to, warm));
-        double cold = (bend - from) * (warmth(from) + warmth(bend)) / 2;
+        long bend = Math.max(from, Math.min(to, whole()));
+        double cold = (bend - from) * (pace(from) + pace(bend)) / 2;
         return (cold + (to - bend)) * spec.speed() / slowness;
     }
 
-    /** When a core will have done so much from now on. */
+    /** When a slot will have done so much from now on, as many as now running. */
     private long finish(long from, double amount) {
         double need = amount * slowness / spec.speed();
-        long warm = bornAt + spec.coldTime();
-        if (from >= warm) {
+        long whole = whole();
+        if (from >= whole) {
             return from + (long) Math.ceil(need);
         }
-        double whole = (warm - from) * (warmth(from) + 1) / 2;
-        if (need >= whole) {
-            return warm + (long) Math.ceil(need - whole);
+        double until = (whole - from) * (pace(from) + pace(whole)) / 2;
+        if (need >= until) {
+            return whole + (long) Math.ceil(need - until);
         }
-        // warmth grows evenly: need = a t + b t^2 / 2
-        double a = warmth(from), b = (1 - spec.coldFrom()) / spec.coldTime();
+        // the pace grows evenly: need = a t + b t^2 / 2
+        double a = pace(from), b = (pace(whole) - a) / (whole - from);
         return from + (long) Math.ceil((Math.sqrt(a * a + 2 * b * need) - a) / b);
     }
 
@@ -232,7 +246,7 @@
                     Running r = new Running(job);
                     running.add(r);
                     say(job::started);
-                    plan(r);
+                    planBeside(r);
                     note(r);
                     more = true;
                     break;
@@ -254,6 +268,15 @@
         settledAt = now;
     }
 
+    /** One more runs, or one less: while it is cold, that changes the pace of all. */
+    private void planBeside(Running fresh) {
+        if (time.now() < bornAt + spec.coldTime()) {
+            replan();
+        } else if (fresh != null) {
+            plan(fresh);
+        }
+    }
+
     private void plan(Running r) {
         int plan = ++r.plan;
         if (!hung) {
@@ -261,6 +284,7 @@
                 if (plan == r.plan && up && running.contains(r)) {
                     settle();
                     running.remove(r);
+                    planBeside(null);
                     served++;
                     say(r.job::done);
                     pump();
--- a/src/test/java/barrowshore/model/NodeModelTest.java
+++ b/src/test/java/barrowshore/model/NodeModelTest.java
@@ -166,6 +166,22 @@
         assertThat(words).last().isEqualTo("b done 31000");
     }
 
+    /** 0.2 of ten cores are two: a lone job has one to itself, eight share 2.2 and what comes (0.275 t + 0.025 t^2 = 0.5 s). */
+    @Test
+    void aColdNodeHasFewerCoresAndNotSlowerOnes() {
+        NodeModel node = node(10, 1, 100, false);
+        node.crash();
+        node.restart();
+        node.offer(job("alone", 1, 500 * MS));
+        time.pass(500 * MS);
+        assertThat(words).last().isEqualTo("alone done 500");
+        for (int k = 0; k < 8; k++) {
+            node.offer(job("j" + k, 1, 500 * MS));
+        }
+        time.pass(2 * S);
+        assertThat(words).filteredOn(w -> w.endsWith("done 2088")).hasSize(8);
+    }
+
     @Test
     void fallsOverWhenTooMuchComesWhileItIsCold() {
         NodeModel node = node(4, 1, 100, false);
