Ask discovery at a start for what changed since the known list, not for all of it

Ruled out by logs: the front (it sends as soon as ready), the CPU of a start (listening 0.3 s before the first 503), and a known list that is too old (it is as of the kill). At fault: ServiceEntry.ask, which wanted the whole list first at every start.

Change: the first watch goes after the known list's version; its changes are put over that list. A discovery that is behind that version is another history and is asked for the whole list. First word within 3 s, else asked again.

--- a/src/main/java/barrowshore/list/ServerList.java
+++ b/src/main/java/barrowshore/list/ServerList.java
@@ -4,6 +4,7 @@
 import barrowshore.wire.SettingsReader;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -28,6 +29,16 @@
         public Update(long rev, boolean all, List<Entry> entries) {
             this(rev, all, entries, List.of());
         }
+
+        /** The whole list that changes make of this whole one. */
+        public Update with(Update changes) {
+            Map<String, Entry> next = new LinkedHashMap<>();
+            entries.forEach(e -> next.put(e.uid(), e));
+            changes.entries().forEach(e -> next.put(e.uid(), e));
+            changes.unknown().forEach(next::remove);
+            next.values().removeIf(e -> e.state() == State.GONE);
+            return new Update(changes.rev(), true, List.copyOf(next.values()), changes.unknown());
+        }
     }
 
     /** The settings' names for zones and kinds, by position. */
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -128,7 +128,7 @@
         keeper = setup.operator().servers() == null ? null : new ListKeeper(setup.operator().servers(), config.names(),
                 clock, pool, timers, module::update);
         entry = new ServiceEntry(config.discovery(), config.names(), pool, dialer, timers,
-                keeper == null ? module::update : keeper::discovered, module::discoveryBusy);
+                keeper == null ? module::update : keeper::discovered, module::discoveryBusy, config.known());
         peers = config.peers() == null ? null : new PeerSide(config.peers(), config.ops() != null, pool, clock, module::peer);
         dialer.start();
         module.start(config.known());
--- a/src/main/java/barrowshore/servers/ServiceEntry.java
+++ b/src/main/java/barrowshore/servers/ServiceEntry.java
@@ -42,6 +42,8 @@
     private static final long SILENCE = 7000;
     /** The whole list is answered at once, or else discovery is silent just now and is asked again. */
     private static final long ANSWER = 1000;
+    /** A first watch may wait its turn at a discovery that is overbooked; one that holds still says so every 2 s. */
+    private static final long FIRST_WORD = 3000;
 
     private final Dialer dialer;
     private final Scheduler timers;
@@ -54,18 +56,27 @@
     private InetSocketAddress address;
     /** Counts the addresses: what belongs to an earlier one is told by it. */
     private int life;
-    /** Whether this address has told its whole list; until then its versions mean nothing to us. */
+    /** Whether we have a list that this address counts from; until then its versions mean nothing to us. */
     private boolean whole;
     private long rev;
+    /** The list that the process was started with, until a list is heard; null then. What comes first changes it. */
+    private Update known;
     private long pause = FIRST_PAUSE;
     /** What discovery asked for in a Retry-After, up to the longest pause; 0: nothing. */
     private long wanted;
     /** The watch whose changes count; it may be of the former address until the present one has told its list. */
     private Watch heard;
 
-    /** busy: discovery has answered, but with no list; it is up, so what it has to tell counts as told. */
+    /**
+     * known: the list as this scheduler had it last. Where it has entries, only what has changed since is asked for: many
+     * processes that start at once must not each ask an overbooked discovery for all of it. busy: discovery has answered,
+     * but with no list; it is up, so what it has to tell counts as told.
+     */
     public ServiceEntry(InetSocketAddress address, Names names, Executor pool, Dialer dialer, Scheduler timers,
-            Consumer<Update> listener, Runnable busy) {
+            Consumer<Update> listener, Runnable busy, Update known) {
+        this.known = known.entries().isEmpty() ? null : known;
+        this.whole = this.known != null;
+        this.rev = known.rev();
         this.busy = busy;
         this.dialer = dialer;
         this.timers = timers;
@@ -89,6 +100,7 @@
                 address = to;
                 life++;
                 whole = false;
+                known = null;
                 pause = FIRST_PAUSE;
                 dial(life);
             }
@@ -149,7 +161,7 @@
 
         private void ask() {
             listing = !whole;
-            limit(listing ? ANSWER : SILENCE);
+            limit(listing ? ANSWER : known != null ? FIRST_WORD : SILENCE);
             HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":"
                     + address.getPort());
             String target = listing ? "/api/targets" : "/api/targets?watch=1&after=" + rev;
@@ -207,8 +219,19 @@
                     LOG.log(Level.WARNING, "real servers of an unknown model, left out: {0}",
                             String.join(", ", update.unknown()));
                 }
+                if (known != null && of == life && !update.all()) {
+                    if (update.rev() < rev) {
+                        // Another history than the known list's: its changes say nothing.
+                        whole = false;
+                        known = null;
+                        shut();
+                        return;
+                    }
+                    update = known.with(update);
+                }
                 listener.accept(listing ? new Update(update.rev(), true, update.entries()) : update);
                 if (of == life) {
+                    known = null;
                     rev = update.rev();
                     whole = true;
                     pause = FIRST_PAUSE;
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -339,12 +339,17 @@
             }
         }
 
-        /** Tells the whole list, asked for first, and opens the watch; or (+) tells a line of the watch. */
+        /** Tells the whole list, by itself or as a watch's first line, whichever is asked for; or (+) a line of the watch. */
         private void list(String who, String line) throws IOException {
             Socket watch = peer(who, false);
             if (!line.startsWith("+")) {
-                assertThat(message(watch.getInputStream())).startsWith("GET /api/targets HTTP/1.1\r\n");
-                String list = named(line);
+                String list = named(line), asked = message(watch.getInputStream());
+                if (asked.startsWith("GET /api/targets?watch=1&after=5 HTTP/1.1\r\n")) {
+                    send(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    list(who, "+" + line);
+                    return;
+                }
+                assertThat(asked).startsWith("GET /api/targets HTTP/1.1\r\n");
                 send(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
                 assertThat(message(watch.getInputStream())).startsWith("GET /api/targets?watch=1&after=");
                 send(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
