Draw deployments by seed and play the module against textbook policies on each

The emulator had the first site's classes, machines and reports in its code.

Change: Deployment (what is told, allowed, charged; drawn by a seed), World takes one, rivals behind DispatchApi, Matrix prints where the module is behind and what is on there.

--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -1,6 +1,7 @@
 package barrowshore.cli;
 
 import barrowshore.config.ConfigException;
+import barrowshore.emulate.Matrix;
 import barrowshore.emulate.Rehearsal;
 import barrowshore.emulate.Scenario;
 import barrowshore.files.FileMac;
@@ -185,9 +186,19 @@
     /** Plays a scenario in virtual time. */
     @About("Plays a scenario in virtual time: real decisions against models of order nodes.")
     public static final class Emulate implements Command {
-        @Argument(index = 0, required = true, metaVar = "SCENARIO", usage = "the scenario's XML file")
+        @Argument(index = 0, metaVar = "SCENARIO", usage = "the scenario's XML file")
         Path scenario;
 
+        @Option(name = "--deployments", metaVar = "COUNT", forbids = {"--operator", "--json", "--compare", "--seeds"},
+                usage = "in place of a scenario: so many deployments drawn by seeds, a day on each; where it loses, worst first")
+        int deployments;
+
+        @Option(name = "--rivals", depends = "--deployments", usage = "and the same days by textbook policies")
+        boolean rivals;
+
+        @Option(name = "--csv", metaVar = "FILE", depends = "--deployments", usage = "writes every deployment's figures")
+        Path csv;
+
         @Option(name = "--seed", metaVar = "N", usage = "the first seed (default 1)")
         long seed = 1;
 
@@ -205,6 +216,13 @@
 
         @Override
         public void run() throws IOException {
+            if (deployments == 0 == (scenario == null)) {
+                throw new ConfigException("emulate needs a scenario's file or --deployments COUNT, and not both");
+            }
+            if (scenario == null) {
+                Matrix.run(System.out, deployments, seed, rivals, csv);
+                return;
+            }
             Rehearsal.run(System.out, Scenario.read(scenario), operator == null ? Operator.NONE : Operator.read(operator),
                     seed, seeds, compare, json);
         }
--- a/src/main/java/barrowshore/emulate/Emulator.java
+++ b/src/main/java/barrowshore/emulate/Emulator.java
@@ -1,13 +1,25 @@
 package barrowshore.emulate;
 
+import barrowshore.DispatchApi;
+import barrowshore.DispatchApi.Settings;
+import barrowshore.Dispatcher;
+import barrowshore.IndexTables;
 import barrowshore.operator.Operator;
 
-/** The way in: one scenario, one seed, one report. The same three arguments always give the same report. */
+/** The way in: one scenario, one seed, one report. The same arguments always give the same report. */
 public final class Emulator {
+    /** Pure figures, the same for all: worked out once for each thread that plays. */
+    private static final ThreadLocal<IndexTables> TABLES = ThreadLocal.withInitial(IndexTables::new);
+
     private Emulator() { }
 
-    /** Plays a scenario with the operators' settings. */
+    /** Plays a scenario at the first site with the operators' settings. */
     public static Report play(Scenario scenario, Operator operator, long seed) {
-        return new World(scenario, operator, seed).play();
+        return new World(scenario, Deployment.HOME, operator, seed, Emulator::module).play();
+    }
+
+    /** The module that is in service. */
+    static DispatchApi module(Settings settings, DispatchApi.Actions actions, World.Truth truth) {
+        return new Dispatcher(settings, actions, TABLES.get());
     }
 }
--- a/src/main/java/barrowshore/emulate/Report.java
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -2,6 +2,7 @@
 
 import barrowshore.halls.HallState;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -20,6 +21,7 @@
 
     private final Scenario scenario;
     private final long seed;
+    private final Deployment.Prices prices;
     private final List<String> classes;
     private final int seconds;
     private final double[] askedAt;
@@ -53,16 +55,18 @@
     int answersTwice;
     int sentAfterEnd;
     int refusedWhileOut;
+    int notAllowed;
     long probes;
     long messages;
     long messageBytes;
     int longestMessage;
     long events;
 
-    Report(Scenario scenario, long seed, List<String> classes) {
+    Report(Scenario scenario, Deployment deployment, long seed) {
         this.scenario = scenario;
+        this.prices = deployment.prices();
         this.seed = seed;
-        this.classes = classes;
+        this.classes = deployment.classes().stream().map(Deployment.ClassOf::name).toList();
         seconds = (int) (scenario.length() / S) + 2;
         askedAt = new double[seconds];
         servedAt = new double[seconds];
@@ -163,17 +167,20 @@
         return whole <= 0 ? 1 : part / whole;
     }
 
+    /** Worth asked for in all. */
+    double asked() {
+        return Arrays.stream(askedAt).sum();
+    }
+
     /** Worth served in time against worth asked for. */
     double kept() {
         return share(servedAt, askedAt, 0, seconds);
     }
 
-    /**
-     * The same less what the operators deduct: a tenth for a request that crosses halls once, and three tenths for work
-     * wasted, as much as was asked for.
-     */
+    /** The same less what the operators deduct: for requests that cross halls, and for work wasted. */
     double priced() {
-        return kept() - 0.1 * share(crossings, flows) - 0.3 * (work <= 0 ? 0 : wasted / work);
+        return kept() - prices.crossing() * share(crossings, flows)
+                - prices.waste() * (work <= 0 ? 0 : wasted / work);
     }
 
     /** The share served of what was asked for from one second to another. */
@@ -234,9 +241,23 @@
         return moves;
     }
 
+    /** Which rules were broken, and how often; empty if none was. */
+    String rulesBroken() {
+        Map<String, Integer> all = new LinkedHashMap<>();
+        all.put("ran twice", twice);
+        all.put("no answer in time", silent);
+        all.put("answered twice", answersTwice);
+        all.put("sent after the end", sentAfterEnd);
+        all.put("refused while out", refusedWhileOut);
+        all.put("not allowed", notAllowed);
+        all.put("pushed over", fallen);
+        all.values().removeIf(count -> count == 0);
+        return all.isEmpty() ? "" : all.toString();
+    }
+
     /** What must never be: 0 in every run. */
     int broken() {
-        return twice + silent + answersTwice + sentAfterEnd + refusedWhileOut + fallen;
+        return twice + silent + answersTwice + sentAfterEnd + refusedWhileOut + notAllowed + fallen;
     }
 
     /** The whole report as JSON's maps and lists; the same run gives the same, in the same order. */
@@ -279,6 +300,7 @@
         all.put("answeredTwice", answersTwice);
         all.put("sentAfterTheEnd", sentAfterEnd);
         all.put("refusedWhileOut", refusedWhileOut);
+        all.put("notAllowed", notAllowed);
         all.put("refused", refused);
         all.put("failed", failed);
         all.put("sends", sends);
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -13,8 +13,7 @@
 import barrowshore.DispatchApi.Scope;
 import barrowshore.DispatchApi.Settings;
 import barrowshore.DispatchApi.Status;
-import barrowshore.Dispatcher;
-import barrowshore.IndexTables;
+import barrowshore.emulate.Deployment.ClassOf;
 import barrowshore.halls.HallState;
 import barrowshore.model.NodeModel;
 import barrowshore.operator.Operator;
@@ -40,31 +39,26 @@
     private static final long MS = 1_000, S = 1_000_000;
     /** When a run begins, on its own clock: late enough that 0 means long ago. */
     static final long START = 1_000 * S;
+    private static final int CELL = 4;
     private static final long CONNECT_TIMEOUT = 250 * MS, PROBE_TIMEOUT = 400 * MS;
-    private static final long PROGRESS = 2 * S;
-    private static final long COLD = 22 * S, FALL = 2 * S;
-    private static final double FALL_MULTIPLE = 3;
     /** Time after the last arrival until all is answered. */
     private static final long TAIL = 16 * S;
 
-    /** A class as the operators' brief has it: mean work, spread, chances of 1, 2 and 4 slots. */
-    private record Kind(String name, double share, double work, double spread, long aim, double stretch, long deadline,
-                        double worth, boolean safe, double[] slots) { }
-
-    private static final Kind[] CLASSES = {
-        new Kind("menu-cteni", 0.29, 230 * MS, 0.5, 120 * MS, 2, 5 * S, 2, true, new double[] {1}),
-        new Kind("objednavka", 0.29, 460 * MS, 0.5, 150 * MS, 1.75, 5 * S, 10, false, new double[] {0.6, 0.25, 0.15}),
-        new Kind("kuchyn-davka", 0.22, 1370 * MS, 0.5, S, 1.75, 15 * S, 5, false, new double[] {0.6, 0.25, 0.15}),
-        new Kind("platba", 0.2, 460 * MS, 0.5, 400 * MS, 2, 5 * S, 8, false, new double[] {0.8, 0.2})};
-    /** Pure figures, the same for all: worked out once for each thread that plays. */
-    private static final ThreadLocal<IndexTables> TABLES = ThreadLocal.withInitial(IndexTables::new);
     private static final double[] SLOTS = {1, 2, 4};
 
     private final Kernel kernel = new Kernel(START);
     private final Scenario scenario;
-    private final UniformRandomProvider random;
+    private final Deployment deployment;
+    private final List<ClassOf> classes;
+    private final Modules modules;
+    /**
+     * What is drawn for the day, what befalls machines, and all the rest, each from its own source: whatever modules do, the
+     * same seed gives them the same day.
+     */
+    private final UniformRandomProvider day, fate, random;
     private final SharedStateContinuousSampler exponential;
-    private final SharedStateContinuousSampler[] works = new SharedStateContinuousSampler[CLASSES.length];
+    private final SharedStateContinuousSampler[] works;
+    private final SharedStateContinuousSampler normal;
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, Node> byId = new HashMap<>();
     private final List<Scheduler> schedulers = new ArrayList<>();
@@ -76,27 +70,44 @@
     private int flows;
     private int renewed;
 
-    World(Scenario scenario, Operator operator, long seed) {
+    /** What makes a scheduler's module: its settings, what carries out its orders, and a look at the truth. */
+    interface Modules {
+        DispatchApi make(Settings settings, DispatchApi.Actions actions, Truth truth);
+    }
+
+    /** The state that no real scheduler sees, for a rival that shows how far sight would help. */
+    interface Truth {
+        /** Expected microseconds until a job of so many slots that is sent now would start there; endless if never. */
+        double startsIn(String worker, double slots);
+
+        /** How fast it runs a job, against speed 1. */
+        double pace(String worker, double slots);
+    }
+
+    World(Scenario scenario, Deployment deployment, Operator operator, long seed, Modules modules) {
         this.scenario = scenario;
+        this.deployment = deployment;
+        this.classes = deployment.classes();
         this.operator = operator;
+        this.modules = modules;
         random = RandomSource.XO_SHI_RO_256_PP.create(seed);
-        exponential = ZigguratSampler.Exponential.of(random);
-        report = new Report(scenario, seed, List.of(CLASSES).stream().map(Kind::name).toList());
-        double mean = 0;
-        for (int c = 0; c < CLASSES.length; c++) {
-            Kind k = CLASSES[c];
-            double sigma = Math.sqrt(Math.log(1 + k.spread * k.spread));
-            works[c] = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random), Math.log(k.work) - sigma * sigma / 2, sigma);
-            double slots = 0;
-            for (int i = 0; i < k.slots.length; i++) {
-                slots += k.slots[i] * SLOTS[i];
-            }
-            mean += k.share * k.work * slots;
-        }
-        meanSize = mean;
+        day = RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + 1);
+        fate = RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + 2);
+        exponential = ZigguratSampler.Exponential.of(day);
+        normal = ZigguratSampler.NormalizedGaussian.of(random);
+        works = new SharedStateContinuousSampler[classes.size()];
+        report = new Report(scenario, deployment, seed);
+        for (int c = 0; c < works.length; c++) {
+            ClassOf k = classes.get(c);
+            double sigma = Math.sqrt(Math.log(1 + k.spread() * k.spread()));
+            works[c] = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(day),
+                    Math.log(k.work()) - sigma * sigma / 2, sigma);
+        }
+        meanSize = deployment.meanSize();
         for (int h = 0; h < scenario.halls().size(); h++) {
             for (int n = 0; n < scenario.halls().get(h).nodes(); n++) {
-                nodes.add(new Node("s-" + h + "-" + n, h, spec()));
+                int kind = kind();
+                nodes.add(new Node("s-" + h + "-" + n, h, kind, spec(deployment.machines().get(kind))));
             }
         }
         double capacity = nodes.stream().mapToDouble(n -> n.model.spec().cores() * n.model.spec().speed()).sum();
@@ -108,11 +119,24 @@
         }
     }
 
-    private NodeModel.Spec spec() {
-        boolean full = random.nextDouble() < 0.57;
-        double speed = full ? uniform(0.85, 1.1) : uniform(0.51, 0.69);
-        return new NodeModel.Spec(scenario.cores(), speed, scenario.cores() * uniform(9.5, 18), random.nextBoolean(),
-                uniform(0.17, 0.35), (long) (uniform(11, 22) * S));
+    private int kind() {
+        double pick = fate.nextDouble();
+        int kind = 0;
+        while (kind < deployment.machines().size() - 1 && (pick -= deployment.machines().get(kind).share()) > 0) {
+            kind++;
+        }
+        return kind;
+    }
+
+    private NodeModel.Spec spec(Deployment.Machine m) {
+        int cores = m.cores() == 0 ? scenario.cores() : m.cores();
+        double least = deployment.rules().startCapacity();
+        return new NodeModel.Spec(cores, fated(m.speedFrom(), m.speedTo()), cores * fated(m.queueFrom(), m.queueTo()),
+                fate.nextBoolean(), fated(least, least * 2), (long) (deployment.rules().cold() * fated(0.5, 1)));
+    }
+
+    private double fated(double from, double to) {
+        return from + (to - from) * fate.nextDouble();
     }
 
     private double uniform(double from, double to) {
@@ -125,7 +149,8 @@
 
     /** One way between two halls. */
     private long way(int from, int to) {
-        return (long) (1 + (from == to ? uniform(130, 320) : uniform(420, 780)));
+        long[] range = from == to ? deployment.net().same() : deployment.net().cross();
+        return (long) (1 + uniform(range[0], range[1]));
     }
 
     /** Plays the day and returns what came of it. */
@@ -139,7 +164,7 @@
         }
         kernel.run(START + scenario.length() + TAIL);
         for (Node n : nodes) {
-            report.node(n.model.coldUse(), n.model.fallen());
+            report.node(n.model.coldUse(), n.model.pushedOver());
         }
         report.events = kernel.events();
         return report;
@@ -210,9 +235,9 @@
                         Node n = in.get(k);
                         boolean returns = k < back;
                         long spread = what.spread();
-                        kernel.after((long) (random.nextDouble() * spread), () -> begin(what, n));
+                        kernel.after((long) (fate.nextDouble() * spread), () -> begin(what, n));
                         if (returns) {
-                            kernel.after(what.lasts() + (long) (random.nextDouble() * spread), () -> end(what, n));
+                            kernel.after(what.lasts() + (long) (fate.nextDouble() * spread), () -> end(what, n));
                         }
                     }
                 }
@@ -238,7 +263,7 @@
             case CRASH -> n.rise();
             case RENEW -> {
                 n.gone = true;
-                Node fresh = new Node(n.id + "-r" + ++renewed, n.hall, n.model.spec());
+                Node fresh = new Node(n.id + "-r" + ++renewed, n.hall, n.kind, n.model.spec());
                 nodes.add(fresh);
                 fresh.model.restart();
                 fresh.boot = kernel.now();
@@ -254,30 +279,30 @@
 
     /** One trouble of a single node or a few, as seen in service (8.2 to 8.5). */
     private void trouble(Scenario.Happening when) {
-        kernel.after((long) (random.nextDouble() * when.lasts() / 2), () -> {
+        kernel.after((long) (fate.nextDouble() * when.lasts() / 2), () -> {
             int count = nodes.size();
-            int kind = random.nextInt(4);
+            int kind = fate.nextInt(4);
             double part = switch (kind) {
-                case 0 -> uniform(0.057, 0.23);
-                case 1 -> uniform(0.056, 0.16);
-                case 2 -> uniform(0.084, 0.19);
-                default -> uniform(0.11, 0.44);
+                case 0 -> fated(0.057, 0.23);
+                case 1 -> fated(0.056, 0.16);
+                case 2 -> fated(0.084, 0.19);
+                default -> fated(0.11, 0.44);
             };
             long lasts = (long) (switch (kind) {
-                case 0 -> uniform(10, 28);
-                case 1 -> uniform(8.3, 24);
-                case 2 -> uniform(5.4, 27);
-                default -> uniform(18, 39);
+                case 0 -> fated(10, 28);
+                case 1 -> fated(8.3, 24);
+                case 2 -> fated(5.4, 27);
+                default -> fated(18, 39);
             } * S);
             Set<Node> hit = new HashSet<>();
             List<Node> order = new ArrayList<>();
             while (hit.size() < Math.max(1, (int) (part * count))) {
-                Node n = nodes.get(random.nextInt(count));
+                Node n = nodes.get(fate.nextInt(count));
                 if (hit.add(n)) {
                     order.add(n);
                 }
             }
-            double size = kind == 0 ? uniform(2, 9.9) : kind == 2 ? uniform(0.42, 0.94) : uniform(0.31, 0.7);
+            double size = kind == 0 ? fated(2, 9.9) : kind == 2 ? fated(0.42, 0.94) : fated(0.31, 0.7);
             for (Node n : order) {
                 switch (kind) {
                     case 0 -> n.model.slow(size);
@@ -307,58 +332,87 @@
         kernel.after((long) Math.max(1, exponential.sample() / (rate * burst)), this::nextArrival);
     }
 
+    private record Start(Node node, long came) { }
+
     /** What a client wants: one thing, however often it tries. */
     private final class Wish {
         final int type;
         final int hall;
         final double slots;
         final double work;
+        final double guess;
         final long since = kernel.now();
         final int tenant;
         int tries;
-        int starts;
         boolean served;
+        /** Where it has started, and when it had come there. */
+        private final List<Start> starts = new ArrayList<>(1);
 
-        Wish(int type, int hall, double slots, double work, int tenant) {
+        Wish(int type, int hall, double slots, double work, double guess, int tenant) {
             this.type = type;
             this.hall = hall;
             this.slots = slots;
             this.work = work;
+            this.guess = guess;
             this.tenant = tenant;
         }
 
-        /** It started on a node. */
-        void started() {
-            if (++starts == 2 && !CLASSES[type].safe) {
-                report.twice++;
+        /** It started on a node. A second start breaks a rule unless its class is safe, or the node drops repeats. */
+        void started(Node node, long came) {
+            ClassOf k = classes.get(type);
+            for (Start s : starts) {
+                boolean dropped = k.effect() == Effect.KEYED && came - s.came < k.window() && switch (k.scope()) {
+                    case ALL -> true;
+                    case ZONE -> s.node.hall == node.hall;
+                    case CELL -> s.node.cell == node.cell;
+                };
+                report.twice += k.effect() == Effect.SAFE || dropped ? 0 : 1;
             }
+            starts.add(new Start(node, came));
+        }
+
+        /** A client knows how long nodes remember its key. */
+        boolean mayTryAgain(long after) {
+            return classes.get(type).effect() != Effect.KEYED || starts.stream()
+                    .allMatch(s -> kernel.now() + after + classes.get(type).deadline() - s.came < classes.get(type).window());
+        }
+
+        /** What it pays: its class's worth, for each unit of work where the site counts so. */
+        double worth() {
+            ClassOf k = classes.get(type);
+            return k.worth() * (deployment.prices().worthByWork() ? work * slots / k.work() : 1);
         }
 
         boolean inTime() {
-            return kernel.now() - since <= CLASSES[type].aim + CLASSES[type].stretch * work;
+            return kernel.now() - since <= classes.get(type).aim() + classes.get(type).stretch() * work;
         }
     }
 
     private void arrive() {
-        double pick = random.nextDouble();
+        double pick = day.nextDouble();
         int type = 0;
-        while (type < CLASSES.length - 1 && (pick -= CLASSES[type].share) > 0) {
+        while (type < classes.size() - 1 && (pick -= classes.get(type).share()) > 0) {
             type++;
         }
-        Kind k = CLASSES[type];
-        double chance = random.nextDouble();
+        ClassOf k = classes.get(type);
+        double chance = day.nextDouble();
         int s = 0;
-        while (s < k.slots.length - 1 && (chance -= k.slots[s]) > 0) {
+        while (s < k.slots().length - 1 && (chance -= k.slots()[s]) > 0) {
             s++;
         }
         double all = scenario.halls().stream().mapToDouble(Scenario.HallSpec::clients).sum();
-        double where = random.nextDouble() * all;
+        double where = day.nextDouble() * all;
         int hall = 0;
         while (hall < scenario.halls().size() - 1 && (where -= scenario.halls().get(hall).clients()) > 0) {
             hall++;
         }
-        Wish wish = new Wish(type, hall, SLOTS[s], works[type].sample(), random.nextInt(7));
-        report.asked(kernel.now() - START, wish.hall, wish.type, k.worth, wish.work * wish.slots);
+        double work = works[type].sample(), guess = switch (deployment.told().hints()) {
+            case NONE -> 0;
+            case GOOD -> work * Math.exp(0.1 * normal.sample());
+            case MISLEADING -> k.work() * Math.exp(1.5 * normal.sample());
+        };
+        Wish wish = new Wish(type, hall, SLOTS[s], work, guess, day.nextInt(7));
+        report.asked(kernel.now() - START, wish.hall, wish.type, wish.worth(), wish.work * wish.slots);
         attempt(wish);
     }
 
@@ -374,17 +428,39 @@
     }
 
     private void retry(Wish wish, long after) {
-        if (wish.tries <= scenario.retries()) {
-            long wait = Math.max(after, between(6, 48));
+        long wait = Math.max(after, between(6, 48));
+        if (wish.tries <= scenario.retries() && wish.mayTryAgain(wait)) {
             kernel.after(wait, () -> attempt(wish));
         }
     }
 
+    private Truth truth(int hall) {
+        return new Truth() {
+            @Override
+            public double startsIn(String worker, double slots) {
+                Node n = byId.get(worker);
+                if (!n.model.up() || n.vanished || n.model.hung()) {
+                    return Double.POSITIVE_INFINITY;
+                }
+                double over = Math.max(0, n.model.heldSlots() + slots - n.model.spec().cores());
+                return over / n.model.spec().cores() * meanSize / n.model.pace() + 2 * way(hall, n.hall);
+            }
+
+            @Override
+            public double pace(String worker, double slots) {
+                return byId.get(worker).model.pace() * (1 - byId.get(worker).errors);
+            }
+        };
+    }
+
     // Order nodes.
 
     private final class Node {
         final String id;
         final int hall;
+        final int kind;
+        /** Cells are a few machines each, within a zone. */
+        final int cell = nodes.size() / CELL;
         final NodeModel model;
         double errors;
         boolean vanished;
@@ -393,28 +469,50 @@
         long boot;
         /** What it has to say while it is cut off; it says it when it is back. */
         private final List<Runnable> unsaid = new ArrayList<>();
-        /** As its load was last reported. */
-        double reportedJobs;
-        double reportedFree;
+        /** As its load was last reported; null: not yet, or such reports tell nothing. */
+        Load reported;
+        /** The weight that the list tells of it. */
+        double weight;
 
-        Node(String id, int hall, NodeModel.Spec spec) {
+        Node(String id, int hall, int kind, NodeModel.Spec spec) {
             this.id = id;
             this.hall = hall;
+            this.kind = kind;
             byId.put(id, this);
-            this.model = new NodeModel(kernel, spec, new NodeModel.Falling(FALL_MULTIPLE, FALL, meanSize), PROGRESS);
-            reportedFree = spec.cores();
-            long every = between(340, 1400);
-            kernel.after((long) (random.nextDouble() * every), () -> renew(every));
+            Deployment.Rules rules = deployment.rules();
+            this.model = new NodeModel(kernel, spec, new NodeModel.Falling(rules.fallMultiple(), rules.fall(), meanSize),
+                    deployment.told().progress());
+            weight = deployment.told().weights() == Deployment.Weights.NONE ? 1 : spec.cores();
+            Deployment.Told told = deployment.told();
+            long every = (long) fated(told.period()[0], told.period()[1]), late = (long) fated(told.delay()[0], told.delay()[1]);
+            kernel.after((long) (fate.nextDouble() * every), () -> renew(every, late));
         }
 
-        private void renew(long every) {
-            reportedJobs = model.held();
-            reportedFree = model.freeSlots();
+        /** Its load as it is now comes to be known a while later, and so does a weight that follows it. */
+        private void renew(long every, long late) {
+            Deployment.Told told = deployment.told();
+            Load load = new Load(told.inFlight() ? noisy(model.held()) : Double.NaN,
+                    told.queue() ? noisy(model.waiting()) : Double.NaN, told.free() ? noisy(model.freeSlots()) : Double.NaN);
+            kernel.after(late, () -> reported = load);
+            if (told.weights() == Deployment.Weights.LIVE) {
+                weight = Math.max(0.5, model.spec().cores() * model.spec().cores() / Math.max(model.spec().cores(), 1 + model.heldSlots()));
+                tell(health, late);
+            }
             if (kernel.now() < START + scenario.length() + TAIL) {
-                kernel.after(every, () -> renew(every));
+                kernel.after(every, () -> renew(every, late));
             }
         }
 
+        private double noisy(double figure) {
+            double noise = deployment.told().noise();
+            return noise == 0 ? figure : Math.max(0, figure * (1 + noise * normal.sample()));
+        }
+
+        /** Its line of the list. */
+        Member entry() {
+            return new Member(id, health, weight, cell, kind, hall, boot);
+        }
+
         boolean reachable(Scheduler from) {
             return !vanished && !from.cutFrom.contains(hall);
         }
@@ -422,7 +520,7 @@
         /** The list hears of it late, each scheduler a little apart. */
         void tell(Health now, long late) {
             health = now;
-            Member entry = new Member(id, now, scenario.cores(), 0, model.spec().speed() > 0.77 ? 0 : 1, hall, boot);
+            Member entry = entry();
             for (Scheduler s : schedulers) {
                 kernel.after(late + between(13, 110), () -> s.list(ListKind.CHANGES, List.of(entry)));
             }
@@ -483,10 +581,12 @@
         final Set<Integer> cutFrom = new HashSet<>();
         final double[] out = new double[scenario.halls().size()];
         final Map<String, Health> listed = new HashMap<>();
+        private final Map<String, Long> bootsHeard = new HashMap<>();
         List<HallState> states = List.of();
         private final Map<String, Open> flowsOpen = new HashMap<>();
         private final List<Runnable>[] held;
         private DispatchApi module;
+        private Settings settings;
         private int life;
 
         @SuppressWarnings({"unchecked", "rawtypes"})
@@ -502,42 +602,43 @@
             set.dispatchers = schedulers.size();
             set.me = number;
             set.zone = hall;
-            set.kinds = 2;
+            set.kinds = deployment.machines().size();
             set.tick = 5 * MS;
-            set.classes = new JobClass[CLASSES.length];
-            for (int c = 0; c < CLASSES.length; c++) {
-                Kind k = CLASSES[c];
-                set.classes[c] = new JobClass(k.aim, k.stretch, k.deadline, k.worth, 0,
-                        k.safe ? Effect.SAFE : Effect.UNSAFE, Scope.ALL, 0, -1, 0);
-            }
-            set.maxAttempts = 5;
-            set.secondCopies = true;
-            set.mayCancel = true;
+            set.classes = new JobClass[classes.size()];
+            for (int c = 0; c < set.classes.length; c++) {
+                ClassOf k = classes.get(c);
+                set.classes[c] = new JobClass(k.aim(), k.stretch(), k.deadline(), k.worth(), 0, k.effect(), k.scope(),
+                        k.window(), -1, 0);
+            }
+            set.worthByWork = deployment.prices().worthByWork();
+            set.maxAttempts = deployment.allowed().attempts();
+            set.secondCopies = deployment.allowed().copies();
+            set.mayCancel = deployment.allowed().cancel();
             set.mayProbe = scenario.probes();
-            set.mayTell = true;
+            set.mayTell = deployment.allowed().peers();
             set.maxRetryAfter = 2 * S;
-            set.reports = scenario.probes() ? Reports.PROBES : Reports.NONE;
-            set.tellsStart = true;
-            set.progressEvery = PROGRESS;
+            set.askForList = deployment.told().listAsked();
+            set.reports = scenario.probes() ? Reports.PROBES : deployment.told().reports();
+            set.tellsStart = deployment.told().starts();
+            set.progressEvery = deployment.told().progress();
             set.connectTimeout = CONNECT_TIMEOUT;
-            set.startCapacity = 0.17;
-            set.cold = COLD;
-            set.fallMultiple = FALL_MULTIPLE;
-            set.fall = FALL;
-            set.crossZoneCharge = 0.1;
+            set.startCapacity = deployment.rules().startCapacity();
+            set.cold = deployment.rules().cold();
+            set.fallMultiple = deployment.rules().fallMultiple();
+            set.fall = deployment.rules().fall();
+            set.crossZoneCharge = deployment.prices().crossing();
             set.halls = operator.halls() == null ? null : operator.halls().rules(scenario.hallNames(), hall);
             states = List.of();
             listed.clear();
-            module = new Dispatcher(set, this, TABLES.get());
+            bootsHeard.clear();
+            settings = set;
+            module = modules.make(set, this, truth(hall));
             module.start(kernel.now());
-            List<Member> all = new ArrayList<>();
-            for (Node n : nodes) {
-                if (n.health != Health.GONE && !n.gone) {
-                    all.add(new Member(n.id, n.health, scenario.cores(), 0, n.model.spec().speed() > 0.77 ? 0 : 1,
-                            n.hall, n.boot));
-                }
-            }
-            list(ListKind.WHOLE, all);
+            whole();
+        }
+
+        private void whole() {
+            list(ListKind.WHOLE, nodes.stream().filter(n -> n.health != Health.GONE && !n.gone).map(Node::entry).toList());
         }
 
         void die() {
@@ -549,7 +650,10 @@
 
         void list(ListKind kind, List<Member> entries) {
             if (module != null) {
-                entries.forEach(e -> listed.put(e.worker(), e.health()));
+                entries.forEach(e -> {
+                    listed.put(e.worker(), e.health());
+                    bootsHeard.put(e.worker(), e.startedAt());
+                });
                 module.list(kernel.now(), kind, entries);
             }
         }
@@ -584,7 +688,7 @@
         }
 
         void open(Wish wish) {
-            Open open = new Open(wish, "f" + ++flows, kernel.now() + CLASSES[wish.type].deadline - 25 * MS);
+            Open open = new Open(wish, "f" + ++flows, kernel.now() + classes.get(wish.type).deadline() - 25 * MS);
             flowsOpen.put(open.id, open);
             int born = life;
             kernel.at(open.deadline, () -> {
@@ -599,7 +703,7 @@
                     }
                 });
             }
-            module.request(kernel.now(), new Request(open.id, wish.type, -1, wish.slots, 0,
+            module.request(kernel.now(), new Request(open.id, wish.type, -1, wish.slots, wish.guess,
                     open.deadline - kernel.now()));
         }
 
@@ -650,7 +754,7 @@
                     boolean inTime = wish.inTime();
                     if (!wish.served) {
                         wish.served = true;
-                        report.served(wish.since - START, wish.hall, wish.type, CLASSES[wish.type].worth, inTime,
+                        report.served(wish.since - START, wish.hall, wish.type, wish.worth(), inTime,
                                 kernel.now() - wish.since);
                     }
                 } else if (how == Status.FULL) {
@@ -658,7 +762,7 @@
                     retry(wish, random.nextDouble() < 0.9 ? retryAfter : 0);
                 } else {
                     report.failed(wish.since - START);
-                    if (CLASSES[wish.type].safe) {
+                    if (classes.get(wish.type).effect() == Effect.SAFE) {
                         retry(wish, 0);
                     }
                 }
@@ -678,6 +782,9 @@
             final Node node;
             final long sentAt = kernel.now();
             final int born = life;
+            long cameAt;
+            /** Whether its scheduler had been told of the node's last start as it was sent. */
+            boolean knew;
             boolean ended;
             boolean failing;
 
@@ -697,7 +804,9 @@
                 if (status == Status.OK && !open.answered) {
                     open.answer(Status.OK, 0);
                 }
-                module.outcome(kernel.now(), open.id, number, open.answered, status, kernel.now() - sentAt, null);
+                boolean answer = status == Status.OK || status == Status.ERROR || status == Status.FULL;
+                module.outcome(kernel.now(), open.id, number, open.answered, status, kernel.now() - sentAt,
+                        answer && settings.reports == Reports.ANSWERS ? node.reported : null);
                 open.forget();
             }
 
@@ -717,9 +826,11 @@
                         end(Status.NOT_SENT);   // it was told to drain while the connection came up
                         return;
                     }
+                    knew = bootsHeard.getOrDefault(node.id, -1L) == node.boot;
                     report.sent(kernel.now() - START, node.hall, hall);
                     kernel.after(there, () -> {
                         if (node.reachable(Scheduler.this)) {
+                            cameAt = kernel.now();
                             node.model.offer(this);
                         }   // else its bytes wait in vain, and it is never heard of
                     });
@@ -755,6 +866,16 @@
                 return open.wish.slots;
             }
 
+            @Override
+            public boolean knowing() {
+                return knew;
+            }
+
+            @Override
+            public double memory() {
+                return open.wish.slots * classes.get(open.wish.type).memory();
+            }
+
             @Override
             public double work() {
                 return failing ? Math.min(20 * MS, open.wish.work) : open.wish.work;
@@ -762,8 +883,10 @@
 
             @Override
             public void started() {
-                open.wish.started();
-                note(Note.STARTED, 0);
+                open.wish.started(node, cameAt);
+                if (settings.tellsStart) {
+                    note(Note.STARTED, 0);
+                }
             }
 
             @Override
@@ -805,6 +928,8 @@
                 report.sentAfterEnd++;
                 return;
             }
+            report.notAllowed += open.attempts.size() >= settings.maxAttempts
+                    || open.outstanding > 0 && !settings.secondCopies ? 1 : 0;
             Attempt a = new Attempt(open, open.attempts.size(), node);
             a.failing = random.nextDouble() < node.errors;
             open.attempts.add(a);
@@ -835,6 +960,7 @@
 
         @Override
         public void cancel(String id, int attempt) {
+            report.notAllowed += settings.mayCancel ? 0 : 1;
             Open open = flowsOpen.get(id);
             if (open != null) {
                 int born = life;
@@ -852,6 +978,7 @@
             long sentAt = kernel.now();
             int born = life;
             report.probes++;
+            report.notAllowed += settings.mayProbe ? 0 : 1;
             boolean answers = node.reachable(this) && node.model.up() && !node.model.hung();
             boolean refused = node.reachable(this) && !node.model.up();
             long takes = answers || refused ? way(hall, node.hall) + way(node.hall, hall) : PROBE_TIMEOUT;
@@ -859,13 +986,14 @@
                 if (born == life) {
                     module.probed(kernel.now(), worker, answers ? Status.OK : refused ? Status.CONNECT_FAILED
                             : Status.TIMEOUT, kernel.now() - sentAt, answers
-                            ? new Load(node.reportedJobs, Double.NaN, node.reportedFree) : null);
+                            ? node.reported : null);
                 }
             });
         }
 
         @Override
         public void tell(byte[] message) {
+            report.notAllowed += settings.mayTell ? 0 : 1;
             report.messages += schedulers.size() - 1;
             report.messageBytes += (long) message.length * (schedulers.size() - 1);
             report.longestMessage = Math.max(report.longestMessage, message.length);
@@ -891,7 +1019,18 @@
         }
 
         @Override
-        public void watch() { }
+        public void watch() {
+            // A service that is asked may be behind: then it says so, and is to be asked again.
+            int born = life;
+            boolean behind = random.nextDouble() < 0.2;
+            kernel.after(between(5, 60), () -> {
+                if (born == life && behind) {
+                    list(ListKind.FAILED, List.of());
+                } else if (born == life) {
+                    whole();
+                }
+            });
+        }
 
         @Override
         public void log(String line) {
