Weigh clients' guesses by their worth, read queues without free slots, start means at once

At fault: LoadReader took the jobs that run beside a queue for the slots that there are; Traffic.enter took any guess as the work; Dispatcher.refresh began the fleet's load at 0 and faded it in over eight mean jobs.

Change: Guess, a fading regression of work on guess; slots are no fewer than what is listed or usual until a report shows more; Fade begins a mean as the plain mean; a cold budget counts a guess only once it has proved good.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -48,7 +48,7 @@
     private final IndexTables tables;
     private ColdTurns.Terms turns;
     private double loadOthers, loadAll, missing = 1, pressure = 1;
-    private long loadAt;
+    private final Fade load = new Fade();
     private int askFailures, probeNext, refreshes;
     private boolean high, asking;
 
@@ -83,7 +83,7 @@
 
     @Override public void start(long now) {
         quotas.start(now);
-        loadAt = now;
+        load.keep(now, 1);
         act.timer((long) (REFRESH_TICKS * set.tick * (0.5 + rng.next())), "refresh");
         if (set.askForList) { ask(); }
     }
@@ -136,7 +136,7 @@
         // Departure, on kinds that a class names: there a job that could go elsewhere pays for those that
         // cannot, so the wait that it causes counts by their worth against its own.
         kinds[w.kind].worth += LEARN * job.slots * (mean.value(job) - kinds[w.kind].worth);
-        if (w.warmth < 1) { w.cold.sent(now, turns, coldSize(job)); }
+        if (w.warmth < 1) { w.cold.sent(now, turns, mean.surely(job)); }
         price(now, w);
         act.send(job.id, w.id, 0);
     }
@@ -180,7 +180,7 @@
             cost += Math.max(0, run - TIGHT * budget);   // little of the aim is left for waiting
             cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
-            if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, coldSize(job), set, turns))) {
+            if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, mean.surely(job), set, turns))) {
                 lowest = cost;
                 best = w;
             }
@@ -188,11 +188,6 @@
         return best;
     }
 
-    /** What a job weighs in a cold worker's budget: where its work is a guess, no less than E[w^2]/E[w]. */
-    private double coldSize(Job job) {
-        return Math.max(mean.hinted ? 0 : mean.chanceSize(), job.work * job.slots);
-    }
-
     /** Whether the class allows the job at this worker after its earlier attempts (rule: no effect twice). */
     private boolean mayGo(long now, Job job, Worker w) {
         JobClass type = job.jobClass;
@@ -294,7 +289,7 @@
         if (weight == 0 || a.worker.warmth(now, set) < 1) { return; }
         Kind k = kinds[a.worker.kind];
         a.worker.ran(now, a.job.work * weight, ran * weight, set);
-        mean.classWork[a.job.type] += LEARN * weight * (ran * k.speed - mean.classWork[a.job.type]);
+        mean.ran(a.job, LEARN * weight, ran * k.speed);
         k.ran(Math.max(LEARN, 1 / (5 + k.jobs)) * weight, a.job.work, ran);
     }
 
@@ -382,9 +377,8 @@
 
     /** Renews, at jittered intervals, what ages: overdue jobs, silence, the fleet's load and its parts. */
     private void refresh(long now) {
-        double keep = Math.pow(0.5, (now - loadAt) / (LOAD_JOBS * mean.work));
+        double keep = load.keep(now, LOAD_JOBS * mean.work);
         double bound = Arrays.stream(ledger.named).sum(), capacity = 0, speed = 0, aside = 0;
-        loadAt = now;
         List<Job> late = new ArrayList<>();
         double free = Math.max(0, ledger.slots - bound) * (set.dispatchers - 1), told = 0;
         missing = set.mayTell ? peers.missing(now - fresh()) : 1;
--- a/src/main/java/barrowshore/LoadReader.java
+++ b/src/main/java/barrowshore/LoadReader.java
@@ -9,10 +9,16 @@
 final class LoadReader {
     /** Weight of a report in a kind's slots, and of one that shows fewer where only free ones are told. */
     private static final double LEARN = 0.05, FALL = 0.002;
+
     private LoadReader() { }
 
+    /** A kind's slots from what one report shows; fall: the weight where it shows fewer. */
+    private static void learn(Kind k, double seen, double fall) {
+        k.slots += k.slots > 0 ? (seen > k.slots ? LEARN : fall) * (seen - k.slots) : seen;
+    }
+
     /**
-     * Enters a report; one without in-flight and free slots says nothing of use. What it shows is of a while ago, and so
+     * Enters a report; one without in-flight, free slots or a queue says nothing of use. What it shows is of a while ago, and so
      * is our part in it: that is taken as what we usually hold. Less what we hold now, a worker would look the emptier
      * the more we have just sent it, and get still more.
      */
@@ -21,10 +27,15 @@
         double queue = load.queue() >= 0 ? load.queue() : 0, held;
         if (count) {
             held = load.inFlight() * slotsOfAJob - w.ownUsual;
-            double seen = load.inFlight() - queue + (free ? load.freeSlots() : 0);
-            // Where no queue is told, it shows as in flight: only with a slot free is there none to speak of.
-            if (free && (load.queue() >= 0 || load.freeSlots() >= 0.5) || queue >= 1) {
-                k.slots += k.slots > 0 ? LEARN * (seen - k.slots) : seen;
+            double running = load.inFlight() - queue;
+            if (free && (load.queue() >= 0 || load.freeSlots() >= 0.5) || free && queue >= 1) {
+                // Where no queue is told, it shows as in flight: only with a slot free is there none to speak of, but for
+                // what waits behind a wide job. So each counts for the one slot that it takes at least.
+                learn(k, running + load.freeSlots(), LEARN);
+            } else if (queue >= 1) {
+                // A wide job at the head may leave slots empty: what runs is the least that there is.
+                k.slots = k.slots > 0 ? k.slots : w.slots;
+                learn(k, running * slotsOfAJob, FALL);
             }
         } else if (free) {
             // What is taken shows only against the whole: the most that was ever free beside what is known to run.
@@ -32,8 +43,7 @@
             for (Job.Attempt a : w.out) {
                 running += a.startedAt > 0 ? a.job.slots : 0;
             }
-            double seen = load.freeSlots() + running;
-            k.slots += k.slots > 0 ? (seen > k.slots ? LEARN : FALL) * (seen - k.slots) : seen;
+            learn(k, load.freeSlots() + running, FALL);
             held = k.slots - load.freeSlots() + queue * slotsOfAJob - w.ownUsual;
         } else {
             return;
--- a/src/main/java/barrowshore/Traffic.java
+++ b/src/main/java/barrowshore/Traffic.java
@@ -9,9 +9,12 @@
     private final Settings set;
     /** Work at speed 1 by class. Until jobs are served: the aim, what the site holds for a usual job. */
     double[] classWork;
+    private Guess[] guesses = new Guess[0];
+    private double guessed;
+    /** hinted: most jobs come with a guess at their work that is worth something. */
+    boolean hinted;
     /** Work at speed 1, work times slots and its square, worth for each unit of work, aim, 1/(1+stretch). */
     double work, size, square, density, aim, running = 1, arrivals;
-    boolean hinted;
     int topPriority;
 
     Traffic(Settings set) {
@@ -30,10 +33,12 @@
 
     /** Enters a request: its expected work and worth are set, and averaged in. */
     void enter(Job job, double weight) {
-        job.work = job.hint > 0 ? job.hint : classWork[job.type];
+        boolean hint = job.hint > 0;
+        job.work = hint ? guesses[job.type].work(job.hint) : classWork[job.type];
         job.density = density(job.type, job.slots);
-        hinted |= job.hint > 0;
         arrivals++;
+        guessed += Math.max(weight, 1 / arrivals) * ((hint && guesses[job.type].good() ? 1 : 0) - guessed);
+        hinted = guessed > 0.5;
         double jobSize = job.work * job.slots, stretch = job.jobClass.stretch();
         work += weight * (job.work - work);
         size += weight * (jobSize - size);
@@ -43,10 +48,24 @@
         density += Math.max(weight, 1 / (5 + arrivals)) * job.slots * (job.density - density);
     }
 
+    /** A job turned out to be so much work at speed 1. */
+    void ran(Job job, double weight, double work) {
+        classWork[job.type] += weight * (work - classWork[job.type]);
+        if (job.hint > 0) {
+            guesses[job.type].saw(job.hint, work);
+        }
+    }
+
     private double density(int type, double slots) {
         return Math.max(1e-9, set.classes[type].worth()) / slots / (set.worthByWork ? 1 : classWork[type]);
     }
 
+    /** What a job weighs in a budget: where its work is no more than a guess, no less than E[w^2]/E[w]. */
+    double surely(Job job) {
+        boolean known = job.hint > 0 && guesses[job.type].proven();
+        return Math.max(known ? 0 : chanceSize(), job.work * job.slots);
+    }
+
     /** What a job pays for each unit of work, against the usual job. */
     double value(Job job) {
         return job.density / density;
@@ -71,9 +90,14 @@
         for (int c = known; c < classWork.length; c++) {
             classWork[c] = Math.max(set.tick, set.classes[c].aim());
         }
+        guesses = Arrays.copyOf(guesses, set.classes.length);
+        Arrays.setAll(guesses, c -> guesses[c] != null ? guesses[c] : new Guess());
     }
 
     void rescale(double scale) {
         Arrays.setAll(classWork, c -> classWork[c] * scale);
+        for (Guess g : guesses) {
+            g.rescale(scale);
+        }
     }
 }
--- a/src/main/java/barrowshore/emulate/Matrix.java
+++ b/src/main/java/barrowshore/emulate/Matrix.java
@@ -53,6 +53,10 @@
         }
         List<Row> rows = play(count, seed, rivals);
         print(out, rows, rivals);
+        if (count == 1) {
+            out.println();
+            out.print(rows.get(0).module.table());   // one alone is looked at closely
+        }
         if (csv != null) {
             write(csv, rows);
         }
--- a/src/main/java/barrowshore/emulate/Report.java
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -331,7 +331,11 @@
             out.append(String.format(Locale.ROOT, "%-16s %8.3f %14.1f %14.2f%n", scenario.halls().get(h).name(),
                     diners(h), mostSpilled[h], mostSpillShare[h]));
         }
-        out.append(String.format("%-16s %8s %14s %14s%n", "class", "kept", "p50 ms", "p99 ms"));
+        out.append("by 5 s, worth served:");
+        for (int from = 0; from < seconds; from += 5) {
+            out.append(String.format(Locale.ROOT, " %.3f", share(servedAt, askedAt, from, from + 5)));
+        }
+        out.append(String.format("%n%-16s %8s %14s %14s%n", "class", "kept", "p50 ms", "p99 ms"));
         for (int c = 0; c < classes.size(); c++) {
             out.append(String.format(Locale.ROOT, "%-16s %8.3f %14.0f %14.0f%n", classes.get(c),
                     share(servedClass[c], askedClass[c]), times.get(c).getValueAtPercentile(50) / 1e3,
--- a/src/test/java/barrowshore/LoadReaderTest.java
+++ b/src/test/java/barrowshore/LoadReaderTest.java
@@ -66,4 +66,18 @@
         assertThat(w.reportedAt).isZero();
         assertThat(kind.slots).isZero();
     }
+
+    /** Where free slots are not told, what runs beside a queue is the least that there is, and a wide job may leave room. */
+    @Test
+    void whatRunsBesideAQueueIsTheLeastThatThereIs() {
+        Kind kind = new Kind(1);
+        Worker w = new Worker("w");
+        w.slots = 4;
+        LoadReader.enter(1, w, kind, new Load(3, 2, Double.NaN), 1, 20);
+        assertThat(kind.slots).as("one wide job runs, two wait").isCloseTo(4, within(0.1));
+        for (int i = 0; i < 200; i++) {
+            LoadReader.enter(2 + i, w, kind, new Load(9, i % 2 == 0 ? 3 : 8, Double.NaN), 1, 20);
+        }
+        assertThat(kind.slots).isCloseTo(6, within(0.5));
+    }
 }
