Believe a worker's own speed later where work is guessed; keep keyed repeats inside their window

Traced to the world, which held a client's own repeat of a key against schedulers that are not told of its first use; while there, a repeat sent just inside its window by Dispatcher.mayGo could still come after it, while its connection came up.

--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -29,6 +29,8 @@
     private static final double MAX_WEIGHT = 4;   // jobs that one noted job may count for
     private static final double RETRY_SHARE = 0.1, RETRIES_SAVED = 100;   // repeats: a request; saved at most
     private static final double TRUST = 0.3, FORGET = 8;   // in a fresh report: it came late; until the level
+    /** Jobs that a kind's speed weighs against a worker's own: where work is known; where it is a guess. */
+    private static final double PRIOR_JOBS = 3, PRIOR_GUESSED = 9;
     private static final double TIGHT = 0.6;   // share of the aim in running from which each bit more costs
     private static final double CROSSING = 3;   // mean aims of delay worth a point for crossing zones
     private static final int TELL_REFRESHES = 6;   // refreshes between two tellings of all our slots
@@ -200,7 +202,8 @@
                     case ZONE -> w.zone == a.worker.zone;
                     case CELL -> w.cell == a.worker.cell;
                 };
-                if (!group || now - a.sentAt >= type.repeatWindow()) { return false; }
+                // It has to come within the window, and its connection may take its time to come up.
+                if (!group || now + set.connectTimeout - a.sentAt >= type.repeatWindow()) { return false; }
             }
         }
         return true;
@@ -399,7 +402,7 @@
                 double expected = a.job.work / (kinds[w.kind].speed * w.share(w.held()));
                 w.overdue = Math.max(w.overdue, now - (a.startedAt > 0 ? a.startedAt : a.sentAt) - expected);
             }
-            w.speed = w.speed(kinds[w.kind].speed, mean.work);
+            w.speed = w.speed(kinds[w.kind].speed, mean.work, mean.hinted ? PRIOR_JOBS : PRIOR_GUESSED);
             halls.see(now, w, kinds[w.kind].speed, due);
             // Guards against machines that fall silent: their count would stand or drain and look cheap.
             boolean was = w.silent;
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/Worker.java
@@ -7,8 +7,6 @@
 
 /** What one dispatcher knows of one worker: speed, jobs in flight, health, and its budget while cold. */
 final class Worker {
-    /** Weight, in mean jobs, of the machine kind's speed against the worker's own evidence. */
-    private static final double PRIOR_JOBS = 3;
     /** Own evidence halves in this share of the rules' warm-up time: troubles last about as long. */
     private static final double MEMORY = 0.25;
     /** Errors a worker is taken to have had in the one job before its first. */
@@ -69,9 +67,9 @@
         return (seen.errors + PRIOR_ERRORS) / (seen.ends + 1);
     }
 
-    /** Speed from the kind's, the worker's own served jobs, and how overdue its outstanding ones are. */
-    double speed(double usual, double meanWork) {
-        double prior = PRIOR_JOBS * meanWork;
+    /** Speed from the kind's, as so many jobs weigh, its own served jobs, and how overdue those out are. */
+    double speed(double usual, double meanWork, double jobs) {
+        double prior = jobs * meanWork;
         return (prior + seen.work) / (prior / usual + seen.took + overdue);
     }
 
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -332,7 +332,7 @@
         kernel.after((long) Math.max(1, exponential.sample() / (rate * burst)), this::nextArrival);
     }
 
-    private record Start(Node node, long came) { }
+    private record Start(Node node, long came, Object request) { }
 
     /** What a client wants: one thing, however often it tries. */
     private final class Wish {
@@ -357,18 +357,22 @@
             this.tenant = tenant;
         }
 
-        /** It started on a node. A second start breaks a rule unless its class is safe, or the node drops repeats. */
-        void started(Node node, long came) {
+        /**
+         * It started on a node. A second start breaks a rule unless its class is safe, or the node drops repeats. A keyed
+         * job that a client sends again is another request: schedulers are not told when the key was first used.
+         */
+        void started(Node node, long came, Object request) {
             ClassOf k = classes.get(type);
             for (Start s : starts) {
-                boolean dropped = k.effect() == Effect.KEYED && came - s.came < k.window() && switch (k.scope()) {
-                    case ALL -> true;
-                    case ZONE -> s.node.hall == node.hall;
-                    case CELL -> s.node.cell == node.cell;
-                };
+                boolean dropped = k.effect() == Effect.KEYED && (s.request != request || came - s.came < k.window()
+                        && switch (k.scope()) {
+                            case ALL -> true;
+                            case ZONE -> s.node.hall == node.hall;
+                            case CELL -> s.node.cell == node.cell;
+                        });
                 report.twice += k.effect() == Effect.SAFE || dropped ? 0 : 1;
             }
-            starts.add(new Start(node, came));
+            starts.add(new Start(node, came, request));
         }
 
         /** A client knows how long nodes remember its key. */
@@ -883,7 +887,7 @@
 
             @Override
             public void started() {
-                open.wish.started(node, cameAt);
+                open.wish.started(node, cameAt, open);
                 if (settings.tellsStart) {
                     note(Note.STARTED, 0);
                 }
