Use more of a cold worker's budget in longer turns; take live weights for sizes, not load

At fault: ColdTurns used 0.6 of the budget for 56% of the time (TURN 2.5, QUIET 1.1).

Change: turns of four windows, 0.85 of the budget. Roster keeps the most that a worker was rated where weights are live. A guess counts as good from a slope of 0.5: few jobs on uneven machines put it under 0.8 for good ones too.

--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/DispatchApi.java
@@ -75,6 +75,8 @@
         /** Whether dispatchers may send one another short messages. */
         public boolean mayTell;
         public long maxRetryAfter = 1_000_000;
+        /** Whether a listed rating is a size divided by 1 + jobs held for each core, some time ago. */
+        public boolean liveRatings;
         /** Whether the list comes only when asked for. */
         public boolean askForList;
         public long askEvery = 10_000_000;
@@ -128,6 +130,7 @@
             mayProbe = next.mayProbe;
             mayTell = next.mayTell;
             maxRetryAfter = next.maxRetryAfter;
+            liveRatings = next.liveRatings;
             askForList = next.askForList;
             askEvery = next.askEvery;
             reports = next.reports;
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/Dispatcher.java
@@ -106,7 +106,8 @@
         asking &= how == ListKind.INITIAL;
         askFailures = asking ? askFailures : 0;
         entries.forEach(set::check);
-        roster.enter(how, entries, now);   // rule: a worker that drains or is gone leaves at once
+        // Rule: a worker that drains or is gone leaves at once.
+        roster.enter(how, entries, now, set.liveRatings);
         probeNext = (int) (rng.next() * roster.ready.length);
         refresh(now);
     }
--- a/src/main/java/barrowshore/Guess.java
+++ b/src/main/java/barrowshore/Guess.java
@@ -7,9 +7,11 @@
  */
 final class Guess {
     /** Jobs after which what was seen counts half; how many jobs of what spread speak for guesses at first. */
-    private static final double MEMORY = 100, PRIOR = 8, SPREAD = 0.1;
-    /** The slope from which a guess is taken as it is: what is left is the noise of machines, not of the guess. */
-    private static final double GOOD = 0.8;
+    private static final double MEMORY = 100, PRIOR = 20, SPREAD = 0.1;
+    /** The slope from which a guess is taken as it is: few jobs on uneven machines put it well under 1 for good ones. */
+    private static final double GOOD = 0.5;
+    /** Jobs after which a good guess has proved itself. */
+    private static final double PROVEN = 8;
 
     private double seen, guessed, turnedOut, both = PRIOR * SPREAD, square = PRIOR * SPREAD;
     /** What such jobs really were, against what was made of their guesses: the mean of a spread lies above its middle. */
@@ -27,7 +29,7 @@
 
     /** Whether that has been seen to hold for some jobs: before, a guess must not be leaned on where a rule is at stake. */
     boolean proven() {
-        return seen >= PRIOR && good();
+        return seen >= PROVEN && good();
     }
 
     /** The work to expect, where this was guessed. */
--- a/src/main/java/barrowshore/Roster.java
+++ b/src/main/java/barrowshore/Roster.java
@@ -25,7 +25,11 @@
         this.halls = halls;
     }
 
-    void enter(ListKind how, List<Member> entries, long now) {
+    /**
+     * Enters a list or its changes. live: ratings are sizes lowered by load, some time ago and the same for all; what is
+     * steady in them is the size, the most that a worker was ever rated.
+     */
+    void enter(ListKind how, List<Member> entries, long now, boolean live) {
         if (how != ListKind.CHANGES) {
             workers.values().forEach(w -> w.listed = false);
         }
@@ -39,7 +43,7 @@
             w.kind = m.kind();
             w.zone = m.zone();
             w.cell = m.cell();
-            w.rating = m.rating();
+            w.rating = live ? Math.max(w.rating, m.rating()) : m.rating();
             w.startedAt = m.startedAt();
             w.listed = m.health() == Health.READY;
             w.draining = m.health() == Health.DRAINING;
--- a/src/main/java/barrowshore/budget/ColdTurns.java
+++ b/src/main/java/barrowshore/budget/ColdTurns.java
@@ -16,7 +16,7 @@
  */
 public final class ColdTurns {
     /** A turn and its quiet end, in windows; the share of the whole that is used, against estimates that may be high. */
-    private static final double TURN = 2.5, QUIET = 1.1, USED = 0.6;
+    private static final double TURN = 4, QUIET = 1.1, USED = 0.85;
     /** Usual jobs, as the classes' aims have them, for which a fully warm core has room in a track's window. */
     private static final double TRACK_JOBS = 10;
 
--- a/src/main/java/barrowshore/emulate/Deployment.java
+++ b/src/main/java/barrowshore/emulate/Deployment.java
@@ -34,9 +34,13 @@
     /** A kind of machine: its share, ranges of a core's speed, cores (0: as the scenario says), work waiting by core. */
     public record Machine(double share, double speedFrom, double speedTo, int cores, double queueFrom, double queueTo) { }
 
-    /** What schedulers are told of load, starts and machines; period and delay as ranges, noise a standard deviation. */
+    /**
+     * What schedulers are told of load, starts and machines; period and delay as ranges, noise a standard deviation; bySpeed:
+     * whether a machine's registered size is its cores by their usual speed, or its cores.
+     */
     public record Told(Reports reports, boolean inFlight, boolean queue, boolean free, long[] period, long[] delay,
-                       double noise, Weights weights, Hints hints, boolean starts, long progress, boolean listAsked) { }
+                       double noise, Weights weights, Hints hints, boolean starts, long progress, boolean listAsked,
+                       boolean bySpeed) { }
 
     public record Allowed(boolean peers, boolean copies, boolean cancel, int attempts) { }
 
@@ -61,7 +65,7 @@
                     new double[] {0.8, 0.2}, 0)),
             List.of(new Machine(0.57, 0.85, 1.1, 0, 9.5, 18), new Machine(0.43, 0.51, 0.69, 0, 9.5, 18)),
             new Told(Reports.NONE, true, false, true, new long[] {340 * MS, 1400 * MS}, new long[] {0, 0}, 0,
-                    Weights.FIXED, Hints.NONE, true, 2 * S, false),
+                    Weights.FIXED, Hints.NONE, true, 2 * S, false, false),
             new Allowed(true, true, true, 5), new Rules(0.17, 22 * S, 3, 2 * S), new Prices(0.1, 0.3, false),
             new Net(new long[] {130, 320}, new long[] {420, 780}));
 
@@ -176,7 +180,7 @@
             return new Told(reports, (fields & 1) > 0, (fields & 2) > 0, (fields & 4) > 0,
                     new long[] {(long) in(200, 700) * MS, (long) in(700, 1500) * MS}, new long[] {50 * MS, (long) in(50, 500) * MS},
                     in(0, 0.06), one(Weights.values()), one(Hints.values()), starts, starts && chance(0.5) ? 2 * S : 0,
-                    chance(0.25));
+                    chance(0.25), chance(0.5));
         }
 
         private Net net() {
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -486,7 +486,7 @@
             Deployment.Rules rules = deployment.rules();
             this.model = new NodeModel(kernel, spec, new NodeModel.Falling(rules.fallMultiple(), rules.fall(), meanSize),
                     deployment.told().progress());
-            weight = deployment.told().weights() == Deployment.Weights.NONE ? 1 : spec.cores();
+            weight = size();
             Deployment.Told told = deployment.told();
             long every = (long) fated(told.period()[0], told.period()[1]), late = (long) fated(told.delay()[0], told.delay()[1]);
             kernel.after((long) (fate.nextDouble() * every), () -> renew(every, late));
@@ -499,7 +499,7 @@
                     told.queue() ? noisy(model.waiting()) : Double.NaN, told.free() ? noisy(model.freeSlots()) : Double.NaN);
             kernel.after(late, () -> reported = load);
             if (told.weights() == Deployment.Weights.LIVE) {
-                weight = Math.max(0.5, model.spec().cores() * model.spec().cores() / Math.max(model.spec().cores(), 1 + model.heldSlots()));
+                weight = size() / (1 + model.held() / (double) model.spec().cores());
                 tell(health, late);
             }
             if (kernel.now() < START + scenario.length() + TAIL) {
@@ -507,6 +507,13 @@
             }
         }
 
+        /** What is registered of it: its cores, by their usual speed where the site counts so. */
+        private double size() {
+            Deployment.Machine m = deployment.machines().get(kind);
+            return deployment.told().weights() == Deployment.Weights.NONE ? 1
+                    : model.spec().cores() * (deployment.told().bySpeed() ? (m.speedFrom() + m.speedTo()) / 2 : 1);
+        }
+
         private double noisy(double figure) {
             double noise = deployment.told().noise();
             return noise == 0 ? figure : Math.max(0, figure * (1 + noise * normal.sample()));
@@ -621,6 +628,7 @@
             set.mayProbe = scenario.probes();
             set.mayTell = deployment.allowed().peers();
             set.maxRetryAfter = 2 * S;
+            set.liveRatings = deployment.told().weights() == Deployment.Weights.LIVE;
             set.askForList = deployment.told().listAsked();
             set.reports = scenario.probes() ? Reports.PROBES : deployment.told().reports();
             set.tellsStart = deployment.told().starts();
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -127,6 +127,7 @@
         s.mayProbe = flag("policyLimits.probing", s.mayProbe);
         s.mayTell = flag("policyLimits.mayTell", s.mayTell);
         s.maxRetryAfter = (long) number("policyLimits.maxRetryAfter", s.maxRetryAfter);
+        s.liveRatings = "live".equals(pairs.get("weights"));
         s.askForList = "subscribe".equals(pairs.get("discovery"));
         s.askEvery = (long) number("rules.askEvery", s.askEvery);
         s.tellsStart = flag("domain.tellsStart", s.tellsStart);
--- a/src/test/java/barrowshore/LoadReaderTest.java
+++ b/src/test/java/barrowshore/LoadReaderTest.java
@@ -7,6 +7,7 @@
 import barrowshore.DispatchApi.Load;
 import barrowshore.DispatchApi.Scope;
 import barrowshore.DispatchApi.Status;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Load reports of sites that tell different figures. */
@@ -80,4 +81,18 @@
         }
         assertThat(kind.slots).isCloseTo(6, within(0.5));
     }
+
+    /** A live rating falls with load; what is steady in it is the size. Fixed ones are as they were told last. */
+    @Test
+    void aLiveRatingsSizeIsTheMostThatItWas() {
+        for (boolean live : new boolean[] {true, false}) {
+            DispatchApi.Settings set = Bench.settings(Effect.SAFE, Scope.ALL);
+            Roster roster = new Roster(new HallSide(set, null, new Rng(1), new Traffic(set)));
+            for (double rating : new double[] {6, 2}) {
+                roster.enter(DispatchApi.ListKind.CHANGES, List.of(new DispatchApi.Member("w",
+                        DispatchApi.Health.READY, rating, 0, 0, 0, 0)), 1, live);
+            }
+            assertThat(roster.worker("w").rating).isEqualTo(live ? 6 : 2);
+        }
+    }
 }
