--- a/src/benchmark/java/barrowshore/PickBenchmark.java
+++ b/src/benchmark/java/barrowshore/module/PickBenchmark.java
@@ -1,15 +1,15 @@
-package barrowshore;
-
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.Health;
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.ListKind;
-import barrowshore.DispatchApi.Member;
-import barrowshore.DispatchApi.Note;
-import barrowshore.DispatchApi.Request;
-import barrowshore.DispatchApi.Scope;
-import barrowshore.DispatchApi.Settings;
-import barrowshore.DispatchApi.Status;
+package barrowshore.module;
+
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Member;
+import barrowshore.module.DispatchApi.Note;
+import barrowshore.module.DispatchApi.Request;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
 import barrowshore.halls.HallRules;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -1,6 +1,6 @@
 package barrowshore.client;
 
-import barrowshore.DispatchApi;
+import barrowshore.module.DispatchApi;
 import barrowshore.config.Config;
 import barrowshore.duty.Standing;
 import barrowshore.flow.Flow;
--- a/src/main/java/barrowshore/config/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -1,7 +1,7 @@
 package barrowshore.config;
 
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.Settings;
 import barrowshore.list.ServerList;
 import barrowshore.wire.Json;
 import barrowshore.wire.SettingsReader;
--- a/src/main/java/barrowshore/emulate/Deployment.java
+++ b/src/main/java/barrowshore/emulate/Deployment.java
@@ -1,8 +1,8 @@
 package barrowshore.emulate;
 
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.Reports;
-import barrowshore.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Reports;
+import barrowshore.module.DispatchApi.Scope;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
--- a/src/main/java/barrowshore/emulate/Emulator.java
+++ b/src/main/java/barrowshore/emulate/Emulator.java
@@ -1,9 +1,9 @@
 package barrowshore.emulate;
 
-import barrowshore.DispatchApi;
-import barrowshore.DispatchApi.Settings;
-import barrowshore.Dispatcher;
-import barrowshore.IndexTables;
+import barrowshore.module.DispatchApi;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.Dispatcher;
+import barrowshore.module.IndexTables;
 import barrowshore.operator.Operator;
 
 /** The way in: one scenario, one seed, one report. The same arguments always give the same report. */
--- a/src/main/java/barrowshore/Curve.java
+++ b/src/main/java/barrowshore/module/Curve.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 /** Arithmetic on a non-decreasing function given at 0, 1/grid, 2/grid ...; it decides nothing. */
 final class Curve {
--- a/src/main/java/barrowshore/DispatchApi.java
+++ b/src/main/java/barrowshore/module/DispatchApi.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
--- a/src/main/java/barrowshore/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -1,5 +1,5 @@
 // The decisions of one dispatcher. The whole interface of this module is one small file: DispatchApi.java.
-package barrowshore;
+package barrowshore.module;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/main/java/barrowshore/Evidence.java
+++ b/src/main/java/barrowshore/module/Evidence.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 /** What jobs have shown of one worker, fading: sums that halve in a stated time. It decides nothing. */
 final class Evidence {
--- a/src/main/java/barrowshore/Fade.java
+++ b/src/main/java/barrowshore/module/Fade.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 /**
  * How much a fading mean keeps of what it held, from one look to the next: half of it in a stated time. In its first
--- a/src/main/java/barrowshore/Guess.java
+++ b/src/main/java/barrowshore/module/Guess.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 /**
  * What clients' guesses at the work of a class's jobs have been worth: a fading regression of the work that jobs turned out
--- a/src/main/java/barrowshore/HallSide.java
+++ b/src/main/java/barrowshore/module/HallSide.java
@@ -1,10 +1,10 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.util.List;
-import barrowshore.DispatchApi.Actions;
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.Settings;
-import barrowshore.DispatchApi.Status;
+import barrowshore.module.DispatchApi.Actions;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
 import barrowshore.halls.HallGate;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.Halls;
--- a/src/main/java/barrowshore/IndexTable.java
+++ b/src/main/java/barrowshore/module/IndexTable.java
@@ -1,5 +1,5 @@
 // Part of the decision module; its whole interface is DispatchApi.java.
-package barrowshore;
+package barrowshore.module;
 
 import java.util.Arrays;
 
--- a/src/main/java/barrowshore/IndexTables.java
+++ b/src/main/java/barrowshore/module/IndexTables.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/barrowshore/Job.java
+++ b/src/main/java/barrowshore/module/Job.java
@@ -1,8 +1,8 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.util.ArrayList;
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.Request;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.Request;
 
 /** The record of one request and its attempts; it decides nothing. */
 final class Job {
--- a/src/main/java/barrowshore/Kind.java
+++ b/src/main/java/barrowshore/module/Kind.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 /** The averages kept of one kind of machine; it decides nothing. named: some class runs only there. */
 final class Kind {
--- a/src/main/java/barrowshore/Ledger.java
+++ b/src/main/java/barrowshore/module/Ledger.java
@@ -1,8 +1,8 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.util.HashMap;
 import java.util.Map;
-import barrowshore.DispatchApi.Status;
+import barrowshore.module.DispatchApi.Status;
 
 /** The books of what is open: requests by id, attempts, and our slots in flight. It decides nothing. */
 final class Ledger {
--- a/src/main/java/barrowshore/LoadReader.java
+++ b/src/main/java/barrowshore/module/LoadReader.java
@@ -1,6 +1,6 @@
-package barrowshore;
+package barrowshore.module;
 
-import barrowshore.DispatchApi.Load;
+import barrowshore.module.DispatchApi.Load;
 
 /**
  * What a load report tells of a worker, whichever figures a site's reports have: the slots that others hold there, now
--- a/src/main/java/barrowshore/Peers.java
+++ b/src/main/java/barrowshore/module/Peers.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/src/main/java/barrowshore/Quotas.java
+++ b/src/main/java/barrowshore/module/Quotas.java
@@ -1,7 +1,7 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.util.Arrays;
-import barrowshore.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Settings;
 
 /** This dispatcher's even part of each tenant's quota, as token buckets. Traffic over it yields first. */
 final class Quotas {
--- a/src/main/java/barrowshore/Rng.java
+++ b/src/main/java/barrowshore/module/Rng.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 /** The random source of one dispatcher (xorshift64*), from its own seed. */
 final class Rng {
--- a/src/main/java/barrowshore/Roster.java
+++ b/src/main/java/barrowshore/module/Roster.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,9 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import barrowshore.DispatchApi.Health;
-import barrowshore.DispatchApi.ListKind;
-import barrowshore.DispatchApi.Member;
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Member;
 
 /** The worker list as this dispatcher was last told, in order of first mention; it decides nothing. */
 final class Roster {
--- a/src/main/java/barrowshore/TokenBucket.java
+++ b/src/main/java/barrowshore/module/TokenBucket.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 /** A token bucket; it decides nothing. */
 final class TokenBucket {
--- a/src/main/java/barrowshore/Traffic.java
+++ b/src/main/java/barrowshore/module/Traffic.java
@@ -1,8 +1,8 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.util.Arrays;
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.Settings;
 
 /** Averages over recent requests, each of a stated weight; it decides nothing. */
 final class Traffic {
--- a/src/main/java/barrowshore/Worker.java
+++ b/src/main/java/barrowshore/module/Worker.java
@@ -1,8 +1,8 @@
 // Part of the decision module; its whole interface is DispatchApi.java.
-package barrowshore;
+package barrowshore.module;
 
 import java.util.ArrayList;
-import barrowshore.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Settings;
 import barrowshore.budget.ColdTurns;
 
 /** What one dispatcher knows of one worker: speed, jobs in flight, health, and its budget while cold. */
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -1,14 +1,14 @@
 package barrowshore.node;
 
-import barrowshore.DispatchApi.Health;
-import barrowshore.DispatchApi.ListKind;
-import barrowshore.DispatchApi.Load;
-import barrowshore.DispatchApi.Member;
-import barrowshore.DispatchApi.Note;
-import barrowshore.DispatchApi.Request;
-import barrowshore.DispatchApi.Settings;
-import barrowshore.DispatchApi.Status;
-import barrowshore.DispatchApi;
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Load;
+import barrowshore.module.DispatchApi.Member;
+import barrowshore.module.DispatchApi.Note;
+import barrowshore.module.DispatchApi.Request;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
+import barrowshore.module.DispatchApi;
 import barrowshore.duty.Figures;
 import barrowshore.duty.Tally;
 import barrowshore.flow.Flow;
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -1,7 +1,7 @@
 package barrowshore.node;
 
-import barrowshore.DispatchApi;
-import barrowshore.Dispatcher;
+import barrowshore.module.DispatchApi;
+import barrowshore.module.Dispatcher;
 import barrowshore.client.ClientSide;
 import barrowshore.config.Config;
 import barrowshore.config.ConfigException;
--- a/src/main/java/barrowshore/rivals/Rival.java
+++ b/src/main/java/barrowshore/rivals/Rival.java
@@ -1,6 +1,6 @@
 package barrowshore.rivals;
 
-import barrowshore.DispatchApi;
+import barrowshore.module.DispatchApi;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
--- a/src/main/java/barrowshore/servers/RealServer.java
+++ b/src/main/java/barrowshore/servers/RealServer.java
@@ -1,8 +1,8 @@
 package barrowshore.servers;
 
-import barrowshore.DispatchApi.Load;
-import barrowshore.DispatchApi.Note;
-import barrowshore.DispatchApi.Status;
+import barrowshore.module.DispatchApi.Load;
+import barrowshore.module.DispatchApi.Note;
+import barrowshore.module.DispatchApi.Status;
 import barrowshore.flow.Flow;
 import barrowshore.list.ServerList;
 import barrowshore.net.Dialer;
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.Reports;
-import barrowshore.DispatchApi.Scope;
-import barrowshore.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.Reports;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Settings;
 
 /**
  * Reads path=value pairs into settings; unknown keys are skipped, absent ones keep their defaults. The simulator sends
--- a/src/main/java/barrowshore/wire/WireHost.java
+++ b/src/main/java/barrowshore/wire/WireHost.java
@@ -10,16 +10,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import barrowshore.DispatchApi;
-import barrowshore.DispatchApi.Health;
-import barrowshore.DispatchApi.ListKind;
-import barrowshore.DispatchApi.Load;
-import barrowshore.DispatchApi.Member;
-import barrowshore.DispatchApi.Note;
-import barrowshore.DispatchApi.Request;
-import barrowshore.DispatchApi.Settings;
-import barrowshore.DispatchApi.Status;
-import barrowshore.Dispatcher;
+import barrowshore.module.DispatchApi;
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Load;
+import barrowshore.module.DispatchApi.Member;
+import barrowshore.module.DispatchApi.Note;
+import barrowshore.module.DispatchApi.Request;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
+import barrowshore.module.Dispatcher;
 
 /** Hosts many dispatchers on the wire: turns its lines into calls and their actions into lines. Decides nothing. */
 public final class WireHost {
--- a/src/test/java/barrowshore/PackageRulesTest.java
+++ b/src/test/java/barrowshore/PackageRulesTest.java
@@ -18,7 +18,7 @@
             .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("barrowshore");
 
     @ParameterizedTest
-    @ValueSource(strings = {"barrowshore", "barrowshore.halls", "barrowshore.model", "barrowshore.duty", "barrowshore.budget",
+    @ValueSource(strings = {"barrowshore.module", "barrowshore.halls", "barrowshore.model", "barrowshore.duty", "barrowshore.budget",
         "barrowshore.rivals"})
     void whatDecidesTouchesNoSocketsFilesClocksOrThreads(String pure) {
         noClasses().that().resideInAPackage(pure).should().dependOnClassesThat().resideInAnyPackage("java.net..",
--- a/src/test/java/barrowshore/config/ConfigTest.java
+++ b/src/test/java/barrowshore/config/ConfigTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import barrowshore.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Effect;
 import barrowshore.list.ServerList;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/src/test/java/barrowshore/emulate/MatrixTest.java
+++ b/src/test/java/barrowshore/emulate/MatrixTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.Settings;
 import barrowshore.config.ConfigException;
 import barrowshore.operator.Operator;
 import barrowshore.rivals.Rival;
--- a/src/test/java/barrowshore/Bench.java
+++ b/src/test/java/barrowshore/module/Bench.java
@@ -1,18 +1,18 @@
-package barrowshore;
+package barrowshore.module;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.Health;
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.ListKind;
-import barrowshore.DispatchApi.Member;
-import barrowshore.DispatchApi.Request;
-import barrowshore.DispatchApi.Scope;
-import barrowshore.DispatchApi.Settings;
-import barrowshore.DispatchApi.Status;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Member;
+import barrowshore.module.DispatchApi.Request;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
 
 /** A dispatcher on a fake clock with its actions recorded, as an embedder would drive it. */
 final class Bench implements DispatchApi.Actions {
--- a/src/test/java/barrowshore/IndexTableTest.java
+++ b/src/test/java/barrowshore/module/IndexTableTest.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/barrowshore/LoadReaderTest.java
+++ b/src/test/java/barrowshore/module/LoadReaderTest.java
@@ -1,12 +1,12 @@
-package barrowshore;
+package barrowshore.module;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.Load;
-import barrowshore.DispatchApi.Scope;
-import barrowshore.DispatchApi.Status;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Load;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Status;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/barrowshore/PeersTest.java
+++ b/src/test/java/barrowshore/module/PeersTest.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/barrowshore/PlacingTest.java
+++ b/src/test/java/barrowshore/module/PlacingTest.java
@@ -1,10 +1,10 @@
-package barrowshore;
+package barrowshore.module;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.Scope;
-import barrowshore.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Settings;
 import org.junit.jupiter.api.Test;
 
 /** Where jobs go when what is cheapest is not what is best. */
--- a/src/test/java/barrowshore/RulesTest.java
+++ b/src/test/java/barrowshore/module/RulesTest.java
@@ -1,4 +1,4 @@
-package barrowshore;
+package barrowshore.module;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,15 +13,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.Health;
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.ListKind;
-import barrowshore.DispatchApi.Member;
-import barrowshore.DispatchApi.Request;
-import barrowshore.DispatchApi.Scope;
-import barrowshore.DispatchApi.Settings;
-import barrowshore.DispatchApi.Status;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Member;
+import barrowshore.module.DispatchApi.Request;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
 
 /** The four binding rules, each from its own text, by event sequences without the bench. */
 class RulesTest {
--- a/src/test/java/barrowshore/TroubleTest.java
+++ b/src/test/java/barrowshore/module/TroubleTest.java
@@ -1,16 +1,16 @@
-package barrowshore;
+package barrowshore.module;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.DispatchApi.Effect;
-import barrowshore.DispatchApi.Health;
-import barrowshore.DispatchApi.JobClass;
-import barrowshore.DispatchApi.ListKind;
-import barrowshore.DispatchApi.Note;
-import barrowshore.DispatchApi.Request;
-import barrowshore.DispatchApi.Scope;
-import barrowshore.DispatchApi.Settings;
-import barrowshore.DispatchApi.Status;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Note;
+import barrowshore.module.DispatchApi.Request;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import barrowshore.DispatchApi;
-import barrowshore.Dispatcher;
+import barrowshore.module.DispatchApi;
+import barrowshore.module.Dispatcher;
 import barrowshore.config.Config;
 import barrowshore.net.Clock;
 import barrowshore.operator.Operator;
--- a/src/test/java/barrowshore/servers/LoadReportTest.java
+++ b/src/test/java/barrowshore/servers/LoadReportTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.DispatchApi.Load;
+import barrowshore.module.DispatchApi.Load;
 import barrowshore.wire.Json;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/src/test/java/barrowshore/wire/SettingsReaderTest.java
+++ b/src/test/java/barrowshore/wire/SettingsReaderTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Settings;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
