--- a/src/main/java/barrowshore/emulate/Rehearsal.java
+++ b/src/main/java/barrowshore/emulate/Rehearsal.java
@@ -55,6 +55,10 @@
             row(out, "nodes fallen over (most)", Report::fallen, true, on, off);
             row(out, "unsafe jobs run twice (most)", r -> r.twice, true, on, off);
             row(out, "no answer in time (most)", r -> r.silent, true, on, off);
+            row(out, "variation of load, 1 s (most)", r -> r.even.variationLong(), true, on, off);
+            row(out, "most load against mean, 1 s (most)", r -> r.even.mostLong(), true, on, off);
+            row(out, "free while others queue (most)", r -> r.even.idleWhileOthersQueue(), true, on, off);
+            row(out, "crowding against chance (most)", r -> r.even.crowd(), true, on, off);
             row(out, "changes of hall states (most)", Report::moves, true, on, off);
         }
         if (json != null) {
--- a/src/main/java/barrowshore/emulate/Report.java
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -61,6 +61,7 @@
     long messageBytes;
     int longestMessage;
     long events;
+    final Evenness even = new Evenness();
 
     Report(Scenario scenario, Deployment deployment, long seed) {
         this.scenario = scenario;
@@ -306,6 +307,13 @@
         all.put("sends", sends);
         all.put("crossings", crossings);
         all.put("wastedSeconds", round(wasted / 1e6));
+        Map<String, Object> evenness = new LinkedHashMap<>();
+        evenness.put("variation100ms", round(even.variationShort()));
+        evenness.put("variation1s", round(even.variationLong()));
+        evenness.put("mostAgainstMean1s", round(even.mostLong()));
+        evenness.put("idleWhileOthersQueue", round(even.idleWhileOthersQueue()));
+        evenness.put("crowdAgainstChance", round(even.crowd()));
+        all.put("even", evenness);
         all.put("probes", probes);
         all.put("messages", messages);
         all.put("messageBytes", messageBytes);
@@ -331,6 +339,9 @@
             out.append(String.format(Locale.ROOT, "%-16s %8.3f %14.1f %14.2f%n", scenario.halls().get(h).name(),
                     diners(h), mostSpilled[h], mostSpillShare[h]));
         }
+        out.append(String.format(Locale.ROOT, "even load: variation %.2f in 0.1 s, %.2f in 1 s, most %.2f times the mean in 1 s; free while"
+                + " others queue %.3f slots a node; crowding %.2f of chance's%n", even.variationShort(), even.variationLong(),
+                even.mostLong(), even.idleWhileOthersQueue(), even.crowd()));
         out.append("by 5 s, worth served:");
         for (int from = 0; from < seconds; from += 5) {
             out.append(String.format(Locale.ROOT, " %.3f", share(servedAt, askedAt, from, from + 5)));
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -172,6 +172,7 @@
 
     /** Looks at the truth, for the report alone. */
     private void look() {
+        report.even.look(nodes.stream().map(Node::look).toList(), schedulers.size());
         int halls = scenario.halls().size();
         double[] foreign = new double[halls], usable = new double[halls], can = new double[halls];
         for (Node n : nodes) {
@@ -463,8 +464,9 @@
         final String id;
         final int hall;
         final int kind;
+        final int number = nodes.size();
         /** Cells are a few machines each, within a zone. */
-        final int cell = nodes.size() / CELL;
+        final int cell = number / CELL;
         final NodeModel model;
         double errors;
         boolean vanished;
@@ -519,6 +521,11 @@
             return noise == 0 ? figure : Math.max(0, figure * (1 + noise * normal.sample()));
         }
 
+        Evenness.Look look() {
+            boolean usable = model.up() && !vanished && !model.hung() && health == Health.READY && !gone;
+            return new Evenness.Look(usable ? model.capacity() : 0, model.freeSlots(), model.waitingSlots());
+        }
+
         /** Its line of the list. */
         Member entry() {
             return new Member(id, health, weight, cell, kind, hall, boot);
@@ -843,6 +850,7 @@
                     kernel.after(there, () -> {
                         if (node.reachable(Scheduler.this)) {
                             cameAt = kernel.now();
+                            report.even.came(node.number, Scheduler.this.number, work() * slots());
                             node.model.offer(this);
                         }   // else its bytes wait in vain, and it is never heard of
                     });
--- a/src/main/java/barrowshore/model/NodeModel.java
+++ b/src/main/java/barrowshore/model/NodeModel.java
@@ -130,6 +130,16 @@
         return waitingSlots + used();
     }
 
+    /** Slots of the work that waits. */
+    public double waitingSlots() {
+        return waitingSlots;
+    }
+
+    /** What it can do now, in cores at speed 1. */
+    public double capacity() {
+        return warmth(time.now()) * spec.cores() * spec.speed() / slowness;
+    }
+
     /** How many jobs wait. */
     public int waiting() {
         return queue.size();
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -180,6 +180,7 @@
             list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
             told = true;
             tellIfReady();
+            publish();
         });
     }
 
