Start fleets of real scheduler processes, with faults between them, and check what must hold

Need: the operators care most about how many processes get along when parts break under them; nothing here started more than one process.

--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -8,6 +8,8 @@
 import barrowshore.files.ServersFile;
 import barrowshore.list.Guard;
 import barrowshore.list.HandList;
+import barrowshore.fleet.Fleet;
+import barrowshore.fleet.FleetScenario;
 import barrowshore.node.Node;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
@@ -63,8 +65,16 @@
         @Option(name = "--operator", metaVar = "FILE", usage = "the operators' settings (default: none, all of it off)")
         Path operator;
 
+        @Option(name = "--with", metaVar = "PID", usage = "ends at once when that process has ended")
+        long with;
+
         @Override
         public void run() throws Exception {
+            if (with > 0) {
+                // Whoever started it for a while may be killed: nobody else would end it then.
+                ProcessHandle.of(with).orElseThrow(() -> new ConfigException("--with: there is no process " + with)).onExit()
+                        .thenRun(() -> Runtime.getRuntime().halt(1));
+            }
             Node.serve(files(config, operator));
         }
     }
@@ -118,6 +128,29 @@
         }
     }
 
+    /** A fleet of real processes with faults between them. */
+    @About("Starts a fleet of real schedulers before stand-in workers, with load and faults, and checks what must hold.")
+    public static final class RunFleet implements Command {
+        @Argument(index = 0, required = true, metaVar = "SCENARIO", usage = "the fleet's XML file")
+        Path scenario;
+
+        @Option(name = "--folder", metaVar = "DIR", usage = "for logs, events and figures (default: a new one)")
+        Path folder;
+
+        @Option(name = "--deploy", metaVar = "FILE", usage = "whose run line has the JVM's options (default: none are set)")
+        Path deploy;
+
+        @Override
+        public void run() throws Exception {
+            FleetScenario read = FleetScenario.read(scenario);
+            Path to = folder != null ? folder : Files.createTempDirectory("fleet");
+            System.out.println("logs and figures in " + to);
+            if (!Fleet.play(read, to, deploy, System.out).broken().isEmpty()) {
+                throw new Broken();
+            }
+        }
+    }
+
     /** A small site to watch. */
     @About("Starts two halls of stand-in nodes, two schedulers and a light load; loses a hall and regains it.")
     public static final class Show implements Command {
@@ -244,7 +277,7 @@
         @SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "check", impl = Check.class),
         @SubCommand(name = "drill", impl = Drill.class),
         @SubCommand(name = "servers", impl = Servers.class),
-        @SubCommand(name = "demo", impl = Show.class), @SubCommand(name = "emulate", impl = Emulate.class),
+        @SubCommand(name = "demo", impl = Show.class), @SubCommand(name = "fleet", impl = RunFleet.class), @SubCommand(name = "emulate", impl = Emulate.class),
         @SubCommand(name = "rehearse", impl = Rehearse.class), @SubCommand(name = "version", impl = Version.class)})
     Command command;
 
@@ -312,6 +345,13 @@
         } catch (WireException e) {
             System.err.println("barrowshore: " + e.getMessage());
             return 1;
+        } catch (Broken e) {
+            return 1;
         }
     }
+
+    /** What was asked for was done, and what it found has been said: it is not well. */
+    private static final class Broken extends Exception {
+        private static final long serialVersionUID = 1;
+    }
 }
--- /dev/null
+++ b/src/main/java/barrowshore/fleet/Instance.java
@@ -0,0 +1,165 @@
+package barrowshore.fleet;
+
+import barrowshore.config.ConfigException;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One scheduler of a fleet as a process of its own, with its configuration, its log and its folder. It owns the process
+ * from start to end, over restarts under the same name, and ends it by its id. It must never be left behind: the process
+ * itself watches whoever started it.
+ */
+final class Instance {
+    /** How long a start may take, on a machine that starts many at once. */
+    private static final long READY_SECONDS = 90;
+
+    final int number;
+    final int port;
+    private final Path folder;
+    private final List<String> command;
+    private volatile Process process;
+    /** How often it has been started: what is noticed late must not be laid to a later life. */
+    private volatile int lives;
+    /** Whether the front sends it clients. */
+    volatile boolean inService;
+
+    /** command: what runs `serve`, without its arguments. */
+    Instance(int number, Path folder, List<String> command) throws IOException {
+        this.number = number;
+        this.folder = folder;
+        this.command = command;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = socket.getLocalPort();
+        }
+    }
+
+    /**
+     * The production command line's options for the JVM, of the deploy file's `run`, before this program's own jar or
+     * classes.
+     */
+    static List<String> command(Path deploy) {
+        List<String> all = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
+        if (deploy != null) {
+            try {
+                Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar \\S+ serve\"").matcher(Files.readString(deploy));
+                if (!run.find()) {
+                    throw new ConfigException(deploy + ": no line run = \"exec java ... -jar ... serve\"");
+                }
+                all.addAll(List.of(run.group(1).split("\\s+")));
+            } catch (IOException e) {
+                throw new ConfigException(deploy + " cannot be read: " + e.getClass().getSimpleName());
+            }
+        }
+        all.addAll(List.of("-cp", System.getProperty("java.class.path"), "barrowshore.cli.Main", "serve", "--with",
+                String.valueOf(ProcessHandle.current().pid())));
+        return all;
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    Path log() {
+        return folder.resolve("n" + number + ".log");
+    }
+
+    /** Starts it with this configuration; its log goes on where there is one. */
+    void start(String config) throws IOException {
+        Path file = folder.resolve("n" + number + ".json"), temporary = folder.resolve("tmp" + number);
+        Files.writeString(file, config);
+        Files.createDirectories(temporary);
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("GW_NAME", "n" + number);
+        builder.environment().put("TMPDIR", temporary.toString());
+        builder.environment().remove("GW_OPS");
+        process = builder.start();
+        lives++;
+    }
+
+    /** Waits until it says that it is ready; one that does not come up is an error that names its log. */
+    void awaitReady() throws IOException, InterruptedException {
+        Process mine = process;
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
+        while (!ready()) {
+            if (mine.waitFor(20, TimeUnit.MILLISECONDS) || System.nanoTime() > until) {
+                throw new ConfigException("scheduler " + number + (mine.isAlive() ? " was not ready in " + READY_SECONDS + " s"
+                        : " ended with exit code " + mine.exitValue() + " before it was ready") + "; see " + log());
+            }
+        }
+        inService = true;
+    }
+
+    private boolean ready() throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(address(), 1000);
+            socket.setSoTimeout(2000);
+            socket.getOutputStream().write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1).startsWith("HTTP/1.1 200");
+        } catch (ConnectException e) {
+            return false;
+        } catch (IOException e) {
+            return false;   // it is coming up, or going
+        }
+    }
+
+    int lives() {
+        return lives;
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    void term() {
+        process.destroy();
+    }
+
+    /** SIGSTOP or SIGCONT: there is no call for these in the JDK. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).inheritIO().start().waitFor();
+    }
+
+    /** Ends it for good and waits until it is gone; whether it is. */
+    boolean end() throws InterruptedException {
+        if (process == null) {
+            return true;
+        }
+        process.destroyForcibly();
+        return process.waitFor(20, TimeUnit.SECONDS);
+    }
+
+    /** Memory in use, in MiB, and processor seconds used; 0 where the system does not tell. */
+    double[] use() {
+        double memory = 0;
+        try {
+            Matcher rss = Pattern.compile("VmHWM:\\s+(\\d+) kB").matcher(Files.readString(Path.of("/proc/" + pid() + "/status")));
+            memory = rss.find() ? Double.parseDouble(rss.group(1)) / 1024 : 0;
+        } catch (IOException e) {
+            memory = 0;   // it has ended, or this system has no such file
+        }
+        return new double[] {memory, process.info().totalCpuDuration().map(d -> d.toMillis() / 1000.0).orElse(0.0)};
+    }
+}
--- a/src/main/java/barrowshore/standin/Demo.java
+++ b/src/main/java/barrowshore/standin/Demo.java
@@ -120,7 +120,7 @@
     private void ask(HttpClient client, InetSocketAddress at) {
         int number = next.incrementAndGet();
         int type = number % 2;
-        String name = StandInSite.CLASSES.get(type);
+        String name = StandInConfig.CLASSES.get(type);
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.getPort() + "/" + name
                 + "?work=" + WORK_MILLIS.get(type))).header("X-Request-ID", name + "-" + number)
                 .header("X-Priority-Class", name).header("X-Timeout-Ms", "3000").timeout(Duration.ofSeconds(5))
--- a/src/main/java/barrowshore/standin/StandInDiscovery.java
+++ b/src/main/java/barrowshore/standin/StandInDiscovery.java
@@ -28,10 +28,10 @@
     private final Map<String, Map<String, Object>> targets = new LinkedHashMap<>();
     private final Set<Link> watches = new HashSet<>();
     private long rev;
-    private boolean stopped;
+    private boolean stopped, silent;
 
     /** Starts with an empty list, on a free port. */
-    StandInDiscovery(StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
+    public StandInDiscovery(StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
         this.timers = timers;
         mailbox = new Mailbox("stand-in discovery", pool);
         this.front = front;
@@ -42,7 +42,9 @@
     private void beat() {
         timers.schedule(() -> mailbox.post(() -> {
             if (!stopped) {
-                watches.forEach(w -> w.line(""));
+                if (!silent) {
+                    watches.forEach(w -> w.line(""));
+                }
                 beat();
             }
         }), EMPTY_LINE_MILLIS, TimeUnit.MILLISECONDS);
@@ -71,8 +73,20 @@
                 targets.put(uid, entry);
             }
             rev++;
-            String line = list(false, new Object[] {entry});
-            watches.forEach(w -> w.line(line));
+            if (!silent) {
+                String line = list(false, new Object[] {entry});
+                watches.forEach(w -> w.line(line));
+            }
+        });
+    }
+
+    /** It answers nothing and tells nothing, or tells all of its list to whoever watches. */
+    public void silent(boolean on) {
+        mailbox.post(() -> {
+            silent = on;
+            if (!on) {
+                watches.forEach(w -> w.line(list(true, targets.values().toArray())));
+            }
         });
     }
 
@@ -100,6 +114,9 @@
 
         @Override
         void asked(String method, String target, Map<String, String> headers, String body) {
+            if (silent) {
+                return;   // it is down: nothing is said, and the connection stays
+            }
             if (!target.startsWith("/api/targets")) {
                 answer(404, "", "");
             } else if (!target.contains("watch=1")) {
--- a/src/main/java/barrowshore/standin/StandInFront.java
+++ b/src/main/java/barrowshore/standin/StandInFront.java
@@ -19,8 +19,7 @@
  * One selector for all stand-ins of a process, each behind a loopback port of its own. It owns the selector and the
  * listening sockets, and must never listen elsewhere than on loopback.
  */
-final class StandInFront {
-    private static final int MOST_CONNECTIONS = 2048;
+public final class StandInFront {
     private static final int BACKLOG = 256;
 
     /** A port that is listened on. */
@@ -29,8 +28,9 @@
     private final Map<Integer, Door> doors = new ConcurrentHashMap<>();
     private final Dialer dialer;
 
-    StandInFront(Executor pool, Scheduler timers) throws Exception {
-        dialer = new Dialer(pool, timers, 1, MOST_CONNECTIONS, 1000, this::accepted);
+    /** most: connections to all of its doors together. */
+    public StandInFront(Executor pool, Scheduler timers, int most) throws Exception {
+        dialer = new Dialer(pool, timers, 1, most, 1000, this::accepted);
         dialer.start();
     }
 
@@ -70,7 +70,8 @@
         }
     }
 
-    void stop() {
+    /** Closes all doors. */
+    public void stop() {
         doors.keySet().forEach(this::close);
         LifeCycle.stop(dialer);
     }
--- a/src/main/java/barrowshore/standin/StandInNode.java
+++ b/src/main/java/barrowshore/standin/StandInNode.java
@@ -29,8 +29,8 @@
     /** Until a port that was just closed is tried again. */
     private static final long AGAIN_MILLIS = 20;
 
-    /** What a node counts; runs: how often each id started. */
-    public record Count(Map<String, Integer> runs, long served, double coldUse, boolean fallen, int connections) { }
+    /** What a node counts; runs: how often each id started; late: jobs that came after {@link #nothingNewAfter}. */
+    public record Count(Map<String, Integer> runs, long served, double coldUse, boolean fallen, int connections, int late) { }
 
     private final String uid;
     private final StandInFront front;
@@ -41,9 +41,11 @@
     private final Set<Link> links = new HashSet<>();
     private final Map<String, Integer> runs = new HashMap<>();
     private final int port;
+    private long nothingNewAfter = Long.MAX_VALUE;
+    private int late;
 
     /** Starts a node that has been up for long, on a free port. */
-    StandInNode(String uid, NodeModel.Spec spec, NodeModel.Falling falling, long progressEvery,
+    public StandInNode(String uid, NodeModel.Spec spec, NodeModel.Falling falling, long progressEvery,
                        StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
         this.uid = uid;
         this.front = front;
@@ -112,11 +114,16 @@
         return told(() -> model.drain(on));
     }
 
+    /** Jobs that come later than so many milliseconds from now are counted: its schedulers should know better by then. */
+    public void nothingNewAfter(long millis) {
+        mailbox.post(() -> nothingNewAfter = clock.micros() + millis * 1000);
+    }
+
     /** What it has counted. */
     public CompletableFuture<Count> count() {
         CompletableFuture<Count> count = new CompletableFuture<>();
         mailbox.post(() -> count.complete(new Count(Map.copyOf(runs), model.served(), model.coldUse(), model.fallen(),
-                links.size())));
+                links.size(), late)));
         return count;
     }
 
@@ -169,6 +176,7 @@
                 answer(404, "", "");
                 return;
             }
+            late += clock.micros() > nothingNewAfter ? 1 : 0;
             job = new Job(this, id, number(target, "slots", 1), number(target, "work", USUAL_WORK / 1000.0) * 1000);
             model.offer(job);
         }
--- a/src/main/java/barrowshore/standin/StandInSite.java
+++ b/src/main/java/barrowshore/standin/StandInSite.java
@@ -28,16 +28,8 @@
  * process. It owns them from start to stop. Two schedulers at most: they reach each other without the platform's help.
  */
 public final class StandInSite implements AutoCloseable {
-    /** Two halls; times are short so that a return can be watched: warm after 6 s. */
-    private static final List<String> HALLS = List.of("hala-a", "hala-b");
-    private static final long COLD = 6_000_000, FALL = 2_000_000;
-    private static final double MULTIPLE = 3, START_CAPACITY = 0.3;
-    private static final double USUAL_JOB = 150_000;
-    private static final long PROGRESS = 500_000;
-    private static final int CORES = 4;
-
-    /** The classes that its schedulers serve, as their paths name them. */
-    static final List<String> CLASSES = List.of("menu-cteni", "objednavka");
+    private static final List<String> HALLS = StandInConfig.HALLS;
+    private static final int CORES = 4, MOST_CONNECTIONS = 2048;
 
     private final ExecutorService pool = Executors.newFixedThreadPool(4, run -> {
         Thread thread = new Thread(run, "stand-ins");
@@ -54,13 +46,14 @@
     /** Starts halls of so many nodes and a scheduler in each. */
     public StandInSite(int nodes, Operator operator) throws Exception {
         timers.start();
-        front = new StandInFront(pool, timers);
+        front = new StandInFront(pool, timers, MOST_CONNECTIONS);
         discovery = new StandInDiscovery(front, pool, timers);
         for (int h = 0; h < HALLS.size(); h++) {
             halls.add(new ArrayList<>());
             for (int n = 0; n < nodes; n++) {
                 StandInNode node = new StandInNode("s-" + "ab".charAt(h) + n, new NodeModel.Spec(CORES, 1, 40,
-                        n % 2 == 0, START_CAPACITY, COLD), new NodeModel.Falling(MULTIPLE, FALL, USUAL_JOB), PROGRESS,
+                        n % 2 == 0, StandInConfig.START_CAPACITY, StandInConfig.COLD), new NodeModel.Falling(
+                        StandInConfig.MULTIPLE, StandInConfig.FALL, StandInConfig.USUAL_JOB), StandInConfig.PROGRESS,
                         front, pool, timers);
                 halls.get(h).add(node);
                 tell(h, node, "Ready");
@@ -78,21 +71,14 @@
         }
     }
 
-    private String config(int me, int[] ports) throws Exception {
-        String peers = "\"127.0.0.1:" + ports[0] + "\",\"127.0.0.1:" + ports[1] + "\"";
-        return ("{'name':'scheduler-" + me + "','listen':'127.0.0.1:0','discovery':'127.0.0.1:"
-                + discovery.address().getPort() + "','seed':'" + (me + 1) + "','limits':{'sockets':1024},"
-                + "'peer_listen':'127.0.0.1:" + ports[me] + "','peers':[" + peers + "],'peers_all':'127.0.0.1:"
-                + ports[1 - me] + "','settings':{'groupSize':2,'me':" + me + ",'zone':" + me
-                + ",'zones':['hala-a','hala-b'],'kinds':['usual'],'tick':5000,'lanes':["
-                + "{'name':'menu-cteni','aim':250000,'deadline':3000000,'worth':2.0,'idempotency':'idempotent'},"
-                + "{'name':'objednavka','aim':400000,'deadline':4000000,'worth':10.0,'idempotency':'at_most_once'}],"
-                + "'policyLimits':{'sendCap':5,'secondCopies':true,'cancel':true,'probing':true,'mayTell':true,"
-                + "'dialTimeout':250000,'keepalive':60000000,'maxRetryAfter':2000000},"
-                + "'domain':{'tellsStart':true,'progress':" + PROGRESS + ",'classStretch':[2,2]},"
-                + "'telemetry':{'how':'pull','columns':['inflight','x0']},'charges':{'crossZone':0.1},"
-                + "'rules':{'cold':" + COLD + ",'fall':" + FALL + ",'fallMultiple':" + MULTIPLE + ",'startCapacity':"
-                + START_CAPACITY + ",'askEvery':10000000}}}").replace('\'', '"');
+    private String config(int me, int[] ports) {
+        List<String> peers = List.of("127.0.0.1:" + ports[0], "127.0.0.1:" + ports[1]);
+        return StandInConfig.of("scheduler-" + me, loopback(0), discovery.address(), me, me, loopback(ports[me]), peers,
+                loopback(ports[1 - me]));
+    }
+
+    private static InetSocketAddress loopback(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
 
     private void tell(int hall, StandInNode node, String state) {
--- /dev/null
+++ b/src/test/java/barrowshore/fleet/InvariantsTest.java
@@ -0,0 +1,57 @@
+package barrowshore.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import barrowshore.fleet.Invariants.Answer;
+import barrowshore.fleet.Invariants.Asked;
+import barrowshore.fleet.Invariants.Outage;
+import barrowshore.fleet.Invariants.Worked;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Each invariant is seen to be broken where it is, and not where it is not. */
+class InvariantsTest {
+    private static final long S = 1_000_000;
+
+    private static Asked asked(boolean unsafe, Answer answer) {
+        return new Asked("j-1", unsafe, 2, 10 * S, 11 * S, 13 * S, answer);
+    }
+
+    private static List<String> broken(Asked asked, int runs, List<Outage> outages) {
+        return Invariants.broken(List.of(asked), runs == 0 ? Map.of() : Map.of("j-1", runs), outages, List.of(), List.of());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, SERVED, 1, ''", "true, SERVED, 2, ran 2 times", "false, SERVED, 2, ''", "false, SERVED, 0, no worker ran it",
+        "true, TURNED_DOWN, 0, ''", "true, TURNED_DOWN, 1, turned down as harmless", "false, TURNED_DOWN, 1, ''",
+        "true, FAILED, 1, ''", "true, FAILED, 2, ran 2 times", "true, REFUSED, 0, ''", "true, NONE, 1, no answer"})
+    void whatAJobMayComeTo(boolean unsafe, Answer answer, int runs, String says) {
+        List<String> broken = broken(asked(unsafe, answer), runs, List.of());
+        if (says.isEmpty()) {
+            assertThat(broken).isEmpty();
+        } else {
+            assertThat(broken).singleElement().asString().contains(says, "j-1");
+        }
+    }
+
+    /** Who is killed or stands still owes no answer to what it held, and to nothing else. */
+    @ParameterizedTest
+    @CsvSource({"2, 9, 12, true", "2, 12, 20, true", "2, 14, 20, false", "2, 3, 9, false", "1, 9, 12, false"})
+    void anOutageExcusesWhatWasHeldInIt(int scheduler, long from, long to, boolean excused) {
+        assertThat(broken(asked(false, Answer.NONE), 0, List.of(new Outage(scheduler, from * S, to * S))).isEmpty())
+                .isEqualTo(excused);
+    }
+
+    @Test
+    void workersAndProcessesAreLookedAt() {
+        assertThat(Invariants.broken(List.of(), Map.of(), List.of(), List.of(new Worked("s-0", 0, false, 0.9)), List.of()))
+                .isEmpty();
+        assertThat(Invariants.broken(List.of(), Map.of(), List.of(), List.of(new Worked("s-1", 3, false, 0),
+                new Worked("s-2", 0, true, 1.2)), List.of("scheduler 4, process 77")))
+                .containsExactly("3 jobs after the grace of its drain: s-1", "pushed over while cold: s-2",
+                        "left behind: scheduler 4, process 77");
+    }
+}
--- a/src/test/java/barrowshore/standin/HallMoveTest.java
+++ b/src/test/java/barrowshore/standin/HallMoveTest.java
@@ -47,7 +47,7 @@
         for (int k = 0; k < count; k++) {
             all.add(clients.submit(() -> {
                 int number = next.incrementAndGet();
-                String type = StandInSite.CLASSES.get(number % 2), id = type + "-" + number;
+                String type = StandInConfig.CLASSES.get(number % 2), id = type + "-" + number;
                 String before = answers.put(id, ask(site.entrance(number / 2 % 2), type, id));
                 assertThat(before).isNull();
                 return null;
--- a/src/test/java/barrowshore/standin/WatchedServersTest.java
+++ b/src/test/java/barrowshore/standin/WatchedServersTest.java
@@ -48,7 +48,7 @@
     @BeforeEach
     void start() throws Exception {
         timers.start();
-        front = new StandInFront(pool, timers);
+        front = new StandInFront(pool, timers, 2048);
         for (int n = 0; n < 4; n++) {
             nodes.add(new StandInNode("s" + n, new NodeModel.Spec(4, 1, 40, true, 0.3, 6_000_000),
                     new NodeModel.Falling(3, 2_000_000, 150_000), 500_000, front, pool, timers));
