Hold each process's port until it starts, and see a scheduler that ended by itself

Checked: scheduler 24's log says that its address was in use; the other rig's restarted scheduler had its port, and Instance.awaitReady took whoever answered there for its own. At fault: the port was given back from the constructor to the start, and readiness asked for an answer, not for a live process of ours.

Change: the port is held until the start; ready means that our process lives and answers; one that ends without a fault of the scenario is broken.

--- a/src/main/java/barrowshore/fleet/Fleet.java
+++ b/src/main/java/barrowshore/fleet/Fleet.java
@@ -331,6 +331,10 @@
         }
         List<String> left = new ArrayList<>();
         for (Instance one : instances) {
+            if (!one.alive() && scenario.faults().stream().noneMatch(f -> f.one() == one.number
+                    && (f.what() == FleetScenario.What.KILL || f.what() == FleetScenario.What.TERM))) {
+                left.add("scheduler " + one.number + " ended by itself, see " + one.log());
+            }
             if (!one.end()) {
                 left.add("scheduler " + one.number + ", process " + one.pid());
             }
--- a/src/main/java/barrowshore/fleet/Instance.java
+++ b/src/main/java/barrowshore/fleet/Instance.java
@@ -29,6 +29,8 @@
     final int port;
     private final Path folder;
     private final List<String> command;
+    /** Holds the port until the first start: another program on this machine must not get it meanwhile. */
+    private final ServerSocket reserved;
     private volatile Process process;
     /** How often it has been started: what is noticed late must not be laid to a later life. */
     private volatile int lives;
@@ -40,9 +42,8 @@
         this.number = number;
         this.folder = folder;
         this.command = command;
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = socket.getLocalPort();
-        }
+        reserved = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        port = reserved.getLocalPort();
     }
 
     /**
@@ -86,6 +87,7 @@
         builder.environment().put("GW_NAME", "n" + number);
         builder.environment().put("TMPDIR", temporary.toString());
         builder.environment().remove("GW_OPS");
+        reserved.close();
         process = builder.start();
         lives++;
     }
@@ -94,7 +96,8 @@
     void awaitReady() throws IOException, InterruptedException {
         Process mine = process;
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
-        while (!ready()) {
+        // Whoever answers there must be ours: a process that has ended answers nothing.
+        while (!ready() || !mine.isAlive()) {
             if (mine.waitFor(20, TimeUnit.MILLISECONDS) || System.nanoTime() > until) {
                 throw new ConfigException("scheduler " + number + (mine.isAlive() ? " was not ready in " + READY_SECONDS + " s"
                         : " ended with exit code " + mine.exitValue() + " before it was ready") + "; see " + log());
@@ -143,7 +146,8 @@
     }
 
     /** Ends it for good and waits until it is gone; whether it is. */
-    boolean end() throws InterruptedException {
+    boolean end() throws InterruptedException, IOException {
+        reserved.close();
         if (process == null) {
             return true;
         }
