--- a/src/main/java/barrowshore/fleet/Fleet.java
+++ b/src/main/java/barrowshore/fleet/Fleet.java
@@ -225,7 +225,7 @@
             }
             case START -> {
                 Instance one = instances.get(f.one());
-                one.end();   // it may still be on its way out
+                one.leave();
                 one.start(config(one));
                 one.awaitReady();
                 closeOutage(f.one());
--- a/src/main/java/barrowshore/fleet/Instance.java
+++ b/src/main/java/barrowshore/fleet/Instance.java
@@ -24,6 +24,8 @@
 final class Instance {
     /** How long a start may take, on a machine that starts many at once. */
     private static final long READY_SECONDS = 90;
+    /** The platform ends one that was told to end after the longest deadline and 0.7 s; a slow machine gets more. */
+    private static final long LEAVES_SECONDS = 10;
 
     final int number;
     final int port;
@@ -145,6 +147,13 @@
         new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).inheritIO().start().waitFor();
     }
 
+    /** Waits for one that was told to end, which still answers what it holds; one that does not go is ended. */
+    void leave() throws InterruptedException, IOException {
+        if (!process.waitFor(LEAVES_SECONDS, TimeUnit.SECONDS)) {
+            end();
+        }
+    }
+
     /** Ends it for good and waits until it is gone; whether it is. */
     boolean end() throws InterruptedException, IOException {
         reserved.close();
