Read discovery's lists as objects, however they are laid out, not line by line

ServiceEntry.Watch.content cut it at each line's end and take() parsed each line by itself, so the new list was never read: only the old watch was heard, and once that one ends no departure is. Change: ObjectBuffer cuts the stream into JSON objects by their braces; what stands between two must be blank; an object that has begun no longer renews the watch's limit, so that one that never ends is no sign of life.

--- a/src/main/java/barrowshore/servers/ServiceEntry.java
+++ b/src/main/java/barrowshore/servers/ServiceEntry.java
@@ -5,8 +5,8 @@
 import barrowshore.list.ServerList;
 import barrowshore.net.Dialer;
 import barrowshore.net.HttpLink;
-import barrowshore.net.LineBuffer;
 import barrowshore.net.Mailbox;
+import barrowshore.net.ObjectBuffer;
 import barrowshore.wire.Json;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -35,7 +35,7 @@
  */
 public final class ServiceEntry {
     private static final System.Logger LOG = System.getLogger(ServiceEntry.class.getName());
-    private static final int LONGEST_LINE = 1 << 20;
+    private static final int LONGEST_OBJECT = 1 << 20;
     private static final long FIRST_PAUSE = 50;
     private static final long LONGEST_PAUSE = 1000;
     /** An empty line comes every 2 s; a watch that misses three of them is taken for broken. */
@@ -140,7 +140,7 @@
     /** The connection of one watch; the first at an address asks for the whole list before it watches. */
     private final class Watch extends HttpLink implements HttpParser.ResponseHandler {
         private final int of;
-        private final LineBuffer lines = new LineBuffer(LONGEST_LINE);
+        private final ObjectBuffer objects = new ObjectBuffer(LONGEST_OBJECT);
         private boolean listing, refused;
 
         Watch(EndPoint endPoint, int of) {
@@ -202,19 +202,24 @@
 
         @Override
         public boolean content(ByteBuffer bytes) {
-            if (!listing) {
+            // An object that has begun does not renew the limit: one that never ends is no sign of life.
+            if (!listing && !objects.isOpen()) {
                 limit(SILENCE);
             }
-            lines.add(bytes, this::take);
+            try {
+                objects.add(bytes, this::take);
+            } catch (IllegalArgumentException e) {
+                startOver(e);
+            }
             return false;
         }
 
-        private void take(String line) {
-            if (line.isBlank() || of != life && this != heard) {
+        private void take(String object) {
+            if (isClosed() || of != life && this != heard) {
                 return;
             }
             try {
-                Update update = ServerList.read((Map<?, ?>) Json.parse(line), names);
+                Update update = ServerList.read((Map<?, ?>) Json.parse(object), names);
                 if (!update.unknown().isEmpty()) {
                     LOG.log(Level.WARNING, "real servers of an unknown model, left out: {0}",
                             String.join(", ", update.unknown()));
@@ -238,8 +243,14 @@
                     hear();
                 }
             } catch (IllegalArgumentException | ClassCastException e) {
-                // A line that cannot be read is a gap: the watch starts over from the version before it.
-                LOG.log(Level.WARNING, "the watch sent what is no list: {0}", e.getMessage());
+                startOver(e);
+            }
+        }
+
+        /** What cannot be read is a gap: the watch starts over from the version before it. */
+        private void startOver(RuntimeException cause) {
+            if (!isClosed()) {
+                LOG.log(Level.WARNING, "discovery sent what is no list: {0}", cause.getMessage());
                 shut();
             }
         }
@@ -254,9 +265,6 @@
 
         @Override
         public boolean messageComplete() {
-            if (listing) {
-                lines.end(this::take);   // the list need not end in a line's end
-            }
             if (listing && whole && persistent && of == life) {
                 parser.reset();
                 ask();
