Notice a silent watch after 3 s and an unanswered call after 0.5 s; reopen at once

A start fell back on the known list 1 s after module.start (ModuleActor.start) even where a call was out or its answer lay unread. Change: 3 s of silence; 0.5 s for a call's first word, what has come being read before it is given up; at most 0.5 s between calls, 1 to 2 s only where discovery answers with no list and nothing is sent by one; at once after a watch that had lived on. The service entry says when discovery is silent: never while a call may yet be answered. The test's changed file is put in place whole: a look between truncation and bytes counted as a bad file (seen once on a busy machine).

--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -45,9 +45,6 @@
     /** Ids of served flows kept: a minute or so at the usual load. */
     private static final int MOST_SERVED = 2048;
 
-    /** How long a start waits for discovery before the list known from before will do. */
-    private static final long LIST_MILLIS = 1000;
-
     /** How often is counted anew what changes without an event. */
     private static final long PUBLISH_MILLIS = 100;
 
@@ -155,18 +152,24 @@
 
     // What the actor is told.
 
-    void start(ServerList.Update known) {
+    void start() {
         mailbox.post(() -> {
             guarded(null, () -> module.start(now()));
-            // Discovery may be down at a restart: what was known then has to do. Where it answers with no list, it
-            // is up and what it has to tell counts as told; the known list may be from long before, so it waits.
-            timers.schedule(() -> mailbox.post(() -> {
-                if (!told && !discoveryBusy) {
-                    list(known, ListKind.INITIAL);
-                    told = !listed.isEmpty();
-                }
+        });
+    }
+
+    /**
+     * Discovery is silent, as it may be at a restart, or has nothing against the list known from before: that has to do.
+     * Where it answers with no list, it is up and what it has to tell counts as told; the known list may be from long
+     * before, so we wait.
+     */
+    void discoverySilent(ServerList.Update known) {
+        mailbox.post(() -> {
+            if (!told && !discoveryBusy) {
+                list(known, ListKind.INITIAL);
+                told = !listed.isEmpty();
                 tellIfReady();
-            }), LIST_MILLIS, TimeUnit.MILLISECONDS);
+            }
         });
     }
 
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -128,10 +128,11 @@
         keeper = setup.operator().servers() == null ? null : new ListKeeper(setup.operator().servers(), config.names(),
                 clock, pool, timers, module::update);
         entry = new ServiceEntry(config.discovery(), config.names(), pool, dialer, timers,
-                keeper == null ? module::update : keeper::discovered, module::discoveryBusy, config.known());
+                keeper == null ? module::update : keeper::discovered, module::discoveryBusy,
+                () -> module.discoverySilent(config.known()), config.known());
         peers = config.peers() == null ? null : new PeerSide(config.peers(), config.ops() != null, pool, clock, module::peer);
         dialer.start();
-        module.start(config.known());
+        module.start();
         entry.open();
         succession = twin == null ? null : new Succession(twin, pool, new Host());
         if (succession != null && succession.follows()) {
--- a/src/main/java/barrowshore/servers/ServiceEntry.java
+++ b/src/main/java/barrowshore/servers/ServiceEntry.java
@@ -37,19 +37,28 @@
     private static final System.Logger LOG = System.getLogger(ServiceEntry.class.getName());
     private static final int LONGEST_OBJECT = 1 << 20;
     private static final long FIRST_PAUSE = 50;
-    private static final long LONGEST_PAUSE = 1000;
-    /** An empty line comes every 2 s; a watch that misses three of them is taken for broken. */
-    private static final long SILENCE = 7000;
-    /** The whole list is answered at once, or else discovery is silent just now and is asked again. */
-    private static final long ANSWER = 1000;
-    /** A first watch may wait its turn at a discovery that is overbooked; one that holds still says so every 2 s. */
-    private static final long FIRST_WORD = 3000;
+    /** Between two calls that nobody answered. What discovery has after a silence counts as told at once. */
+    private static final long LONGEST_PAUSE = 250;
+    /** The same where discovery is up but gives no list, and while we have none either: then no server is at risk. */
+    private static final long BUSY_PAUSE = 1000;
+    /**
+     * An empty line comes every 2 s; one that is missed is a watch that fell silent. It has to be noticed and opened anew
+     * well within the 6 s after which what it missed counts as told.
+     */
+    private static final long SILENCE = 3000;
+    /**
+     * The agent answers at once, or else discovery is silent just now. Short, since a call made while it was silent may
+     * stay unanswered once it is back, and from then on all that it has counts as told.
+     */
+    private static final long ANSWER = 500;
+    /** How long a start waits for discovery before the list known from before will do. */
+    private static final long PATIENCE = 1000;
 
     private final Dialer dialer;
     private final Scheduler timers;
     private final Names names;
     private final Consumer<Update> listener;
-    private final Runnable busy;
+    private final Runnable busy, silent;
     private final Mailbox mailbox;
     /** Draws each pause: processes restarted together must not ask again in step. */
     private final SplittableRandom jitter = new SplittableRandom();
@@ -61,7 +70,15 @@
     private long rev;
     /** The list that the process was started with, until a list is heard; null then. What comes first changes it. */
     private Update known;
+    /** 0: the next call is made at once, since the watch before it had been up for a while. */
     private long pause = FIRST_PAUSE;
+    /** Whether a call at the present address is out that has had no word yet. */
+    private Watch unanswered;
+    private boolean dialing;
+    /** Whether the last call was answered with no list. */
+    private boolean busyNow;
+    /** Whether a start has waited long enough for a first list. */
+    private boolean waited;
     /** What discovery asked for in a Retry-After, up to the longest pause; 0: nothing. */
     private long wanted;
     /** The watch whose changes count; it may be of the former address until the present one has told its list. */
@@ -70,14 +87,16 @@
     /**
      * known: the list as this scheduler had it last. Where it has entries, only what has changed since is asked for: many
      * processes that start at once must not each ask an overbooked discovery for all of it. busy: discovery has answered,
-     * but with no list; it is up, so what it has to tell counts as told.
+     * but with no list; it is up, so what it has to tell counts as told. silent: discovery has not answered for a while,
+     * or has said nothing against the known list: that will do. Called only where no call is out that may yet be answered.
      */
     public ServiceEntry(InetSocketAddress address, Names names, Executor pool, Dialer dialer, Scheduler timers,
-            Consumer<Update> listener, Runnable busy, Update known) {
+            Consumer<Update> listener, Runnable busy, Runnable silent, Update known) {
         this.known = known.entries().isEmpty() ? null : known;
         this.whole = this.known != null;
         this.rev = known.rev();
         this.busy = busy;
+        this.silent = silent;
         this.dialer = dialer;
         this.timers = timers;
         this.address = address;
@@ -88,6 +107,24 @@
 
     public void open() {
         mailbox.post(() -> dial(life));
+        timers.schedule(() -> mailbox.post(() -> {
+            waited = true;
+            if (unanswered != null) {
+                unanswered.readUp();
+            }
+            tellIfSilent();
+        }), PATIENCE, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Guards the rule on what counts as told: a start that is short of processor time once took a list from before for
+     * the present one, though the answer lay in its socket.
+     */
+    private void tellIfSilent() {
+        if (waited && unanswered == null && !dialing) {
+            waited = false;
+            silent.run();
+        }
     }
 
     /**
@@ -99,9 +136,10 @@
             if (!to.equals(address)) {
                 address = to;
                 life++;
+                unanswered = null;
                 whole = false;
                 known = null;
-                pause = FIRST_PAUSE;
+                pause = 0;
                 dial(life);
             }
         });
@@ -111,6 +149,7 @@
         if (of != life) {
             return;
         }
+        dialing = true;
         boolean started = dialer.dial(address, 0, new Dialer.Opener() {
             @Override
             public Connection apply(EndPoint endPoint) {
@@ -129,11 +168,20 @@
 
     private void again(int of) {
         if (of == life) {
+            dialing = false;
             // Between one and two pauses: fewer calls than in step, and none at once, where discovery is overbooked.
-            long wait = Math.max(wanted, pause + jitter.nextLong(pause + 1));
+            // One that has a list and is sending by it can't wait for long: what discovery has is told all the same.
+            long longest = busyNow && !(whole && known == null) ? BUSY_PAUSE : LONGEST_PAUSE;
+            long wait = Math.max(Math.min(wanted, longest), pause + jitter.nextLong(pause + 1));
+            pause = Math.max(FIRST_PAUSE, Math.min(longest, pause * 2));
             wanted = 0;
-            timers.schedule(() -> mailbox.post(() -> dial(of)), wait, TimeUnit.MILLISECONDS);
-            pause = Math.min(LONGEST_PAUSE, pause * 2);
+            busyNow = false;
+            tellIfSilent();
+            if (wait == 0) {
+                dial(of);
+            } else {
+                timers.schedule(() -> mailbox.post(() -> dial(of)), wait, TimeUnit.MILLISECONDS);
+            }
         }
     }
 
@@ -142,6 +190,8 @@
         private final int of;
         private final ObjectBuffer objects = new ObjectBuffer(LONGEST_OBJECT);
         private boolean listing, refused;
+        /** Counts the limits set. */
+        private int limits;
 
         Watch(EndPoint endPoint, int of) {
             super(endPoint, ServiceEntry.this.mailbox, timers);
@@ -155,13 +205,59 @@
                 shut();   // moved on while it came up
                 return;
             }
+            dialing = false;
             ask();
             read();
         }
 
+        /** What has come may only not have been read yet. */
+        private void readUp() {
+            read();
+        }
+
+        /** There is a sign of life from discovery. */
+        private void sign() {
+            if (!listing) {
+                limit(SILENCE);
+            }
+        }
+
+        /** Nothing more will answer this call, or it has been answered. */
+        private void answered() {
+            if (unanswered == this) {
+                unanswered = null;
+                tellIfSilent();
+            }
+        }
+
+        /** The watch is up and tells no change: what is known from before stands. Not for an answer that is only unread. */
+        private void unchanged() {
+            if (unanswered == this) {
+                read();
+                answered();
+            }
+        }
+
+        /** What has come by now is still read. */
+        @Override
+        protected void expired() {
+            int before = limits;
+            read();
+            if (limits == before) {
+                shut();
+            }
+        }
+
+        @Override
+        protected void limit(long millis) {
+            limits++;
+            super.limit(millis);
+        }
+
         private void ask() {
             listing = !whole;
-            limit(listing ? ANSWER : known != null ? FIRST_WORD : SILENCE);
+            unanswered = this;
+            limit(ANSWER);
             HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":"
                     + address.getPort());
             String target = listing ? "/api/targets" : "/api/targets?watch=1&after=" + rev;
@@ -173,6 +269,11 @@
         public void startResponse(HttpVersion version, int status, String reason) {
             persistent = version == HttpVersion.HTTP_1_1;
             refused = status != 200;
+            busyNow = refused;
+            sign();
+            if (!refused && !listing) {
+                timers.schedule(() -> mailbox.post(this::unchanged), ANSWER, TimeUnit.MILLISECONDS);
+            }
             if (refused) {
                 LOG.log(Level.WARNING, "discovery answered {0}: asked again; the list known from before is not used",
                         status);
@@ -185,7 +286,7 @@
             super.parsedHeader(field);
             if (refused && field.getHeader() == HttpHeader.RETRY_AFTER) {
                 try {
-                    wanted = Math.min(LONGEST_PAUSE, Math.max(0, Long.parseLong(field.getValue().trim()) * 1000));
+                    wanted = Math.min(BUSY_PAUSE, Math.max(0, Long.parseLong(field.getValue().trim()) * 1000));
                 } catch (NumberFormatException e) {
                     wanted = 0;   // a date, or nothing that can be read: the back-off decides
                 }
@@ -203,11 +304,17 @@
         @Override
         public boolean content(ByteBuffer bytes) {
             // An object that has begun does not renew the limit: one that never ends is no sign of life.
-            if (!listing && !objects.isOpen()) {
-                limit(SILENCE);
+            if (!objects.isOpen()) {
+                sign();
+            }
+            if (heard == this) {
+                pause = 0;   // it has lived on: one that ends right after each first list is not opened at once
             }
             try {
                 objects.add(bytes, this::take);
+                if (!objects.isOpen()) {
+                    answered();
+                }
             } catch (IllegalArgumentException e) {
                 startOver(e);
             }
@@ -239,7 +346,7 @@
                     known = null;
                     rev = update.rev();
                     whole = true;
-                    pause = FIRST_PAUSE;
+                    pause = Math.min(pause, FIRST_PAUSE);
                     hear();
                 }
             } catch (IllegalArgumentException | ClassCastException e) {
@@ -277,6 +384,7 @@
         @Override
         protected void onEnd(Throwable cause) {
             heard = heard == this ? null : heard;
+            unanswered = unanswered == this ? null : unanswered;
             again(of);
         }
     }
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -22,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -173,7 +174,10 @@
                     files.read();
                     node.lookAgain(files);   // it is as it was
                     config = config.replace(named(words[1]), named(words[2]));
-                    Files.writeString(file, config);
+                    // Put in its place whole: a look between the truncation and the bytes would find a bad file.
+                    Path next = folder.resolve("config.next");
+                    Files.writeString(next, config);
+                    Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
                     node.lookAgain(files);
                     node.lookAgain(files);
                 }
