End connections without a loss: read to the peer's end, empty the accept queue, bound answers

RealServer.withdraw drops what has not begun, always. - RealServer.carry looked at the deadline alone; a repeat of a keyed job could begin after its window, which is the settings'. - RealServer.onEnd took a request left half to the selector's thread for never run, though its last byte may have gone. - Heads of answers were unbounded (HttpParser without a limit), so were lines and bytes; a 500 whose body never ends held its attempt to the deadline; an interim answer (1xx) ended it; a second answer on a kept connection could prove 'never ran'. Flow says for how long a repeat is harmless in place of whether at all.

--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -282,18 +282,45 @@
             });
         }
 
-        /** Ends the connection unless a request is on it, or has come and is only not yet read. */
-        private void closeIfIdle(boolean alsoHalf) {
+        /**
+         * Ends the connection unless a request is on it, or has come and is only not yet read. evicted: there is no room,
+         * so half a request does not keep it, but it is told so.
+         */
+        private void closeIfIdle(boolean evicted) {
             mailbox.post(() -> {
                 if (!busy) {
                     read();   // what is in the socket may be a whole request
                 }
-                if (lingering || !busy && (alsoHalf || parser.isStart())) {
-                    shut();
+                if (isClosed()) {
+                    return;
+                }
+                if (lingering) {
+                    if (evicted) {
+                        shut();   // else its own limit ends it: the last answer may still be on its way
+                    }
+                } else if (!busy && parser.isStart()) {
+                    if (evicted && !known) {
+                        shut();   // it has had nothing of us that could be lost, and room is needed now
+                    } else {
+                        linger();
+                    }
+                } else if (!busy && evicted) {
+                    turnDown();
                 }
             });
         }
 
+        /**
+         * Ends our side first and reads to the peer's end: what crosses our end is thrown away, never served, and does not
+         * turn the end into a reset that could eat the answer before it.
+         */
+        private void linger() {
+            lingering = true;
+            busy = true;
+            stands(this, ending);
+            finish(LINGER);
+        }
+
         /** No room: one turn-down as soon as it is known for what, or soon after. */
         private void shed() {
             mailbox.post(() -> {
@@ -316,6 +343,13 @@
             return !busy;
         }
 
+        /** Guards the job of a client that sends much behind its request and goes: its going has to be noticed. */
+        @Override
+        protected boolean overrun() {
+            persistent = false;
+            return true;
+        }
+
         @Override
         protected void read() {
             super.read();
@@ -333,10 +367,15 @@
             if (!busy) {
                 read();
             }
+            if (isClosed()) {
+                return;
+            }
             if (shedding && !busy) {
                 turnDown();
-            } else if (answering || lingering || !busy && parser.isStart()) {
+            } else if (answering || lingering) {
                 shut();
+            } else if (!busy && parser.isStart()) {
+                linger();
             } else if (!busy) {
                 reject(408, "the request is not whole");
             }
@@ -500,7 +539,11 @@
             }
             return new Flow(id, jobClass, tenant, slots, hint,
                     firstByteAt >= cappedFrom ? Math.min(deadline, cap) : deadline,
-                    effect != DispatchApi.Effect.UNSAFE, method, target, key, NOTHING);
+                    switch (effect) {
+                        case SAFE -> Flow.ALWAYS;
+                        case KEYED -> terms.types()[jobClass].repeatWindow();
+                        case UNSAFE -> 0;
+                    }, method, target, key, NOTHING);
         }
 
         /** The client's guess at the work, in microseconds; one that cannot be read is none: the job is whole without. */
@@ -578,9 +621,8 @@
                 return;
             }
             answering = false;
-            if (last) {
-                lingering = true;
-                finish(LINGER);
+            if (last || isFlooded()) {
+                linger();
                 return;
             }
             busy = false;
--- a/src/main/java/barrowshore/flow/Flow.java
+++ b/src/main/java/barrowshore/flow/Flow.java
@@ -6,14 +6,23 @@
  * What any client protocol hands to the desk that serves it, and the one final answer that it takes back. These records own no
  * resource and know no protocol: a second protocol beside HTTP brings its flows in this form. Times in microseconds of
  * the scheduler's clock; {@code deadline} is when the answer must have been given;
- * {@code repeatable}: it may be sent again though it may have run, since that does no harm or its repeats are dropped;
+ * {@code window}: for how long after a send that may have run it may be sent again, since that does no harm or its repeats
+ * are dropped; {@link #ALWAYS}, or 0: not at all;
  * {@code key}: what real servers know its repeats by, null if none.
  */
-public record Flow(String id, int jobClass, int tenant, double slots, double hint, long deadline, boolean repeatable,
+public record Flow(String id, int jobClass, int tenant, double slots, double hint, long deadline, long window,
             String method, String target, String key, byte[] body) {
+    /** A window without an end: repeats do no harm. */
+    public static final long ALWAYS = Long.MAX_VALUE;
+
+    /** Whether a repeat can be harmless at all. */
+    public boolean repeatable() {
+        return window > 0;
+    }
+
     /** The same flow with its body. */
     public Flow with(byte[] whole) {
-        return new Flow(id, jobClass, tenant, slots, hint, deadline, repeatable, method, target, key, whole);
+        return new Flow(id, jobClass, tenant, slots, hint, deadline, window, method, target, key, whole);
     }
 
     /** The final answer to a flow. */
--- a/src/main/java/barrowshore/net/Dialer.java
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -42,6 +44,9 @@
     private final Budget budget;
     private final Budget clients;
     private final Function<EndPoint, Connection> accepted;
+    /** Clients' connections from their accept to their end, also those that no actor knows yet; the permits given out. */
+    private final AtomicInteger clientsOpen = new AtomicInteger();
+    private final AtomicReference<Runnable> whenClientsGone = new AtomicReference<>();
 
     public Dialer(Executor pool, Scheduler scheduler, int outgoing, int clients, long connectMillis,
            Function<EndPoint, Connection> accepted) {
@@ -84,32 +89,34 @@
     /**
      * Stops listening without a loss: a connection that waits in the queue of a socket that is closed is reset. So the
      * socket is taken from the selector first, since one that a selector still knows is closed only later; then, in one
-     * go, all that wait are taken in and it is closed.
+     * go, all that wait are taken in and it is closed. The message runs after that.
      */
-    public void endListening(ServerSocketChannel server) {
+    public void endListening(ServerSocketChannel server, Runnable ended) {
         ManagedSelector selector = getBean(ManagedSelector.class);
         selector.submit(keys -> {
             SelectionKey key = server.keyFor(keys);
             if (key != null) {
                 key.cancel();
             }
-            selector.submit(again -> sweep(selector, server, MOST_SWEEPS));
+            selector.submit(again -> sweep(selector, server, MOST_SWEEPS, ended));
         });
     }
 
-    private void sweep(ManagedSelector selector, ServerSocketChannel server, int left) {
+    private void sweep(ManagedSelector selector, ServerSocketChannel server, int left, Runnable ended) {
         try {
             for (SelectableChannel next = doAccept(server); next != null; next = doAccept(server)) {
                 accepted(next);
             }
             if (left > 0 && (server.isRegistered() || clients.availablePermits() <= 0)) {
-                getScheduler().schedule(() -> selector.submit(again -> sweep(selector, server, left - 1)), SWEEP_MILLIS,
+                getScheduler().schedule(() -> selector.submit(again -> sweep(selector, server, left - 1, ended)), SWEEP_MILLIS,
                         TimeUnit.MILLISECONDS);
             } else {
                 server.close();
+                ended.run();
             }
         } catch (IOException e) {
             IO.close(server);
+            ended.run();
         }
     }
 
@@ -152,15 +159,22 @@
         } finally {
             if (channel == null) {
                 clients.release();
+            } else {
+                clientsOpen.incrementAndGet();
             }
         }
     }
 
     @Override
-    protected void accepted(SelectableChannel channel) throws IOException {
-        channel.configureBlocking(false);
-        ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
-        accept(channel, null);
+    protected void accepted(SelectableChannel channel) {
+        try {
+            channel.configureBlocking(false);
+            ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
+            accept(channel, null);
+        } catch (IOException e) {
+            IO.close(channel);   // it has gone while it waited; the others that wait have not
+            clientGone();
+        }
     }
 
     @Override
@@ -176,7 +190,38 @@
     @Override
     public void connectionClosed(Connection connection, Throwable cause) {
         super.connectionClosed(connection, cause);
-        (connection instanceof Accepted ? clients : budget).release();
+        if (connection instanceof Accepted) {
+            clientGone();
+        } else {
+            budget.release();
+        }
+    }
+
+    /** An accepted connection that never came to be one. */
+    @Override
+    protected void onAcceptFailed(SelectableChannel channel, Throwable cause, Object attachment) {
+        super.onAcceptFailed(channel, cause, attachment);
+        clientGone();
+    }
+
+    private void clientGone() {
+        clients.release();
+        if (clientsOpen.decrementAndGet() == 0) {
+            tellIfClientsGone();
+        }
+    }
+
+    /** The message runs once no accepted connection is open; for when no more are accepted. */
+    public void whenClientsGone(Runnable message) {
+        whenClientsGone.set(message);
+        tellIfClientsGone();
+    }
+
+    private void tellIfClientsGone() {
+        Runnable message = clientsOpen.get() == 0 ? whenClientsGone.getAndSet(null) : null;
+        if (message != null) {
+            message.run();
+        }
     }
 
     @Override
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -24,9 +24,13 @@
 public abstract class HttpLink extends AbstractConnection implements HttpParser.HttpHandler {
     private static final int READ_BUFFER = 4096;
     private static final int HEADER_BUFFER = 2048;
-    private static final int MAX_HEADER = 16384;
+    /** A head, of a request or an answer, is at most so long. */
+    protected static final int MAX_HEADER = 16384;
     /** Bytes read and thrown away for a peer to get its last answer; one that goes on sending pays with a reset. */
     private static final int MOST_DISCARDED = 256 * 1024;
+    /** A peer that floods us while it is owed an answer is read on at this pace: so many bytes, then a rest. */
+    private static final int FLOOD_PIECE = 64 * 1024;
+    private static final long FLOOD_REST = 10;
 
     protected final Mailbox mailbox;
     private final Scheduler timers;
@@ -39,7 +43,11 @@
     /** Whether the message read last leaves the connection to the next one. */
     protected boolean persistent;
     private boolean closed;
+    /** Set by the writer itself, so that whoever wrote knows as the write returns. */
+    private volatile boolean writeFailed;
     private boolean discarding;
+    /** Whether more came unasked than one buffer holds: it is thrown away, so that the peer's end is still seen. */
+    private boolean flooded;
     private int discarded;
 
     protected HttpLink(EndPoint endPoint, Mailbox mailbox, Scheduler timers) {
@@ -94,15 +102,23 @@
     protected void read() {
         try {
             while (!closed) {
-                if (discarding) {
+                if (!discarding && !flooded && BufferUtil.space(in) == 0 && !wantsBytes()) {
+                    flooded = overrun();
+                }
+                if (discarding || flooded) {
                     discarded += in.remaining();
                     BufferUtil.clear(in);
-                    if (discarded > MOST_DISCARDED) {
+                    if (discarding && discarded > MOST_DISCARDED) {
                         shut();
                         return;
                     }
+                    if (discarded > MOST_DISCARDED + FLOOD_PIECE) {
+                        discarded = MOST_DISCARDED;
+                        timers.schedule(() -> mailbox.post(this::read), FLOOD_REST, TimeUnit.MILLISECONDS);
+                        return;
+                    }
                 }
-                boolean parse = !discarding && wantsBytes();
+                boolean parse = !discarding && !flooded && wantsBytes();
                 if (parse && BufferUtil.hasContent(in)) {
                     parser.parseNext(in);
                     continue;
@@ -133,6 +149,18 @@
         return true;
     }
 
+    /**
+     * A whole buffer has come that nobody wants yet. True: it and all that follows is thrown away, and nothing more can be
+     * read here; false: the peer is left to wait, and its end is not seen until it is read on.
+     */
+    protected boolean overrun() {
+        return false;
+    }
+
+    protected boolean isFlooded() {
+        return flooded;
+    }
+
     /** Whether the peer has closed a connection that should be silent; asked just before it is written to. */
     public boolean brokenWhileIdle() {
         try {
@@ -153,6 +181,7 @@
      */
     protected void finish(long millis) {
         discarding = true;
+        discarded = 0;
         limit(millis);
         getEndPoint().shutdownOutput();
         read();
@@ -188,7 +217,10 @@
     protected void write(MetaData message, byte[] body, Runnable written) {
         ByteBuffer content = body.length == 0 ? null : ByteBuffer.wrap(body);
         ByteBuffer header = header(message, content);
-        Callback callback = Callback.from(written::run, cause -> mailbox.post(() -> end(cause)));
+        Callback callback = Callback.from(written::run, cause -> {
+            writeFailed = true;
+            mailbox.post(() -> end(cause));
+        });
         if (content == null) {
             getEndPoint().write(callback, header);
         } else {
@@ -196,6 +228,11 @@
         }
     }
 
+    /** Whether a write has failed, which proves that its last byte has not gone. */
+    protected boolean hasWriteFailed() {
+        return writeFailed;
+    }
+
     /** Writes bytes that are a message already, or a part of one; as above. One write at a time. */
     protected void write(ByteBuffer bytes, Runnable written) {
         getEndPoint().write(Callback.from(written::run, cause -> mailbox.post(() -> end(cause))), bytes);
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -107,14 +107,24 @@
         final int number;
         final RealServer server;
         final long sentAt;
+        /** When its first byte must have gone, by the window of an earlier one that may have run. */
+        final long beginBy;
         Scheduler.Task timer;
         boolean ended;
+        boolean neverRan;
 
         Attempt(OpenFlow open, int number, RealServer server, long sentAt) {
             this.open = open;
             this.number = number;
             this.server = server;
             this.sentAt = sentAt;
+            long by = Long.MAX_VALUE;
+            for (Attempt earlier : open.attempts) {
+                if (!earlier.neverRan && open.flow.window() != Flow.ALWAYS) {
+                    by = Math.min(by, earlier.sentAt + open.flow.window());
+                }
+            }
+            this.beginBy = by;
         }
 
         @Override
@@ -127,6 +137,12 @@
             return open.flow.deadline() - clock.micros();
         }
 
+        @Override
+        public boolean mayBegin() {
+            long now = clock.micros();
+            return now < beginBy && now < open.flow.deadline();
+        }
+
         @Override
         public void written() {
             mailbox.post(() -> {
@@ -394,6 +410,7 @@
             return;
         }
         a.ended = true;
+        a.neverRan = status.neverRan();
         if (a.timer != null) {
             a.timer.cancel();
         }
@@ -427,6 +444,8 @@
 
     private void close(OpenFlow open) {
         open.answered = true;
+        // Whether or not the settings let attempts be called off: one that has not begun is not to begin any more.
+        open.attempts.stream().filter(a -> !a.ended && a.server != null).forEach(a -> a.server.withdraw(a));
         openFlows--;
         open.timer.cancel();
         publish();
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -37,6 +37,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -453,7 +454,13 @@
 
     /** Begins the end: all is answered and the clients are gone once the latch is down. */
     CountDownLatch drain() {
-        CountDownLatch ended = new CountDownLatch(3);
+        CountDownLatch ended = new CountDownLatch(1);
+        AtomicInteger owed = new AtomicInteger(3);
+        Runnable done = () -> {
+            if (owed.decrementAndGet() == 0) {
+                lastCall(ended);
+            }
+        };
         standing.updateAndGet(Standing::end);
         long deadline = Arrays.stream(config.settings().classes).mapToLong(c -> c.deadline() / 1000).max().orElse(0);
         long grace = Math.min(LONGEST_GRACE, deadline) + MORE_GRACE;
@@ -463,12 +470,12 @@
         // connections for 2 s. So the first one's clients go to the others in time, and the last one's stay.
         Consumer<Boolean> release = othersServe -> timers.schedule(() -> {
             closeIdle(standing.updateAndGet(Standing::letGo), true);
-            clients.whenEmpty(ended::countDown);
-            module.whenIdle(ended::countDown);
+            clients.whenEmpty(done);
+            module.whenIdle(done);
         }, othersServe ? SETTLE : Math.max(SETTLE, grace - USUAL_JOB), TimeUnit.MILLISECONDS);
         if (followed) {
             // The process after us has our clients and speaks to our peers; what we have taken is ours to answer.
-            dialer.endListening(server);
+            dialer.endListening(server, () -> { });
             if (peers != null) {
                 peers.stopHearing();
             }
@@ -479,10 +486,23 @@
         } else {
             peers.ending(release);
         }
-        timers.schedule(ended::countDown, STAY, TimeUnit.MILLISECONDS);
+        timers.schedule(done, STAY, TimeUnit.MILLISECONDS);
         return ended;
     }
 
+    /**
+     * Nothing is open any more, but as long as we listen somebody may have come since: the queue of those that wait to be
+     * taken in is emptied before the socket is closed, and they get their answers too.
+     */
+    private void lastCall(CountDownLatch ended) {
+        ServerSocketChannel listening = server;
+        if (listening == null || !listening.isOpen()) {
+            ended.countDown();
+        } else {
+            dialer.endListening(listening, () -> dialer.whenClientsGone(() -> module.whenIdle(ended::countDown)));
+        }
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() throws IOException {
         return (InetSocketAddress) server.getLocalAddress();
--- a/src/main/java/barrowshore/servers/RealServer.java
+++ b/src/main/java/barrowshore/servers/RealServer.java
@@ -47,6 +47,9 @@
     private static final byte[] NO_BODY = new byte[0];
     /** How long an answer's tail may take after its last line, before the connection is given up. */
     private static final long TAIL = 1000;
+    /** Lines and bytes of one answer: far more than a job tells of itself, and few enough to be read for nothing. */
+    private static final int MOST_LINES = 1000;
+    private static final int MOST_ANSWER = 1 << 20;
     /** A result of 64 KiB with every byte escaped, and what stands round it. */
     private static final int LONGEST_LINE = 400 * 1024;
 
@@ -57,9 +60,12 @@
     public interface Scheduling {
         Flow flow();
 
-        /** How long the scheduler will wait, in microseconds from now; at most 0: no longer wanted. */
+        /** How long the scheduler will wait, in microseconds from now. */
         long left();
 
+        /** Whether its first byte may still go: its time is not up, nor that in which a repeat is harmless. */
+        boolean mayBegin();
+
         /** Its last byte has been written; called by the writer, so it may only post. */
         void written();
 
@@ -148,6 +154,16 @@
         });
     }
 
+    /** Nobody waits for the scheduling any more: if its first byte has not gone, it does not go. */
+    public void withdraw(Scheduling scheduling) {
+        mailbox.post(() -> {
+            Work work = works.get(scheduling);
+            if (work != null && work.link == null) {
+                work.end(Status.NOT_SENT, null, null);
+            }
+        });
+    }
+
     public void probe(long timeoutMillis, Probe probe) {
         mailbox.post(() -> {
             Work work = new Work(null, probe);
@@ -216,6 +232,8 @@
          * written whole was reported as never run.
          */
         volatile boolean written;
+        /** Whether a part of it was left for another thread to write: then nothing but a failed write proves anything. */
+        boolean partly;
 
         Work(Scheduling scheduling, Probe probe) {
             this.scheduling = scheduling;
@@ -259,6 +277,9 @@
         private LineBuffer lines;
         private StringBuilder body;
         private boolean retired;
+        /** Whether an earlier piece of work was carried here: then what comes may be a late answer to that. */
+        private boolean used;
+        private int linesRead, bytesRead;
         private int status;
         private boolean notProcessed;
         private Load load;
@@ -266,7 +287,7 @@
         Link(EndPoint endPoint, Work first) {
             super(endPoint, RealServer.this.mailbox, timers);
             this.work = first;
-            parser = new HttpParser((HttpParser.ResponseHandler) this);
+            parser = new HttpParser((HttpParser.ResponseHandler) this, MAX_HEADER);
         }
 
         @Override
@@ -298,7 +319,7 @@
         void carry(Work next) {
             Scheduling scheduling = next.scheduling;
             // Guards the drain rule: connecting took time, so the state is looked at again as the first byte goes.
-            if (state != ServerList.State.READY || scheduling != null && scheduling.left() <= 0) {
+            if (state != ServerList.State.READY || scheduling != null && !scheduling.mayBegin()) {
                 next.end(Status.NOT_SENT, null, null);   // our reason: it says nothing of the real server
                 rest();
                 return;
@@ -311,6 +332,7 @@
             lines = null;
             body = null;
             persistent = true;
+            linesRead = bytesRead = 0;
             limit(0);
             HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST,
                     address.getHostString() + ":" + address.getPort());
@@ -330,6 +352,7 @@
                         next.written = true;
                         scheduling.written();
                     });
+            next.partly = !next.written && !hasWriteFailed();
         }
 
         @Override
@@ -364,16 +387,37 @@
 
         @Override
         public boolean headerComplete() {
+            if (status < 200) {
+                return false;   // an interim answer: the answer is still to come
+            }
             if (work.scheduling != null && status == 200) {
                 lines = new LineBuffer(LONGEST_LINE);
             } else {
                 body = new StringBuilder();
+                if (work.scheduling != null && !neverRan()) {
+                    last(Status.ERROR, load, null);   // its body, which may never end, says nothing more
+                } else {
+                    limit(TAIL);
+                }
             }
             return false;
         }
 
+        /**
+         * Whether the answer says, and proves, that the job did not run. On a connection that was used before, it may be a
+         * second answer to the job before, which proves nothing where repeats do harm.
+         */
+        private boolean neverRan() {
+            return notProcessed && (status == 503 || status == 504)
+                    && (!used || work.scheduling.flow().window() == Flow.ALWAYS);
+        }
+
         @Override
         public boolean content(ByteBuffer bytes) {
+            bytesRead += bytes.remaining();
+            if (bytesRead > MOST_ANSWER) {
+                throw new IllegalStateException("an answer is longer than " + MOST_ANSWER + " bytes");
+            }
             if (lines != null) {
                 lines.add(bytes, this::line);
             } else if (body.length() < LONGEST_LINE) {
@@ -383,6 +427,9 @@
         }
 
         private void line(String text) {
+            if (++linesRead > MOST_LINES) {
+                throw new IllegalStateException("an answer has over " + MOST_LINES + " lines");
+            }
             if (text.isBlank() || work.over) {
                 return;
             }
@@ -412,6 +459,13 @@
 
         @Override
         public boolean messageComplete() {
+            if (status < 200) {
+                if (++linesRead > MOST_LINES) {
+                    throw new IllegalStateException("over " + MOST_LINES + " interim answers");
+                }
+                parser.reset();
+                return true;
+            }
             if (lines != null) {
                 // A stream without a last line is a reset: the job may have run.
                 work.end(Status.RESET, load, null);
@@ -419,9 +473,10 @@
                 Load told = load(Json.orNull(body.toString()));
                 work.end(status == 200 ? Status.OK : Status.ERROR, told != null ? told : load, null);
             } else {
-                work.end(notProcessed && (status == 503 || status == 504) ? Status.FULL : Status.ERROR, load, null);
+                work.end(neverRan() ? Status.FULL : Status.ERROR, load, null);
             }
             boolean reusable = persistent && work.written;
+            used = true;
             work = null;
             parser.reset();
             if (reusable) {
@@ -438,7 +493,7 @@
             idle.remove(this);
             if (work != null) {
                 // Only a request whose last byte was not written is known not to have run.
-                work.end(work.written ? Status.RESET : Status.CONNECT_FAILED, null, null);
+                work.end(work.written || work.partly && !hasWriteFailed() ? Status.RESET : Status.CONNECT_FAILED, null, null);
                 work = null;
             }
         }
--- a/src/main/java/barrowshore/servers/ServiceEntry.java
+++ b/src/main/java/barrowshore/servers/ServiceEntry.java
@@ -196,7 +196,7 @@
         Watch(EndPoint endPoint, int of) {
             super(endPoint, ServiceEntry.this.mailbox, timers);
             this.of = of;
-            parser = new HttpParser((HttpParser.ResponseHandler) this);
+            parser = new HttpParser((HttpParser.ResponseHandler) this, MAX_HEADER);
         }
 
         @Override
