--- a/src/main/java/barrowshore/list/ServerList.java
+++ b/src/main/java/barrowshore/list/ServerList.java
@@ -23,7 +23,10 @@
     public record Entry(String uid, String endpoint, InetSocketAddress address, int zone, int kind, int cell,
                         State state, double hint, long bootMicros) { }
 
-    /** A version of the list: all of it, or what changed; unknown: the real servers left out, of no known model. */
+    /**
+     * A version of the list: all of it, or what changed; unknown: the real servers left out, of no known model. One that
+     * leaves is never left out: whatever else is said of it, nothing new may go there.
+     */
     public record Update(long rev, boolean all, List<Entry> entries, List<String> unknown) {
         /** A list from which nothing was left out. */
         public Update(long rev, boolean all, List<Entry> entries) {
@@ -58,7 +61,7 @@
             }
             String endpoint = t.get("endpoint") instanceof String s ? s : "";
             int kind = names.kinds().indexOf(SettingsReader.plain(t.get("model")));
-            if (kind < 0 && !names.kinds().isEmpty()) {
+            if (kind < 0 && !names.kinds().isEmpty() && state.equals("Ready")) {
                 unknown.add(uid);   // guards the module against a kind that its settings do not name
                 continue;
             }
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -41,6 +41,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -308,17 +309,17 @@
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
         String folder = System.getenv("TMPDIR");
-        Node node = new Node(setup, Clock.system(), timers, config.ops() == null || folder == null || folder.isEmpty()
-                ? null : Path.of(folder, "barrowshore-" + config.name() + ".sock"),
-                actions -> new Dispatcher(config.settings(), actions));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                node.drain().await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            Runtime.getRuntime().halt(node.open.isCompletedExceptionally() ? 2 : 0);   // no orderly end, if it never opened
-        }, "drain"));
+        // In place before clients can come: a start that is told to end has taken what came while it was not yet done.
+        Runtime.getRuntime().addShutdownHook(new Thread(end(started, Runtime.getRuntime()::halt), "drain"));
+        Node node;
+        try {
+            node = new Node(setup, Clock.system(), timers, config.ops() == null || folder == null || folder.isEmpty()
+                    ? null : Path.of(folder, "barrowshore-" + config.name() + ".sock"),
+                    actions -> new Dispatcher(config.settings(), actions));
+        } catch (Exception | Error e) {
+            started.completeExceptionally(e);
+            throw e;
+        }
         started.complete(node);
         if (!signalled) {
             LOG.log(Level.WARNING, "SIGHUP is ignored, as under nohup: the configuration is looked at now and then instead");
@@ -332,6 +333,21 @@
         new CountDownLatch(1).await();
     }
 
+    /** Ends a scheduler in good order, once it has started; one that never does leaves the end to whoever began it. */
+    static Runnable end(CompletableFuture<Node> started, IntConsumer halt) {
+        return () -> {
+            try {
+                Node node = started.get();
+                node.drain().await();
+                halt.accept(node.open.isCompletedExceptionally() ? 2 : 0);   // no orderly end, if it never opened
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (ExecutionException e) {
+                LOG.log(Level.DEBUG, "ended before it had started", e);
+            }
+        };
+    }
+
     /** Starts a scheduler inside another program, which stops it. */
     public static Node start(Setup setup) throws Exception {
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
--- a/src/main/java/barrowshore/servers/RealServer.java
+++ b/src/main/java/barrowshore/servers/RealServer.java
@@ -434,10 +434,9 @@
                 return;
             }
             if (!(Json.orNull(text) instanceof Map<?, ?> map) || !work.scheduling.flow().id().equals(map.get("id"))) {
-                // Not an answer to this flow: nothing on this connection can be trusted any more.
-                work.end(Status.RESET, null, null);
-                mailbox.post(this::shut);
-                return;
+                // Not an answer to this flow: nothing on this connection can be trusted any more. It is closed before its end
+                // is told, as by any exception here: a repeat that overtook the close would be a second copy.
+                throw new IllegalStateException("an answer to another request");
             }
             Load told = load(map.get("load"));
             switch (String.valueOf(map.get("state"))) {
--- a/src/test/java/barrowshore/servers/RealServerTest.java
+++ b/src/test/java/barrowshore/servers/RealServerTest.java
@@ -8,11 +8,13 @@
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Status;
 import barrowshore.net.Dialer;
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -45,6 +47,8 @@
         final CompletableFuture<Status> end = new CompletableFuture<>();
         private final String id;
         private volatile boolean mayBegin = true;
+        /** Run as its end is told, in the server's own turn. */
+        private volatile Runnable asItEnds = () -> { };
 
         Attempt(String id) {
             this.id = id;
@@ -73,6 +77,7 @@
 
         @Override
         public void ended(Status status, Load load, byte[] result) {
+            asItEnds.run();
             end.complete(status);
         }
     }
@@ -188,4 +193,38 @@
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
         assertThat(carried()).isEmpty();
     }
+
+    /** Told before the close, its repeat could overtake it, and be a second copy where settings allow none. */
+    @Test
+    void anAnswerToAnotherRequestEndsTheConnectionBeforeItsEndIsTold() throws Exception {
+        Attempt attempt = new Attempt("a1");
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        server.schedule(attempt);
+        try (Socket accepted = listening.accept()) {
+            InputStream in = accepted.getInputStream();
+            assertThat(firstLine(in)).isEqualTo("POST /menu HTTP/1.1");
+            in.skipNBytes(in.available());
+            accepted.setSoTimeout(2_000);
+            attempt.asItEnds = () -> closed.complete(ended(in));
+            accepted.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "2b\r\n{\"id\":\"b2\",\"state\":\"done\",\"result\":\"one\"} \n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(attempt.end.get()).isEqualTo(Status.RESET);
+            assertThat(closed.get()).isTrue();
+        }
+    }
+
+    /** Whether the stream is at its end; a limit that runs out says that it is not. */
+    private static boolean ended(InputStream in) {
+        try {
+            int b = in.read();
+            while (b >= 0) {
+                b = in.read();
+            }
+            return true;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;   // a reset ends it too
+        }
+    }
 }
