Hold connections back in tests: a client that has gone, a repeat whose window is over

Need: ModuleActor.close (withdraws what has not begun) and Attempt.beginBy had no test of their own.

--- /dev/null
+++ b/src/test/java/barrowshore/node/LateConnectionTest.java
@@ -0,0 +1,159 @@
+package barrowshore.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import barrowshore.config.Config;
+import barrowshore.flow.Flow;
+import barrowshore.module.Dispatcher;
+import barrowshore.net.Clock;
+import barrowshore.net.Dialer;
+import barrowshore.servers.RealServer;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * A request whose connection to a server comes up late, and what ends meanwhile: the client, or the time in which a repeat
+ * does no harm. The selector is held until that has ended; settings let nothing be called off that has begun.
+ */
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class LateConnectionTest {
+    private static final long WINDOW = 1_000_000;
+
+    private final ExecutorService pool = Executors.newFixedThreadPool(4);
+    private final Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
+    private final AtomicLong nanos = new AtomicLong();
+    private final Clock clock = new Clock(1_700_000_000_000L, nanos::get);
+    private final CountDownLatch free = new CountDownLatch(1);
+    private final Dialer[] dialers = new Dialer[2];
+    private final ServerSocket[] listening = new ServerSocket[2];
+    private ModuleActor module;
+
+    @BeforeEach
+    void start() throws Exception {
+        timers.start();
+        for (int k = 0; k < 2; k++) {
+            dialers[k] = new Dialer(pool, timers, 50, 1, 10_000, endPoint -> null);
+            dialers[k].start();
+            listening[k] = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+            listening[k].setSoTimeout(1);
+        }
+        Config config = Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replace("$D", "127.0.0.1:9").replace("$S", "127.0.0.1:" + listening[0].getLocalPort())
+                .replace("\"cancel\":true", "\"cancel\":false")
+                .replace("\"secondCopies\":true", "\"secondCopies\":false")
+                .replace("\"idempotency\":\"idempotent\",\"keyScope\":\"all\",\"repeatWindow\":5000000",
+                        "\"idempotency\":\"deduplicated\",\"keyScope\":\"all\",\"repeatWindow\":" + WINDOW)
+                .replace("\"all\":true,\"targets\":[", "\"all\":true,\"targets\":[{\"uid\":\"s-2\",\"endpoint\":\"127.0.0.1:"
+                        + listening[1].getLocalPort() + "\",\"az\":\"a\",\"model\":\"m\",\"state\":\"Ready\"},"));
+        // Messages run in the poster's stack: in the order in which the test does things.
+        module = new ModuleActor(clock, Runnable::run, timers, config.classes(), 5,
+                uid -> new RealServer(uid, Runnable::run, dialers[uid.equals("s-1") ? 0 : 1], timers, 60_000_000, 10),
+                message -> { }, actions -> new Dispatcher(config.settings(), actions));
+        module.start();
+        module.update(config.known());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        free.countDown();
+        for (int k = 0; k < 2; k++) {
+            listening[k].close();
+            LifeCycle.stop(dialers[k]);
+        }
+        LifeCycle.stop(timers);
+        pool.shutdownNow();
+    }
+
+    /** Connections by this dialer are up for the kernel, but not for us. */
+    private void hold(Dialer dialer) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        dialer.getBean(ManagedSelector.class).submit(keys -> {
+            held.countDown();
+            try {
+                free.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+    }
+
+    /** The first connection to come, at either server; which one it is, the module chooses. */
+    private Socket accept() throws IOException {
+        for (int k = 0; ; k = 1 - k) {
+            try {
+                return listening[k].accept();
+            } catch (SocketTimeoutException e) {
+                continue;
+            }
+        }
+    }
+
+    private Flow keyed(String id) {
+        return new Flow(id, 0, 0, 1, 0, clock.micros() + 4_000_000, WINDOW, "POST", "/menu", "key", new byte[] {'a'});
+    }
+
+    private static String firstLine(InputStream in) throws Exception {
+        StringBuilder line = new StringBuilder();
+        for (int b = in.read(); b >= 0 && b != '\r'; b = in.read()) {
+            line.append((char) b);
+        }
+        return line.toString();
+    }
+
+    @Test
+    void aRequestWhoseClientHasGoneIsNotSentOnWhenItsConnectionComesUp() throws Exception {
+        hold(dialers[0]);
+        hold(dialers[1]);
+        Flow flow = keyed("a1");
+        module.open(flow, answer -> { });
+        module.clientGone(flow);
+        try (Socket accepted = accept()) {
+            free.countDown();
+            LifeCycle.stop(dialers[0]);
+            LifeCycle.stop(dialers[1]);
+            assertThat(accepted.getInputStream().readAllBytes()).isEmpty();
+        }
+    }
+
+    @Test
+    void aRepeatIsNotSentOnceItsWindowIsOver() throws Exception {
+        CompletableFuture<Flow.Answer> answer = new CompletableFuture<>();
+        module.open(keyed("a1"), answer::complete);
+        try (Socket first = accept()) {
+            assertThat(firstLine(first.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
+            hold(dialers[first.getLocalPort() == listening[0].getLocalPort() ? 1 : 0]);
+            first.getOutputStream().write("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            // The repeat is on its way within the window; its connection comes up after that.
+            try (Socket second = accept()) {
+                nanos.addAndGet(WINDOW * 1000);
+                free.countDown();
+                assertThat(answer.get()).isInstanceOf(Flow.TurnDown.class);
+                LifeCycle.stop(dialers[0]);
+                LifeCycle.stop(dialers[1]);
+                assertThat(second.getInputStream().readAllBytes()).isEmpty();
+            }
+        }
+    }
+}
