Close the longest there first, whatever it asked for meanwhile

Seen: too-many-clients.txt hung once in ten plays of the test on two busy cores, and in most of forty plays on one: 'C-idle1 ends' waited for ever. Cause: ClientSide.stands put a connection without a request at the end of 'waiting' each time it had asked whether we are ready, in the order in which links' turns ran, so a later one could stand before the first. Now 'waiting' is ordered by when each came. Ruled out: eviction itself (another one had ended), the harness (its sockets were open).

--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -12,12 +12,14 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
 import java.util.function.Supplier;
@@ -89,14 +91,19 @@
     private int most;
     private final Mailbox mailbox;
     private final Set<ClientLink> links = new HashSet<>();
-    /** Those to close when there are too many, each oldest first: ended but for the peer, without a flow yet, idle. */
+    /**
+     * Those to close when there are too many: ended but for the peer, oldest first; without a flow yet, the longest there
+     * first, whatever it asked for meanwhile; idle, oldest first.
+     */
     private final Set<ClientLink> ending = new LinkedHashSet<>();
-    private final Set<ClientLink> waiting = new LinkedHashSet<>();
+    private final Set<ClientLink> waiting = new TreeSet<>(Comparator.comparingLong(link -> link.number));
     private final Set<ClientLink> idle = new LinkedHashSet<>();
     private final Supplier<Standing> standing;
     private long cappedFrom = Long.MAX_VALUE;
     private long cap = Long.MAX_VALUE;
     private Runnable whenEmpty;
+    /** Connections so far. */
+    private long admitted;
 
     public ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, Flow.Desk desk, Supplier<Standing> standing, int most) {
         this.clock = clock;
@@ -161,6 +168,7 @@
 
     private void opened(ClientLink link) {
         mailbox.post(() -> {
+            link.number = ++admitted;
             links.add(link);
             link.cap(cappedFrom, cap);
             if (links.size() > most && !makeRoom()) {
@@ -248,6 +256,8 @@
         /** Whether it came when there was no room. */
         private boolean shedding;
         private boolean last;
+        /** Its place among those that have come; the client side's. */
+        private long number;
         private long cappedFrom = Long.MAX_VALUE;
         private long cap = Long.MAX_VALUE;
         private long firstByteAt;
