--- /dev/null
+++ b/src/test/java/barrowshore/client/UnreadInvitationTest.java
@@ -0,0 +1,76 @@
+package barrowshore.client;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import barrowshore.config.Config;
+import barrowshore.duty.Standing;
+import barrowshore.flow.Flow;
+import barrowshore.net.Clock;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A client that leaves even the 100 unread that it asked for: its end point takes a few bytes at a time. */
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class UnreadInvitationTest {
+    private static final int TAKEN = 10;
+
+    /** Takes requests in and leaves them open. */
+    private static final class Desk implements Flow.Desk {
+        final List<Flow.Client> open = new ArrayList<>();
+
+        @Override
+        public void open(Flow flow, Flow.Client client) {
+            open.add(client);
+        }
+
+        @Override
+        public void clientGone(Flow flow) { }
+
+        @Override
+        public void turnedAway(int jobClass) { }
+
+        @Override
+        public void ready(Consumer<Boolean> asker) { }
+    }
+
+    @Test
+    void theAnswerComesAfterIt() throws Exception {
+        Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
+        timers.start();
+        try {
+            Config config = Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                    .replace("$D", "127.0.0.1:9").replace("$S", "127.0.0.1:9"));
+            Desk desk = new Desk();
+            ClientSide side = new ClientSide(config, Clock.system(), Runnable::run, timers, desk, () -> Standing.SERVING, 10);
+            ByteArrayEndPoint client = new ByteArrayEndPoint(timers, 0, new byte[0], TAKEN);
+            Connection link = side.accept(client);
+            client.setConnection(link);
+            link.onOpen();
+            client.addInput("POST /menu HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Priority-Class: menu\r\nX-Tenant-Id: acme\r\n"
+                    + "X-Timeout-Ms: 4000\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+            client.addInput("x");
+            while (desk.open.isEmpty()) {
+                Thread.onSpinWait();
+            }
+            desk.open.get(0).answer(new Flow.Served("one".getBytes(StandardCharsets.UTF_8)));
+            String read = "";
+            while (!read.endsWith("one")) {
+                read += client.takeOutputString();
+            }
+            assertThat(read).startsWith("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n");
+        } finally {
+            LifeCycle.stop(timers);
+        }
+    }
+}
