Weigh the fleet's load by what each report has seen of it; take no full worker for a small one

One that had five reports of long queues sent nothing more for 20 s, and so learned nothing. Lines at fault: Dispatcher.refresh (pressure and level by own jobs times the others, where peers cannot speak), LoadReader.enter (a kind's slots start at what a first report shows, and room is believed at 5% a report). Change: FleetLoad weighs our own extrapolation and the reports by the part of the fleet that each has seen; a report counts half after two jobs' time. A kind has a usual worker's slots until it has shown room, and room is believed at once.

--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -49,7 +49,7 @@
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
     private final IndexTables tables;
     private ColdTurns.Terms turns;
-    private double loadOthers, loadAll, missing = 1, pressure = 1;
+    private double loadOthers, othersLoad, loadAll, missing = 1, pressure = 1;
     private final Fade load = new Fade();
     private int askFailures, probeNext, refreshes;
     private boolean high, asking;
@@ -417,8 +417,10 @@
             capacity += halls.open(w) ? w.slots * w.warmth : 0;
             speed += kinds[w.kind].speed / roster.ready.length;
         }
-        pressure = Math.max(1, loadAll / Math.max(1, capacity));
-        high = loadAll > (high ? SWITCH_DOWN : SWITCH_UP) * capacity;
+        othersLoad = FleetLoad.others(now, roster.ready, loadOthers, set.dispatchers, 2 * mean.work);
+        double fleet = loadAll - missing * (loadOthers - othersLoad);
+        pressure = Math.max(1, fleet / Math.max(1, capacity));
+        high = fleet > (high ? SWITCH_DOWN : SWITCH_UP) * capacity;
         // Without hints only the product of work and speed is seen: hold the mean speed at 1.
         double scale = mean.hinted || speed <= 0 ? 1 : 1 / speed;
         mean.rescale(scale);
@@ -470,7 +472,7 @@
         for (int k = 0; k < kinds.length; k++) {
             if (ledger.named[k] > 0) { level(now, k, missing * ledger.named[k] * (set.dispatchers - 1)); }
         }
-        level(now, -1, missing * loadOthers);
+        level(now, -1, missing * othersLoad);
         for (Worker w : roster.ready) {
             if (w.reportedAt == 0 || missing == 0) { continue; }
             // Others need not spread as we would: what they usually hold there counts above the level, and
--- a/src/main/java/barrowshore/module/LoadReader.java
+++ b/src/main/java/barrowshore/module/LoadReader.java
@@ -43,6 +43,9 @@
             for (Job.Attempt a : w.out) {
                 running += a.startedAt > 0 ? a.job.slots : 0;
             }
+            // A full one shows no more than what we run there: until it has shown room, it is taken for a usual one. What is free
+            // by itself is there for sure, while what we run may have been counted as free when that was reported.
+            k.slots = Math.max(k.slots > 0 ? k.slots : w.slots, load.freeSlots());
             learn(k, load.freeSlots() + running, FALL);
             held = k.slots - load.freeSlots() + queue * slotsOfAJob - w.ownUsual;
         } else {
--- /dev/null
+++ b/src/test/java/barrowshore/module/FleetLoadTest.java
@@ -0,0 +1,76 @@
+package barrowshore.module;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.Load;
+import barrowshore.module.DispatchApi.Reports;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
+import org.junit.jupiter.api.Test;
+
+/** How much others have in flight, where they cannot say so. */
+class FleetLoadTest {
+    private static Worker[] workers(int count, int reported, double usual, long at) {
+        Worker[] workers = new Worker[count];
+        for (int k = 0; k < count; k++) {
+            workers[k] = new Worker("w" + k);
+            workers[k].slots = 5;
+            if (k < reported) {
+                workers[k].reportedAt = at;
+                workers[k].usual = usual;
+            }
+        }
+        return workers;
+    }
+
+    @Test
+    void withoutReportsItIsOurOwnTimesTheOthers() {
+        assertThat(FleetLoad.others(10, workers(64, 0, 0, 0), 470, 95, 5)).isEqualTo(470);
+    }
+
+    /** One of many sees little of the fleet by itself, and what it sees may be several times the usual. */
+    @Test
+    void oneOfManyGoesByTheReports() {
+        assertThat(FleetLoad.others(10, workers(64, 4, 2, 10), 470, 95, 5)).isBetween(128.0, 200.0);
+    }
+
+    @Test
+    void oneOfFewGoesByItsOwnToo() {
+        assertThat(FleetLoad.others(10, workers(10, 2, 1, 10), 30, 3, 5)).isBetween(20.0, 28.0);
+    }
+
+    @Test
+    void anOldReportIsForgotten() {
+        assertThat(FleetLoad.others(1000, workers(64, 4, 2, 10), 470, 95, 5)).isCloseTo(470, within(0.1));
+    }
+
+    /**
+     * A dispatcher that many callers came to must not take all others for as busy, where the reports say that the workers
+     * are not: it turned down a third of its jobs though two thirds of the fleet was free.
+     */
+    @Test
+    void aBusyDispatcherAmongManyIdleOnesDoesNotTurnJobsDown() {
+        Settings set = Bench.settings(Effect.SAFE, Scope.ALL);
+        set.dispatchers = 95;
+        set.reports = Reports.ANSWERS;
+        set.classes = new JobClass[] {new JobClass(300_000, 1.5, 2_000_000, 1, 0, Effect.SAFE, Scope.ALL, 500_000, -1, 0)};
+        Bench bench = new Bench(set).workers(64);
+        int open = 6;
+        for (int k = 0; k < 400; k++) {
+            bench.now += 25_000;
+            bench.until(bench.now);
+            bench.request("r" + k);
+            if (k >= open && bench.attempts("r" + (k - open)) > 0) {
+                // Thin traffic has few workers' reports; here one in eight has any.
+                boolean reports = bench.last("r" + (k - open)).matches("w[0-7]");
+                bench.dispatcher.outcome(bench.now, "r" + (k - open), 0, true, Status.OK, open * 25_000,
+                        reports ? new Load(1, 0, 3) : null);
+            }
+        }
+        assertThat(bench.count("refuse")).isZero();
+    }
+}
--- a/src/test/java/barrowshore/module/LoadReaderTest.java
+++ b/src/test/java/barrowshore/module/LoadReaderTest.java
@@ -41,6 +41,26 @@
         assertThat(w.usual).isBetween(3.0, 6.0);
     }
 
+    /** A full one shows as many slots as we have jobs running there, mostly none: then its kind was taken to have one. */
+    @Test
+    void aFullWorkerIsNotTakenForASmallOne() {
+        Kind kind = new Kind(1);
+        Worker w = new Worker("w");
+        w.slots = 4;
+        LoadReader.enter(1, w, kind, new Load(Double.NaN, 7, 0), 1, 20);
+        assertThat(kind.slots).isCloseTo(4, within(0.1));
+    }
+
+    /** Few reports come where there are many schedulers: room that one shows is believed at once. */
+    @Test
+    void whatIsFreeIsThereForSure() {
+        Kind kind = new Kind(1);
+        Worker w = new Worker("w");
+        w.slots = 4;
+        LoadReader.enter(1, w, kind, new Load(Double.NaN, 0, 6), 1, 20);
+        assertThat(kind.slots).isCloseTo(6, within(0.1));
+    }
+
     /** Both schedulers read the same report: whoever has more there by now must not think that there are fewer others. */
     @Test
     void whatWasSentSinceTheReportIsNotTakenForRoomOfOthers() {
