Weigh reports against own jobs only among many schedulers; believe shown room by halves

Cause: among three schedulers one's own jobs are a third of the fleet's, and fresher than reports that come 1 to 4 s late; and a single noisy report of free slots stood for good. Change: up to ten schedulers nothing is taken from reports, from there on more and more; shown room counts half of what it adds.

--- a/src/main/java/barrowshore/module/FleetLoad.java
+++ b/src/main/java/barrowshore/module/FleetLoad.java
@@ -6,6 +6,9 @@
  * has seen. It decides nothing.
  */
 final class FleetLoad {
+    /** Up to so many dispatchers, each one's own jobs are a fair sample of what all have, and a fresher one than any report. */
+    private static final double FEW = 10;
+
     private FleetLoad() { }
 
     /** The others' slots on all workers; extrapolated: as our own times the others; a report counts half after halfLife. */
@@ -22,7 +25,7 @@
         if (seen == 0) {
             return extrapolated;
         }
-        double own = 1.0 / dispatchers, told = seen / all;
+        double own = 1.0 / dispatchers, told = seen / all * Math.max(0, 1 - FEW / dispatchers);
         return (own * extrapolated + told * held / seen * all) / (own + told);
     }
 }
--- a/src/main/java/barrowshore/module/LoadReader.java
+++ b/src/main/java/barrowshore/module/LoadReader.java
@@ -9,6 +9,8 @@
 final class LoadReader {
     /** Weight of a report in a kind's slots, and of one that shows fewer where only free ones are told. */
     private static final double LEARN = 0.05, FALL = 0.002;
+    /** The same for room that a report shows by itself: few reports come where there are many schedulers. */
+    private static final double FREE = 0.5;
 
     private LoadReader() { }
 
@@ -44,8 +46,9 @@
                 running += a.startedAt > 0 ? a.job.slots : 0;
             }
             // A full one shows no more than what we run there: until it has shown room, it is taken for a usual one. What is free
-            // by itself is there for sure, while what we run may have been counted as free when that was reported.
-            k.slots = Math.max(k.slots > 0 ? k.slots : w.slots, load.freeSlots());
+            // by itself is there, but for the reports' noise; what we run may have been counted as free when that was reported.
+            k.slots = k.slots > 0 ? k.slots : w.slots;
+            k.slots += Math.max(0, load.freeSlots() - k.slots) * FREE;
             learn(k, load.freeSlots() + running, FALL);
             held = k.slots - load.freeSlots() + queue * slotsOfAJob - w.ownUsual;
         } else {
