--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -40,7 +40,7 @@
 /**
  * The command line. It owns the process's exit code and what a person reads on standard error when a command cannot
  * start: 2 for a wrong command line or configuration, 1 for a failure later on. It must never decide anything about
- * flows, and never write to standard output while {@code drill} runs, whose replies go there.
+ * requests, and never write to standard output while {@code drill} runs, whose replies go there.
  */
 public final class Main {
     private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
@@ -56,8 +56,8 @@
         String value();
     }
 
-    /** Serves flows on real sockets. */
-    @About("Serves flows on real sockets until SIGTERM.")
+    /** Serves requests on real sockets. */
+    @About("Serves requests on real sockets until SIGTERM.")
     public static final class Serve implements Command {
         @Option(name = "--config", metaVar = "FILE", usage = "configuration (default: $GW_CONFIG)")
         Path config;
@@ -163,8 +163,8 @@
         }
     }
 
-    /** Looks at lists of real servers kept in files. */
-    @About("Looks at lists of real servers: servers check|show|sign FILE, servers diff FILE FILE.")
+    /** Looks at lists of servers kept in files. */
+    @About("Looks at lists of servers: servers check|show|sign FILE, servers diff FILE FILE.")
     public static final class Servers implements Command {
         @Argument(index = 0, required = true, metaVar = "check | show | diff | sign", usage = "what to do")
         String what;
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -3,7 +3,7 @@
 import barrowshore.module.DispatchApi;
 import barrowshore.config.Config;
 import barrowshore.duty.Standing;
-import barrowshore.flow.Flow;
+import barrowshore.request.JobRequest;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
 import barrowshore.net.HttpLink;
@@ -37,20 +37,20 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * The clients' HTTP side: turns requests into flows and final answers into responses. An actor that owns the set of
- * client connections and their limit; each connection is an actor of its own and owns at most one open flow. It must
- * never let a request that is not well formed reach the module, and never answer a flow twice.
+ * The clients' HTTP side: turns requests into requests and final answers into responses. An actor that owns the set of
+ * client connections and their limit; each connection is an actor of its own and owns at most one open request. It must
+ * never let a request that is not well formed reach the module, and never answer a request twice.
  */
 public final class ClientSide {
     private static final int MAX_BODY = 64 * 1024;
     private static final int MAX_HEADERS = 16 * 1024;
-    /** Microseconds before the client's deadline at which a flow is answered come what may: the answer's way back. */
+    /** Microseconds before the client's deadline at which a request is answered come what may: the answer's way back. */
     private static final long MARGIN = 25_000;
-    /** How long a connection may stand idle that has had a flow's answer. */
+    /** How long a connection may stand idle that has had a request's answer. */
     private static final long IDLE = 120_000;
     /**
      * How long a request may take from the connection's first moment, or from its first byte on a connection that has
-     * had a flow's answer, until it is whole. The usual client sends it in one piece.
+     * had a request's answer, until it is whole. The usual client sends it in one piece.
      */
     private static final long WHOLE = 2_000;
     /** How long one that comes when there is no room may take to say what for. */
@@ -61,7 +61,7 @@
     private static final long SHED_DELAY = 1_000_000;
     /** How long a client may take to read the last answer and close. */
     private static final long LINGER = 1_000;
-    /** Milliseconds after SIGTERM from which a flow must be answered before the end, since nothing of it outlives us. */
+    /** Milliseconds after SIGTERM from which a request must be answered before the end, since nothing of it outlives us. */
     private static final long GRACE = 600;
     /** Slots and hints above this are no job's. */
     private static final double MOST_SLOTS = 64;
@@ -71,10 +71,10 @@
     private static final Pattern ID = Pattern.compile("[0-9A-Za-z._-]{1,64}");
     private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,9}");
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,10}(\\.[0-9]{1,9})?");
-    /** What goes on to the real server as it is: nothing that another reader might take for the end of a line. */
+    /** What goes on to the server as it is: nothing that another reader might take for the end of a line. */
     private static final Pattern KEY = Pattern.compile("[!-~]([ -~]*[!-~])?");
     private static final Pattern TARGET = Pattern.compile("/[A-Za-z0-9._~:/?\\[\\]@!$&'()*+,;=%-]{0,4095}");
-    /** What decides of a flow; said twice, it says nothing. */
+    /** What decides of a request; said twice, it says nothing. */
     private static final List<String> ONCE = List.of("X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout-Ms",
             "X-Attrs", "Idempotency-Key");
     /** Bytes of request bodies held at once, over all connections: a quarter of the heap. */
@@ -84,7 +84,7 @@
     private final Clock clock;
     private final Executor pool;
     private final Scheduler timers;
-    private final Flow.Desk desk;
+    private final JobRequest.Desk desk;
     private final Semaphore bytes = new Semaphore(MOST_BYTES);
     /** What jobs may be; replaced whole. */
     private volatile Terms terms;
@@ -92,7 +92,7 @@
     private final Mailbox mailbox;
     private final Set<ClientLink> links = new HashSet<>();
     /**
-     * Those to close when there are too many: ended but for the peer, oldest first; without a flow yet, the longest there
+     * Those to close when there are too many: ended but for the peer, oldest first; without a request yet, the longest there
      * first, whatever it asked for meanwhile; idle, oldest first.
      */
     private final Set<ClientLink> ending = new LinkedHashSet<>();
@@ -105,7 +105,7 @@
     /** Connections so far. */
     private long admitted;
 
-    public ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, Flow.Desk desk, Supplier<Standing> standing, int most) {
+    public ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, JobRequest.Desk desk, Supplier<Standing> standing, int most) {
         this.clock = clock;
         this.pool = pool;
         this.timers = timers;
@@ -132,7 +132,7 @@
         return new ClientLink(endPoint);
     }
 
-    /** The process may be killed so many milliseconds from now: flows that still come are answered before. */
+    /** The process may be killed so many milliseconds from now: requests that still come are answered before. */
     public void endsIn(long millis) {
         long now = clock.micros();
         mailbox.post(() -> {
@@ -143,7 +143,7 @@
     }
 
     /**
-     * Closes connections without a request on them: those that have had a flow, or all of them. One without is about to
+     * Closes connections without a request on them: those that have had a request, or all of them. One without is about to
      * bring a request, or else its time runs out by itself.
      */
     public void closeIdle(boolean all) {
@@ -181,7 +181,7 @@
 
     /**
      * Guards the limit on descriptors, for the usual clients: above it the connection goes that nobody will miss, the
-     * longest there first. One that has had a flow's answer goes last, and one with a request on it never.
+     * longest there first. One that has had a request's answer goes last, and one with a request on it never.
      */
     private boolean makeRoom() {
         for (Set<ClientLink> some : List.of(ending, waiting, idle)) {
@@ -223,7 +223,7 @@
         }
     }
 
-    /** A request that is turned away with a plain status before it becomes a flow. */
+    /** A request that is turned away with a plain status before it becomes a request. */
     private static final class BadRequest extends Exception {
         private static final long serialVersionUID = 1;
         final int status;
@@ -240,10 +240,10 @@
         private String target;
         private HttpFields.Mutable fields;
         private ByteArrayOutputStream body;
-        /** The request's head as a flow, still without its body; null: it asks whether we are ready. */
-        private Flow head;
+        /** The request's head as a request, still without its body; null: it asks whether we are ready. */
+        private JobRequest head;
         private boolean busy;
-        /** Whether a flow has been answered here: a usual client's connection, as far as we can tell. */
+        /** Whether a request has been answered here: a usual client's connection, as far as we can tell. */
         private boolean known;
         /** Whether a request is on its way in, its time running. */
         private boolean dribbling;
@@ -262,7 +262,7 @@
         private long cap = Long.MAX_VALUE;
         private long firstByteAt;
         private int held;
-        private Flow flow;
+        private JobRequest request;
 
         ClientLink(EndPoint endPoint) {
             super(endPoint, new Mailbox("a client", pool), timers);
@@ -318,7 +318,7 @@
                         linger();
                     }
                 } else if (!busy && evicted) {
-                    turnDown();
+                    rejectUnserved();
                 }
             });
         }
@@ -334,7 +334,7 @@
             finish(LINGER);
         }
 
-        /** No room: one turn-down as soon as it is known for what, or soon after. */
+        /** No room: one rejection as soon as it is known for what, or soon after. */
         private void shed() {
             mailbox.post(() -> {
                 shedding = true;
@@ -342,13 +342,13 @@
             });
         }
 
-        private void turnDown() {
+        private void rejectUnserved() {
             busy = true;
             persistent = false;
             if (head != null) {
                 desk.turnedAway(head.jobClass());
             }
-            answer(new Flow.TurnDown(SHED_DELAY));
+            answer(new JobRequest.Rejection(SHED_DELAY));
         }
 
         @Override
@@ -384,7 +384,7 @@
                 return;
             }
             if (shedding && !busy) {
-                turnDown();
+                rejectUnserved();
             } else if (answering || lingering || behindInvitation != null) {
                 shut();
             } else if (!busy && parser.isStart()) {
@@ -423,7 +423,7 @@
                 return true;
             }
             if (shedding) {
-                turnDown();
+                rejectUnserved();
                 return true;
             }
             if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
@@ -447,7 +447,7 @@
             }
             if (!bytes.tryAcquire(more)) {
                 // Guards the limit on memory: many large bodies at once are shed before the heap is full.
-                turnDown();
+                rejectUnserved();
                 return true;
             }
             held += more;
@@ -490,13 +490,13 @@
                 }));
                 return true;
             }
-            flow = head.with(body.toByteArray());
-            desk.open(flow, answer -> mailbox.post(() -> answer(answer)));
+            request = head.with(body.toByteArray());
+            desk.open(request, answer -> mailbox.post(() -> answer(answer)));
             return true;
         }
 
-        /** Reads the request's head as a flow. */
-        private Flow head() throws BadRequest {
+        /** Reads the request's head as a request. */
+        private JobRequest head() throws BadRequest {
             if (!TARGET.matcher(target).matches()) {
                 throw new BadRequest(400, "the target cannot be read");
             }
@@ -552,10 +552,10 @@
             if (key != null && !KEY.matcher(key).matches()) {
                 throw new BadRequest(400, "Idempotency-Key is not plain text");
             }
-            return new Flow(id, jobClass, tenant, slots, hint,
+            return new JobRequest(id, jobClass, tenant, slots, hint,
                     firstByteAt >= cappedFrom ? Math.min(deadline, cap) : deadline,
                     switch (effect) {
-                        case SAFE -> Flow.ALWAYS;
+                        case SAFE -> JobRequest.ALWAYS;
                         case KEYED -> terms.types()[jobClass].repeatWindow();
                         case UNSAFE -> 0;
                     }, method, target, key, NOTHING);
@@ -588,21 +588,21 @@
             throw new BadRequest(400, name + " is not a positive number" + (form == DECIMAL ? " in range" : ""));
         }
 
-        private void answer(Flow.Answer answer) {
-            flow = null;
-            known |= !(answer instanceof Flow.Rejected);
-            if (answer instanceof Flow.Served served) {
+        private void answer(JobRequest.Answer answer) {
+            request = null;
+            known |= !(answer instanceof JobRequest.IdInUse);
+            if (answer instanceof JobRequest.Served served) {
                 respond(200, HttpFields.build().add(HttpHeader.CONTENT_TYPE, "application/octet-stream"),
                         served.result());
-            } else if (answer instanceof Flow.TurnDown down) {
+            } else if (answer instanceof JobRequest.Rejection down) {
                 HttpFields.Mutable extra = HttpFields.build();
                 if (down.retryAfter() > 0) {
                     extra.add(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", down.retryAfter() / 1e6));
                 }
                 respond(503, extra, NOTHING);
-            } else if (answer instanceof Flow.Failed failed) {
+            } else if (answer instanceof JobRequest.Failed failed) {
                 plain(failed.late() ? 504 : 502, failed.late() ? "no answer in time" : "the job failed");
-            } else if (answer instanceof Flow.Rejected rejected) {
+            } else if (answer instanceof JobRequest.IdInUse rejected) {
                 reject(409, rejected.why());
             }
         }
@@ -672,9 +672,9 @@
         protected void onEnd(Throwable cause) {
             closed(this);
             release();
-            if (flow != null) {
-                desk.clientGone(flow);
-                flow = null;
+            if (request != null) {
+                desk.clientGone(request);
+                request = null;
             }
         }
     }
--- a/src/main/java/barrowshore/config/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -185,7 +185,7 @@
     /** One line for a person. */
     public String summary() {
         return name + ": listen " + listen + ", discovery " + discovery + ", " + classes.size() + " classes, "
-                + tenants.size() + " tenants, " + known.entries().size() + " known real servers";
+                + tenants.size() + " tenants, " + known.entries().size() + " known servers";
     }
 
     private static void over0(SettingsReader reader, String key, String named, double otherwise) {
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -762,7 +762,7 @@
                 }
             }
 
-            /** The one final answer; OK, FULL for a turn-down, ERROR for a failure, TIMEOUT where it was ours. */
+            /** The one final answer; OK, FULL for a rejection, ERROR for a failure, TIMEOUT where it was ours. */
             void answer(Status how, long retryAfter) {
                 if (answered) {
                     report.answersTwice++;
--- a/src/main/java/barrowshore/files/ServersFile.java
+++ b/src/main/java/barrowshore/files/ServersFile.java
@@ -19,7 +19,7 @@
 import java.util.Map;
 
 /**
- * Reads a list of real servers that operators keep in a file, and checks it whole. It owns the reading alone: a file that is
+ * Reads a list of servers that operators keep in a file, and checks it whole. It owns the reading alone: a file that is
  * wrong in one place is wrong, and says where. It must never look up a name: endpoints are addresses.
  */
 public final class ServersFile {
--- a/src/main/java/barrowshore/halls/HallGate.java
+++ b/src/main/java/barrowshore/halls/HallGate.java
@@ -4,11 +4,11 @@
 
 /**
  * The narrow way by which the decision module consults the decisions about halls. The module goes on choosing the real
- * server; the gate says which halls a flow may go to and at whose expense. Not thread-safe; time is what the caller
+ * server; the gate says which halls a request may go to and at whose expense. Not thread-safe; time is what the caller
  * says, microseconds that never decrease. {@link #OFF} lets everything through and remembers nothing.
  */
 public interface HallGate {
-    /** The price of a hall that is closed to a flow. */
+    /** The price of a hall that is closed to a request. */
     double CLOSED = Double.POSITIVE_INFINITY;
 
     /** The first byte of datagrams that are the halls' own. */
@@ -22,7 +22,7 @@
         return false;
     }
 
-    /** The handle of a real server, kept by the caller; null: there are no halls. */
+    /** The handle of a server, kept by the caller; null: there are no halls. */
     default Place place(String server) {
         return null;
     }
@@ -48,7 +48,7 @@
     /** A job that was sent at that time has ended; served: with a result. */
     default void ended(long now, Place place, long sentAt, double slots, boolean served) { }
 
-    /** A flow of our own was turned down; worth: as in {@link #weigh}. */
+    /** A request of our own was turned down; worth: as in {@link #weigh}. */
     default void refused(long now, double worth) { }
 
     /** The number of the hall of a zone, an index into what {@link #weigh} returns. */
@@ -57,7 +57,7 @@
     }
 
     /**
-     * Weighs a flow before a pick. Returns for each hall how many times the price of crossing a flow pays there;
+     * Weighs a request before a pick. Returns for each hall how many times the price of crossing a request pays there;
      * {@link #CLOSED}: not at all; below 0: as many times as {@link #asked} says, at servers that {@link #takes} takes.
      * The array is the gate's own, and holds until the next call. worth: for the room it takes, against the usual job, 0 to 1; repeatable: it may
      * run twice; tier: the furthest tier to look at.
@@ -71,7 +71,7 @@
         return price < 0 ? -1 - price : price;
     }
 
-    /** Whether the flow weighed last may go to this server, as far as its hall is concerned. */
+    /** Whether the request weighed last may go to this server, as far as its hall is concerned. */
     default boolean takes(Place place) {
         return true;
     }
@@ -91,7 +91,7 @@
         return false;
     }
 
-    /** Whether a flow that this server gave back, or lost, may be tried again. worth: as in {@link #weigh}. */
+    /** Whether a request that this server gave back, or lost, may be tried again. worth: as in {@link #weigh}. */
     default boolean mayRepeat(long now, Place place, double worth) {
         return true;
     }
--- a/src/main/java/barrowshore/halls/HallRules.java
+++ b/src/main/java/barrowshore/halls/HallRules.java
@@ -18,8 +18,8 @@
  * @param holdOff how long a hall that went dark again is held off; doubles with each time more
  * @param holdMost the longest such time
  * @param flapWindow how long after its return a hall that goes dark has flapped
- * @param retryShare what may be tried again of what a troubled hall gave back, against all flows sent
- * @param retryBurst flows that may be tried again at once, however few have been sent
+ * @param retryShare what may be tried again of what a troubled hall gave back, against all requests sent
+ * @param retryBurst requests that may be tried again at once, however few have been sent
  */
 public record HallRules(List<String> names, int home, List<Integer> tier, boolean strict, double spill,
                         double doubtShare, long darkAfter, long trialEvery, long settle, long holdOff, long holdMost,
--- a/src/main/java/barrowshore/halls/Halls.java
+++ b/src/main/java/barrowshore/halls/Halls.java
@@ -8,8 +8,8 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * The decisions about halls of one scheduler: which halls a flow may go to, at whose expense, and what may be tried
- * again when a hall's flows end all at once. It owns the halls' state machines, this scheduler's parts of what foreign
+ * The decisions about halls of one scheduler: which halls a request may go to, at whose expense, and what may be tried
+ * again when a hall's requests end all at once. It owns the halls' state machines, this scheduler's parts of what foreign
  * halls lend, and what peers have told of both. Pure: time and randomness are handed in. It must never choose a server,
  * and never let work from other halls over its part of a hall.
  */
@@ -18,7 +18,7 @@
     private static final long HEARD = 1_500_000;
     /** A sign that a peer had this long ago says that the hall serves. */
     private static final long SERVED = 1_000_000;
-    /** For so long flows are weighed by the same parts; the lenders' wait allows for it. */
+    /** For so long requests are weighed by the same parts; the lenders' wait allows for it. */
     private static final long STALE = 100_000;
     /** Turns come every tenth of a second or so; after so long a gap we were not there ourselves. */
     private static final long PAUSE = 500_000;
@@ -31,7 +31,7 @@
     /** How a crowded hall's welcome falls in a turn, and how it rises again. */
     private static final double LESS = 0.95;
     private static final double MORE = 0.03;
-    /** Tries that a flow of no worth must leave in the budget for those worth more. */
+    /** Tries that a request of no worth must leave in the budget for those worth more. */
     private static final double KEPT = 0.6;
 
     /** What another scheduler told last. */
@@ -61,7 +61,7 @@
     private final Peer[] peers;
     private final Map<String, Place> places = new HashMap<>();
     private final List<String> probes = new ArrayList<>();
-    /** Of the flow weighed last: its size, whether it may run twice, the time, and what each hall costs it. */
+    /** Of the request weighed last: its size, whether it may run twice, the time, and what each hall costs it. */
     private final double[] prices;
     private double size;
     private boolean repeatable;
@@ -73,7 +73,7 @@
     private boolean panic;
     private long turnedAt;
     private long pausedUntil;
-    /** Worked out for many flows at once, and when: our parts, the halls' tiers, how many crossings each is away. */
+    /** Worked out for many requests at once, and when: our parts, the halls' tiers, how many crossings each is away. */
     private final double[] parts;
     private final int[] tiers;
     private final double[] away;
@@ -210,7 +210,7 @@
         crowded |= worth >= MISSED;
     }
 
-    // Where a flow may go.
+    // Where a request may go.
 
     @Override
     public double[] weigh(long now, double slots, double worth, boolean repeatable, int tier) {
@@ -231,7 +231,7 @@
         return prices;
     }
 
-    /** Works out anew what many flows are weighed by. */
+    /** Works out anew what many requests are weighed by. */
     private void renew(long now) {
         partsAt = now;
         for (int h = 0; h < halls.length; h++) {
@@ -246,7 +246,7 @@
         return rules.hall(zone);
     }
 
-    /** Whether the flow fits into our part of a foreign hall; the last of it is kept for what is worth most. */
+    /** Whether the request fits into our part of a foreign hall; the last of it is kept for what is worth most. */
     private boolean welcomed(long now, int h, double slots, double worth) {
         HallState state = halls[h].state;
         if (state == HallState.DARK) {
--- a/src/main/java/barrowshore/halls/Place.java
+++ b/src/main/java/barrowshore/halls/Place.java
@@ -1,7 +1,7 @@
 package barrowshore.halls;
 
 /**
- * What is known of one real server as a part of its hall: whether it is listed, what it can do, what of ours is out
+ * What is known of one server as a part of its hall: whether it is listed, what it can do, what of ours is out
  * there, the last sign of it and what speaks against it. It belongs to one {@link Halls} and decides nothing.
  */
 public final class Place {
@@ -49,7 +49,7 @@
         this.id = id;
     }
 
-    /** The real server's name. */
+    /** The server's name. */
     public String id() {
         return id;
     }
--- a/src/main/java/barrowshore/halls/SpillShare.java
+++ b/src/main/java/barrowshore/halls/SpillShare.java
@@ -7,7 +7,7 @@
  * One whose own hall serves and that needs little lends, when another asks: it promises to keep to less, and each of
  * the others may use an even part of what it gave up. A promise counts for {@link #VALID} after it is heard, and is kept
  * for {@link #HOLD} after it was last told, so that no loss, delay (up to 0.9 s: a part once worked out is used for a
- * tenth) or overtaking of messages lets the sum of all parts exceed the whole. It decides nothing on flows.
+ * tenth) or overtaking of messages lets the sum of all parts exceed the whole. It decides nothing on requests.
  *
  * <p>Why the sum holds: who lends does not borrow. With F schedulers of even part e, a lender j keeps to r_j, and the
  * others get (e - r_j) / (F - 1) each, e - r_j at most in all; so all together stay within F e. What is out when a loan
@@ -59,13 +59,13 @@
         want(now, used);
     }
 
-    /** A flow would need so much in all. */
+    /** A request would need so much in all. */
     private void want(long now, double slots) {
         need = Math.max(slots, need * Math.pow(0.5, Math.max(0, now - needAt) / MEMORY));
         needAt = now;
     }
 
-    /** A flow found our part too small. */
+    /** A request found our part too small. */
     void ask(long now, double slots) {
         want(now, slots);
         askedAt = now;
--- a/src/main/java/barrowshore/list/HandList.java
+++ b/src/main/java/barrowshore/list/HandList.java
@@ -7,7 +7,7 @@
 import java.util.function.ToLongFunction;
 
 /**
- * A list of real servers as operators write one by hand, whatever it was read from. It owns this form alone: pure, checked
+ * A list of servers as operators write one by hand, whatever it was read from. It owns this form alone: pure, checked
  * by its reader, and judged by {@link Guard}. revision: goes up with each change; force: the operators mean it, however
  * much it takes away; grace: how long what it no longer names drains before it is gone, microseconds; servers: by uid.
  */
--- a/src/main/java/barrowshore/list/ServerList.java
+++ b/src/main/java/barrowshore/list/ServerList.java
@@ -9,14 +9,14 @@
 import java.util.Map;
 
 /**
- * What a list of real servers is, whoever tells it, and how discovery's JSON is read as one. It owns these forms alone:
+ * What a list of servers is, whoever tells it, and how discovery's JSON is read as one. It owns these forms alone:
  * pure, without a connection, a clock or an opinion on what a list says. It must never drop what it cannot read without
  * saying so.
  */
 public final class ServerList {
     private ServerList() { }
 
-    /** What a list says of a real server. */
+    /** What a list says of a server. */
     public enum State { READY, TERMINATING, GONE }
 
     /** One entry of the list; bootMicros in Unix time, 0: long ago; zone -1: not known; address null: not told. */
@@ -24,7 +24,7 @@
                         State state, double hint, long bootMicros) { }
 
     /**
-     * A version of the list: all of it, or what changed; unknown: the real servers left out, of no known model. One that
+     * A version of the list: all of it, or what changed; unknown: the servers left out, of no known model. One that
      * leaves is never left out: whatever else is said of it, nothing new may go there.
      */
     public record Update(long rev, boolean all, List<Entry> entries, List<String> unknown) {
--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -177,7 +177,7 @@
             double pace = w.pace(w.held() + job.slots), run = job.work / pace;
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
             if (now + run > job.answerBy) { continue; }
-            // What misses its aim at a cold worker earns nothing; a turn-down may be tried again.
+            // What misses its aim at a cold worker earns nothing; a rejection may be tried again.
             if (w.warmth < 1 && now + queueing(w, job.slots) + run > job.arrivedAt + budget) { continue; }
             double cost = running / pace + wait * (k.named ? k.worth / mean.value(job) : 1);
             cost += Math.max(0, run - TIGHT * budget);   // little of the aim is left for waiting
--- a/src/main/java/barrowshore/node/ListKeeper.java
+++ b/src/main/java/barrowshore/node/ListKeeper.java
@@ -17,7 +17,7 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Where several sources of real servers come together: discovery, and a watched file. An actor; it owns the
+ * Where several sources of servers come together: discovery, and a watched file. An actor; it owns the
  * {@link ServerBook}, the watch of the file and the timer of graces. What wins, the book decides; it must never tell the
  * module half of what a source said at once.
  */
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -11,12 +11,12 @@
 import barrowshore.module.DispatchApi;
 import barrowshore.duty.Figures;
 import barrowshore.duty.Tally;
-import barrowshore.flow.Flow;
+import barrowshore.request.JobRequest;
 import barrowshore.halls.HallRules;
 import barrowshore.list.ServerList;
 import barrowshore.net.Clock;
 import barrowshore.net.Mailbox;
-import barrowshore.servers.RealServer;
+import barrowshore.servers.Server;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -32,12 +32,12 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * The actor round the decision module. It owns the module, every open flow with its deadline timer and its schedulings,
- * and the real servers' actors. It gives each flow one final answer inside its deadline whether or not the module does,
- * and the module one outcome for each send. It must never choose, repeat or refuse anything by itself, but for a flow
+ * The actor round the decision module. It owns the module, every open request with its deadline timer and its attempts,
+ * and the servers' actors. It gives each request one final answer inside its deadline whether or not the module does,
+ * and the module one outcome for each send. It must never choose, repeat or refuse anything by itself, but for a request
  * that the module leaves unanswered when its time is up.
  */
-final class ModuleActor implements DispatchApi.Actions, Flow.Desk {
+final class ModuleActor implements DispatchApi.Actions, JobRequest.Desk {
     private static final System.Logger LOG = System.getLogger(ModuleActor.class.getName());
     /** A probe that has told nothing by then tells nothing of the present any more. */
     private static final long PROBE_MILLIS = 1000;
@@ -45,7 +45,7 @@
     /** When one that is turned down as the process ends may come again, in microseconds: others take new ones at once. */
     private static final long LAST_DELAY = 100_000;
 
-    /** Ids of served flows kept: a minute or so at the usual load. */
+    /** Ids of served requests kept: a minute or so at the usual load. */
     private static final int MOST_SERVED = 2048;
 
     /** How often is counted anew what changes without an event. */
@@ -54,20 +54,20 @@
     private final Clock clock;
     private final Scheduler timers;
     private final Mailbox mailbox;
-    private final Function<String, RealServer> newServer;
+    private final Function<String, Server> newServer;
     private final DispatchApi module;
     private final Consumer<byte[]> tell;
-    private final Map<String, OpenFlow> flows = new HashMap<>();
-    private final Map<String, RealServer> servers = new HashMap<>();
+    private final Map<String, OpenRequest> requests = new HashMap<>();
+    private final Map<String, Server> servers = new HashMap<>();
     private final Set<String> listed = new HashSet<>();
-    /** Ids of flows lately served, oldest first: an id is new with every request, so these are taken too. */
+    /** Ids of requests lately served, oldest first: an id is new with every request, so these are taken too. */
     private final Set<String> served = new LinkedHashSet<>();
     private int mostAttempts;
     private final Tally tally = new Tally();
     /** Figures as of the last change, for whoever reads them; written here alone. */
     private volatile Figures figures = Figures.NONE;
     private boolean publishing;
-    private int openFlows;
+    private int openRequests;
     private int skipped;
     /** Those listed that want nothing new. */
     private final Set<String> draining = new HashSet<>();
@@ -77,7 +77,7 @@
     private long lastNow;
 
     ModuleActor(Clock clock, Executor pool, Scheduler timers, List<String> classes, int mostAttempts,
-                Function<String, RealServer> newServer, Consumer<byte[]> tell,
+                Function<String, Server> newServer, Consumer<byte[]> tell,
                 Function<DispatchApi.Actions, DispatchApi> newModule) {
         this.clock = clock;
         this.timers = timers;
@@ -89,26 +89,26 @@
         this.module = newModule.apply(this);
     }
 
-    /** A flow and what has become of it; kept until it is answered and no scheduling is out. */
-    private static final class OpenFlow {
-        final Flow flow;
-        final Flow.Client client;
+    /** A request and what has become of it; kept until it is answered and no attempt is out. */
+    private static final class OpenRequest {
+        final JobRequest request;
+        final JobRequest.Client client;
         final List<Attempt> attempts = new ArrayList<>(2);
         Scheduler.Task timer;
         int out;
         boolean answered;
 
-        OpenFlow(Flow flow, Flow.Client client) {
-            this.flow = flow;
+        OpenRequest(JobRequest request, JobRequest.Client client) {
+            this.request = request;
             this.client = client;
         }
     }
 
-    /** One scheduling: what the real server reports comes back here, through the mailbox. */
-    private final class Attempt implements RealServer.Scheduling {
-        final OpenFlow open;
+    /** One attempt: what the server reports comes back here, through the mailbox. */
+    private final class Attempt implements Server.Attempt {
+        final OpenRequest open;
         final int number;
-        final RealServer server;
+        final Server server;
         final long sentAt;
         /** When its first byte must have gone, by the window of an earlier one that may have run. */
         final long beginBy;
@@ -116,34 +116,34 @@
         boolean ended;
         boolean neverRan;
 
-        Attempt(OpenFlow open, int number, RealServer server, long sentAt) {
+        Attempt(OpenRequest open, int number, Server server, long sentAt) {
             this.open = open;
             this.number = number;
             this.server = server;
             this.sentAt = sentAt;
             long by = Long.MAX_VALUE;
             for (Attempt earlier : open.attempts) {
-                if (!earlier.neverRan && open.flow.window() != Flow.ALWAYS) {
-                    by = Math.min(by, earlier.sentAt + open.flow.window());
+                if (!earlier.neverRan && open.request.window() != JobRequest.ALWAYS) {
+                    by = Math.min(by, earlier.sentAt + open.request.window());
                 }
             }
             this.beginBy = by;
         }
 
         @Override
-        public Flow flow() {
-            return open.flow;
+        public JobRequest request() {
+            return open.request;
         }
 
         @Override
         public long left() {
-            return open.flow.deadline() - clock.micros();
+            return open.request.deadline() - clock.micros();
         }
 
         @Override
         public boolean mayBegin() {
             long now = clock.micros();
-            return now < beginBy && now < open.flow.deadline();
+            return now < beginBy && now < open.request.deadline();
         }
 
         @Override
@@ -158,7 +158,7 @@
         public void noted(Note note, double share) {
             mailbox.post(() -> {
                 if (!ended) {
-                    guarded(open, () -> module.note(now(), open.flow.id(), number, note, share));
+                    guarded(open, () -> module.note(now(), open.request.id(), number, note, share));
                 }
             });
         }
@@ -267,11 +267,11 @@
 
     private void publish() {
         if (publishing) {
-            figures = tally.figures(told, openFlows, listed.size(), skipped);
+            figures = tally.figures(told, openRequests, listed.size(), skipped);
         }
     }
 
-    /** What ages without an event, as which real servers are avoided, is looked at now and then. */
+    /** What ages without an event, as which servers are avoided, is looked at now and then. */
     private void republish() {
         guarded(null, () -> skipped = draining.size() + module.avoided(now()));
         publish();
@@ -284,7 +284,7 @@
         mailbox.post(() -> asker.accept(told));
     }
 
-    /** Runs the message once flows can be served. */
+    /** Runs the message once requests can be served. */
     void whenReady(Runnable message) {
         mailbox.post(() -> {
             whenReady.add(message);
@@ -300,27 +300,27 @@
         publish();
     }
 
-    /** Answers every open flow that is not answered by so many milliseconds from now: the process ends after that. */
+    /** Answers every open request that is not answered by so many milliseconds from now: the process ends after that. */
     void endsIn(long millis) {
-        timers.schedule(() -> mailbox.post(() -> List.copyOf(flows.values()).forEach(this::lastWord)), millis,
+        timers.schedule(() -> mailbox.post(() -> List.copyOf(requests.values()).forEach(this::lastWord)), millis,
                 TimeUnit.MILLISECONDS);
     }
 
     /**
-     * The process ends before the flow's time is up: it is answered first, since the module, told that its attempts are
+     * The process ends before the request's time is up: it is answered first, since the module, told that its attempts are
      * over, would send it again. What cannot have run, or may run again, others can do.
      */
-    private void lastWord(OpenFlow open) {
+    private void lastWord(OpenRequest open) {
         if (!open.answered) {
-            boolean harmless = open.flow.window() == Flow.ALWAYS || open.attempts.stream().allMatch(a -> a.neverRan);
-            answer(open, harmless ? new Flow.TurnDown(LAST_DELAY) : new Flow.Failed(false));
-            guarded(open, () -> module.clientGone(now(), open.flow.id()));
+            boolean harmless = open.request.window() == JobRequest.ALWAYS || open.attempts.stream().allMatch(a -> a.neverRan);
+            answer(open, harmless ? new JobRequest.Rejection(LAST_DELAY) : new JobRequest.Failed(false));
+            guarded(open, () -> module.clientGone(now(), open.request.id()));
             List.copyOf(open.attempts).forEach(a -> giveUp(a, Status.TIMEOUT));
             forget(open);
         }
     }
 
-    /** Runs the message once no flow is open. */
+    /** Runs the message once no request is open. */
     void whenIdle(Runnable message) {
         mailbox.post(() -> {
             whenIdle.add(message);
@@ -329,31 +329,31 @@
     }
 
     @Override
-    public void open(Flow flow, Flow.Client client) {
+    public void open(JobRequest request, JobRequest.Client client) {
         mailbox.post(() -> {
-            if (flows.containsKey(flow.id()) || served.contains(flow.id())) {
-                client.answer(new Flow.Rejected("the id is in use"));
+            if (requests.containsKey(request.id()) || served.contains(request.id())) {
+                client.answer(new JobRequest.IdInUse("the id is in use"));
                 return;
             }
-            OpenFlow open = new OpenFlow(flow, client);
-            flows.put(flow.id(), open);
-            openFlows++;
+            OpenRequest open = new OpenRequest(request, client);
+            requests.put(request.id(), open);
+            openRequests++;
             publish();
             long now = now();
-            open.timer = timers.schedule(() -> mailbox.post(() -> expire(open)), flow.deadline() - now,
+            open.timer = timers.schedule(() -> mailbox.post(() -> expire(open)), request.deadline() - now,
                     TimeUnit.MICROSECONDS);
-            guarded(open, () -> module.request(now, new Request(flow.id(), flow.jobClass(), flow.tenant(),
-                    flow.slots(), flow.hint(), flow.deadline() - now)));
+            guarded(open, () -> module.request(now, new Request(request.id(), request.jobClass(), request.tenant(),
+                    request.slots(), request.hint(), request.deadline() - now)));
         });
     }
 
     @Override
-    public void clientGone(Flow flow) {
+    public void clientGone(JobRequest request) {
         mailbox.post(() -> {
-            OpenFlow open = flows.get(flow.id());
-            if (open != null && open.flow == flow && !open.answered) {
+            OpenRequest open = requests.get(request.id());
+            if (open != null && open.request == request && !open.answered) {
                 close(open);
-                guarded(open, () -> module.clientGone(now(), flow.id()));
+                guarded(open, () -> module.clientGone(now(), request.id()));
                 forget(open);
             }
         });
@@ -396,8 +396,8 @@
         guarded(null, () -> module.list(now(), kind, members));
     }
 
-    /** The time of a flow is up: its schedulings time out, and if the module has no answer it gets ours. */
-    private void expire(OpenFlow open) {
+    /** The time of a request is up: its attempts time out, and if the module has no answer it gets ours. */
+    private void expire(OpenRequest open) {
         if (open.answered) {
             return;
         }
@@ -406,13 +406,13 @@
         }
         if (!open.answered) {
             // Guards against a module that fell silent: the client still waits, and a rule is at stake.
-            answer(open, new Flow.Failed(true));
-            guarded(open, () -> module.clientGone(now(), open.flow.id()));
+            answer(open, new JobRequest.Failed(true));
+            guarded(open, () -> module.clientGone(now(), open.request.id()));
             forget(open);
         }
     }
 
-    /** Stops waiting for a scheduling; one that was never sent has no real server to tell. */
+    /** Stops waiting for an attempt; one that was never sent has no server to tell. */
     private void giveUp(Attempt a, Status status) {
         if (!a.ended) {
             if (a.server != null) {
@@ -431,61 +431,61 @@
         if (a.timer != null) {
             a.timer.cancel();
         }
-        OpenFlow open = a.open;
+        OpenRequest open = a.open;
         open.out--;
         if (status == Status.OK && !open.answered) {
-            answer(open, new Flow.Served(result));
-            served.add(open.flow.id());
+            answer(open, new JobRequest.Served(result));
+            served.add(open.request.id());
             if (served.size() > MOST_SERVED) {
                 served.remove(served.iterator().next());
             }
         }
         long now = now();
         boolean closed = open.answered;
-        guarded(open, () -> module.outcome(now, open.flow.id(), a.number, closed, status, now - a.sentAt, load));
+        guarded(open, () -> module.outcome(now, open.request.id(), a.number, closed, status, now - a.sentAt, load));
         forget(open);
     }
 
-    /** Runs a call of the module; an exception in it costs at most the flow that it was about. */
-    private void guarded(OpenFlow open, Runnable call) {
+    /** Runs a call of the module; an exception in it costs at most the request that it was about. */
+    private void guarded(OpenRequest open, Runnable call) {
         try {
             call.run();
         } catch (RuntimeException e) {
             LOG.log(Level.ERROR, "the module failed", e);
             if (open != null && !open.answered && open.out == 0) {
-                answer(open, new Flow.Failed(false));
+                answer(open, new JobRequest.Failed(false));
                 forget(open);
             }
         }
     }
 
-    private void close(OpenFlow open) {
+    private void close(OpenRequest open) {
         open.answered = true;
         // Whether or not the settings let attempts be called off: one that has not begun is not to begin any more.
         open.attempts.stream().filter(a -> !a.ended && a.server != null).forEach(a -> a.server.withdraw(a));
-        openFlows--;
+        openRequests--;
         open.timer.cancel();
         publish();
     }
 
-    private void answer(OpenFlow open, Flow.Answer answer) {
+    private void answer(OpenRequest open, JobRequest.Answer answer) {
         if (!open.answered) {
-            tally.ended(open.flow.jobClass(), answer instanceof Flow.Served ? Tally.End.PASSED
-                    : answer instanceof Flow.TurnDown ? Tally.End.DROPPED : Tally.End.BAD_GATEWAY);
+            tally.ended(open.request.jobClass(), answer instanceof JobRequest.Served ? Tally.End.PASSED
+                    : answer instanceof JobRequest.Rejection ? Tally.End.DROPPED : Tally.End.BAD_GATEWAY);
             close(open);
             open.client.answer(answer);
         }
     }
 
-    private void forget(OpenFlow open) {
+    private void forget(OpenRequest open) {
         if (open.answered && open.out == 0) {
-            flows.remove(open.flow.id(), open);
+            requests.remove(open.request.id(), open);
             tellIfIdle();
         }
     }
 
     private void tellIfIdle() {
-        if (!whenIdle.isEmpty() && flows.values().stream().allMatch(open -> open.answered)) {
+        if (!whenIdle.isEmpty() && requests.values().stream().allMatch(open -> open.answered)) {
             whenIdle.forEach(Runnable::run);
             whenIdle.clear();
         }
@@ -495,10 +495,10 @@
 
     @Override
     public void send(String id, String worker, long timeout) {
-        OpenFlow open = flows.get(id);
-        RealServer server = servers.get(worker);
+        OpenRequest open = requests.get(id);
+        Server server = servers.get(worker);
         if (open == null) {
-            LOG.log(Level.ERROR, "the module sent flow {0}, which is not open", id);
+            LOG.log(Level.ERROR, "the module sent request {0}, which is not open", id);
             return;
         }
         Attempt a = new Attempt(open, open.attempts.size(), server, now());
@@ -512,21 +512,21 @@
             a.timer = timers.schedule(() -> mailbox.post(() -> giveUp(a, Status.TIMEOUT)), timeout,
                     TimeUnit.MICROSECONDS);
         }
-        server.schedule(a);
+        server.send(a);
     }
 
     @Override
     public void refuse(String id, long retryAfter) {
-        decided(id, new Flow.TurnDown(retryAfter));
+        decided(id, new JobRequest.Rejection(retryAfter));
     }
 
     @Override
     public void fail(String id) {
-        decided(id, new Flow.Failed(false));
+        decided(id, new JobRequest.Failed(false));
     }
 
-    private void decided(String id, Flow.Answer answer) {
-        OpenFlow open = flows.get(id);
+    private void decided(String id, JobRequest.Answer answer) {
+        OpenRequest open = requests.get(id);
         if (open != null) {
             answer(open, answer);
             forget(open);
@@ -535,7 +535,7 @@
 
     @Override
     public void cancel(String id, int attempt) {
-        OpenFlow open = flows.get(id);
+        OpenRequest open = requests.get(id);
         if (open != null && attempt >= 0 && attempt < open.attempts.size()) {
             // After the call that orders it: the module is not told of an end while it is at work on another.
             mailbox.post(() -> giveUp(open.attempts.get(attempt), Status.CANCELLED));
@@ -544,7 +544,7 @@
 
     @Override
     public void probe(String worker) {
-        RealServer server = servers.get(worker);
+        Server server = servers.get(worker);
         if (server != null) {
             long sentAt = now();
             server.probe(PROBE_MILLIS, (status, load) -> mailbox.post(() -> {
@@ -567,7 +567,7 @@
 
     @Override
     public void watch() {
-        // The service entry's watch is open from the start and stays so.
+        // The service discovery's watch is open from the start and stays so.
     }
 
     @Override
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -17,8 +17,8 @@
 import barrowshore.operator.Setup;
 import barrowshore.operator.SetupFiles;
 import barrowshore.peer.PeerSide;
-import barrowshore.servers.RealServer;
-import barrowshore.servers.ServiceEntry;
+import barrowshore.servers.Server;
+import barrowshore.servers.ServiceDiscovery;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.lang.reflect.Proxy;
@@ -51,7 +51,7 @@
 
 /**
  * One scheduler, put together. It owns the pool, the timers' thread, the dialer and the listening socket, and the order
- * in which they start and end. It must never take part in a flow's life.
+ * in which they start and end. It must never take part in a request's life.
  */
 public final class Node {
     private static final System.Logger LOG = System.getLogger(Node.class.getName());
@@ -59,7 +59,7 @@
     private static final int THREADS = 4;
     /** Descriptors kept for the JVM, the listening socket, discovery and the selector. */
     private static final int RESERVED = 64;
-    /** Share of the other descriptors that goes to real servers. */
+    /** Share of the other descriptors that goes to servers. */
     private static final double OUTGOING = 0.4;
     /** Milliseconds after SIGTERM until the last new connections have come. */
     private static final long SETTLE = 500;
@@ -81,7 +81,7 @@
     private final Scheduler timers;
     private final ModuleActor module;
     private final ClientSide clients;
-    private final ServiceEntry entry;
+    private final ServiceDiscovery entry;
     /** Where discovery and a watched file come together; null: there is discovery alone. */
     private final ListKeeper keeper;
     private final PeerSide peers;
@@ -93,7 +93,7 @@
     private final Succession succession;
     /** Whether a process after us serves. */
     private volatile boolean followed;
-    /** Descriptors that go to real servers, and to clients, while there is one process; and a part of them, if two. */
+    /** Descriptors that go to servers, and to clients, while there is one process; and a part of them, if two. */
     private final int outgoing;
     private final int incoming;
     private boolean halved;
@@ -124,12 +124,12 @@
         dialer = new Dialer(pool, timers, outgoing, incoming, config.settings().connectTimeout / 1000,
                 this::accepted);
         module = new ModuleActor(clock, pool, timers, config.classes(), config.settings().maxAttempts,
-                uid -> new RealServer(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
+                uid -> new Server(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
                 this::tell, newModule);
         clients = new ClientSide(config, clock, pool, timers, module, standing::get, mostClients(incoming));
         keeper = setup.operator().servers() == null ? null : new ListKeeper(setup.operator().servers(), config.names(),
                 clock, pool, timers, module::update);
-        entry = new ServiceEntry(config.discovery(), config.names(), pool, dialer, timers,
+        entry = new ServiceDiscovery(config.discovery(), config.names(), pool, dialer, timers,
                 keeper == null ? module::update : keeper::discovered, module::discoveryBusy,
                 () -> module.discoverySilent(config.known()), config.known(), config.grace());
         peers = config.peers() == null ? null : new PeerSide(config.peers(), config.ops() != null, pool, clock, module::peer);
@@ -164,7 +164,7 @@
             }
         });
         if (!config.known().unknown().isEmpty()) {
-            LOG.log(Level.WARNING, "known real servers of an unknown model, left out: {0}",
+            LOG.log(Level.WARNING, "known servers of an unknown model, left out: {0}",
                     String.join(", ", config.known().unknown()));
         }
     }
@@ -435,7 +435,7 @@
         }, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Reads the configuration again and takes over what may change while flows are open; a bad one changes nothing. */
+    /** Reads the configuration again and takes over what may change while requests are open; a bad one changes nothing. */
     void reload(Supplier<Setup> source) {
         configuration.post(() -> module.loaded(takeOver(source)));
     }
--- a/src/main/java/barrowshore/operator/Operator.java
+++ b/src/main/java/barrowshore/operator/Operator.java
@@ -25,7 +25,7 @@
     }
 
     /**
-     * The element {@code servers}: a watched list of real servers. mostLost: the share of capacity that a new version may
+     * The element {@code servers}: a watched list of servers. mostLost: the share of capacity that a new version may
      * take away unforced; filesFirst: whether the file wins where discovery names a server too; keys:
      * the directory of the keys that it must be signed by, null: none.
      */
--- a/src/main/java/barrowshore/flow/Flow.java
+++ b/src/main/java/barrowshore/request/JobRequest.java
@@ -1,16 +1,16 @@
-package barrowshore.flow;
+package barrowshore.request;
 
 import java.util.function.Consumer;
 
 /**
  * What any client protocol hands to the desk that serves it, and the one final answer that it takes back. These records own no
- * resource and know no protocol: a second protocol beside HTTP brings its flows in this form. Times in microseconds of
+ * resource and know no protocol: a second protocol beside HTTP brings its requests in this form. Times in microseconds of
  * the scheduler's clock; {@code deadline} is when the answer must have been given;
  * {@code window}: for how long after a send that may have run it may be sent again, since that does no harm or its repeats
  * are dropped; {@link #ALWAYS}, or 0: not at all;
- * {@code key}: what real servers know its repeats by, null if none.
+ * {@code key}: what servers know its repeats by, null if none.
  */
-public record Flow(String id, int jobClass, int tenant, double slots, double hint, long deadline, long window,
+public record JobRequest(String id, int jobClass, int tenant, double slots, double hint, long deadline, long window,
             String method, String target, String key, byte[] body) {
     /** A window without an end: repeats do no harm. */
     public static final long ALWAYS = Long.MAX_VALUE;
@@ -20,41 +20,41 @@
         return window > 0;
     }
 
-    /** The same flow with its body. */
-    public Flow with(byte[] whole) {
-        return new Flow(id, jobClass, tenant, slots, hint, deadline, window, method, target, key, whole);
+    /** The same request with its body. */
+    public JobRequest with(byte[] whole) {
+        return new JobRequest(id, jobClass, tenant, slots, hint, deadline, window, method, target, key, whole);
     }
 
-    /** The final answer to a flow. */
-    public sealed interface Answer permits Served, TurnDown, Failed, Rejected { }
+    /** The final answer to a request. */
+    public sealed interface Answer permits Served, Rejection, Failed, IdInUse { }
 
-    /** A real server's result. */
+    /** A server's result. */
     public record Served(byte[] result) implements Answer { }
 
     /** Harmless to try again, after so long. */
-    public record TurnDown(long retryAfter) implements Answer { }
+    public record Rejection(long retryAfter) implements Answer { }
 
     /** No promise; late: its time ran out. */
     public record Failed(boolean late) implements Answer { }
 
-    /** The flow never came to the module: its id is in use. */
-    public record Rejected(String why) implements Answer { }
+    /** The request never came to the module: its id is in use. */
+    public record IdInUse(String why) implements Answer { }
 
     /** Takes the final answer; called once. */
     public interface Client {
         void answer(Answer answer);
     }
 
-    /** Where a client's side hands its flows in; each opened one gets its answer once, unless the client goes first. */
+    /** Where a client's side hands its requests in; each opened one gets its answer once, unless the client goes first. */
     public interface Desk {
-        void open(Flow flow, Client client);
+        void open(JobRequest request, Client client);
 
-        void clientGone(Flow flow);
+        void clientGone(JobRequest request);
 
-        /** A job of the class was turned down before it became a flow. */
+        /** A job of the class was turned down before it became a request. */
         void turnedAway(int jobClass);
 
-        /** Answers whether flows can be served. */
+        /** Answers whether requests can be served. */
         void ready(Consumer<Boolean> asker);
     }
 }
--- a/src/main/java/barrowshore/servers/RealServer.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -3,7 +3,7 @@
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Status;
-import barrowshore.flow.Flow;
+import barrowshore.request.JobRequest;
 import barrowshore.list.ServerList;
 import barrowshore.net.Dialer;
 import barrowshore.net.HttpLink;
@@ -32,15 +32,15 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * One real server: an actor that carries schedulings and probes to it over its own pool of connections. It owns those
- * connections, each from its dial to its end, and reports exactly one end of each scheduling and probe. It must never
- * choose a real server, never send anything twice, and never say that a flow did not run without proof: refused, never
+ * One server: an actor that carries attempts and probes to it over its own pool of connections. It owns those
+ * connections, each from its dial to its end, and reports exactly one end of each attempt and probe. It must never
+ * choose a server, never send anything twice, and never say that a request did not run without proof: refused, never
  * up, or broken before the last byte was written.
  */
-public final class RealServer {
+public final class Server {
     private static final String LOAD_HEADER = "X-Server-Load";
     private static final String NOT_PROCESSED_HEADER = "X-Not-Processed";
-    /** Descriptors left to the service entry: busy real servers must not keep it from being heard. */
+    /** Descriptors left to the service discovery: busy servers must not keep it from being heard. */
     private static final int ENTRY = 2;
     /** Idle connections kept: only probes and what may run twice use them. */
     private static final int MOST_IDLE = 4;
@@ -56,9 +56,9 @@
     /** More requests, or free slots, than any machine has. */
     private static final double MOST_LOAD = 1e5;
 
-    /** One scheduling, as the module actor knows it; it gets one end. */
-    public interface Scheduling {
-        Flow flow();
+    /** One attempt, as the module actor knows it; it gets one end. */
+    public interface Attempt {
+        JobRequest request();
 
         /** How long the scheduler will wait, in microseconds from now. */
         long left();
@@ -87,24 +87,24 @@
     private final int most;
     private final ArrayDeque<Link> idle = new ArrayDeque<>();
     private final Set<Link> links = new HashSet<>();
-    private final Map<Scheduling, Work> works = new HashMap<>();
+    private final Map<Attempt, Work> works = new HashMap<>();
     private int dialing;
     private InetSocketAddress address;
     private ServerList.State state = ServerList.State.GONE;
     private long bootMicros;
 
-    public RealServer(String uid, Executor pool, Dialer dialer, Scheduler timers, long keepAlive, int most) {
+    public Server(String uid, Executor pool, Dialer dialer, Scheduler timers, long keepAlive, int most) {
         this.uid = uid;
         this.dialer = dialer;
         this.timers = timers;
         this.most = most;
-        // Guards against the stale-pool race: what is written to a connection that the real server is closing may
-        // have run, so an idle one is retired at half the time after which the real server closes it.
+        // Guards against the stale-pool race: what is written to a connection that the server is closing may
+        // have run, so an idle one is retired at half the time after which the server closes it.
         this.retireAfter = Math.max(1, keepAlive / 2000);
-        this.mailbox = new Mailbox("real server " + uid, pool);
+        this.mailbox = new Mailbox("server " + uid, pool);
     }
 
-    /** What the service entry says of it now. */
+    /** What the service discovery says of it now. */
     public void update(ServerList.Entry entry) {
         mailbox.post(() -> {
             boolean moved = entry.address() != null && !entry.address().equals(address);
@@ -117,7 +117,7 @@
         });
     }
 
-    /** The service entry no longer lists it. */
+    /** The service discovery no longer lists it. */
     public void gone() {
         mailbox.post(() -> {
             state = ServerList.State.GONE;
@@ -133,18 +133,18 @@
         }
     }
 
-    public void schedule(Scheduling scheduling) {
+    public void send(Attempt attempt) {
         mailbox.post(() -> {
-            Work work = new Work(scheduling, null);
-            works.put(scheduling, work);
+            Work work = new Work(attempt, null);
+            works.put(attempt, work);
             start(work);
         });
     }
 
-    /** The scheduling is no longer waited for; its end, if still to come, is of no interest. */
-    public void giveUp(Scheduling scheduling) {
+    /** The attempt is no longer waited for; its end, if still to come, is of no interest. */
+    public void giveUp(Attempt attempt) {
         mailbox.post(() -> {
-            Work work = works.remove(scheduling);
+            Work work = works.remove(attempt);
             if (work != null) {
                 work.over = true;
                 if (work.link != null) {
@@ -154,10 +154,10 @@
         });
     }
 
-    /** Nobody waits for the scheduling any more: if its first byte has not gone, it does not go. */
-    public void withdraw(Scheduling scheduling) {
+    /** Nobody waits for the attempt any more: if its first byte has not gone, it does not go. */
+    public void withdraw(Attempt attempt) {
         mailbox.post(() -> {
-            Work work = works.get(scheduling);
+            Work work = works.get(attempt);
             if (work != null && work.link == null) {
                 work.end(Status.NOT_SENT, null, null);
             }
@@ -182,7 +182,7 @@
     private void start(Work work) {
         Link link;
         // Guards what must not run twice: a kept connection may be reset just as it is written to, which proves nothing
-        // and fails the flow. A fresh one that does not come up proves that it never ran.
+        // and fails the request. A fresh one that does not come up proves that it never ran.
         while (work.mayReuse() && (link = idle.pollLast()) != null) {
             if (!link.brokenWhileIdle()) {
                 link.carry(work);
@@ -219,9 +219,9 @@
         }
     }
 
-    /** What a connection carries: a scheduling or a probe, and whether its one end has been told. */
+    /** What a connection carries: an attempt or a probe, and whether its one end has been told. */
     private final class Work {
-        final Scheduling scheduling;
+        final Attempt attempt;
         final Probe probe;
         Scheduler.Task timer;
         Link link;
@@ -235,13 +235,13 @@
         /** Whether a part of it was left for another thread to write: then nothing but a failed write proves anything. */
         boolean partly;
 
-        Work(Scheduling scheduling, Probe probe) {
-            this.scheduling = scheduling;
+        Work(Attempt attempt, Probe probe) {
+            this.attempt = attempt;
             this.probe = probe;
         }
 
         boolean mayReuse() {
-            return probe != null || scheduling.flow().repeatable();
+            return probe != null || attempt.request().repeatable();
         }
 
         void end(Status status, Load load, byte[] result) {
@@ -253,8 +253,8 @@
                 timer.cancel();
                 probe.ended(status, load);
             } else {
-                works.remove(scheduling);
-                scheduling.ended(status, load, result);
+                works.remove(attempt);
+                attempt.ended(status, load, result);
             }
         }
     }
@@ -285,7 +285,7 @@
         private Load load;
 
         Link(EndPoint endPoint, Work first) {
-            super(endPoint, RealServer.this.mailbox, timers);
+            super(endPoint, Server.this.mailbox, timers);
             this.work = first;
             parser = new HttpParser((HttpParser.ResponseHandler) this, MAX_HEADER);
         }
@@ -297,7 +297,7 @@
             Work first = work;
             work = null;
             if (first.over) {
-                rest();   // given up while the connection came up; the next scheduling can have it
+                rest();   // given up while the connection came up; the next attempt can have it
             } else {
                 carry(first);
             }
@@ -317,10 +317,10 @@
         }
 
         void carry(Work next) {
-            Scheduling scheduling = next.scheduling;
+            Attempt attempt = next.attempt;
             // Guards the drain rule: connecting took time, so the state is looked at again as the first byte goes.
-            if (state != ServerList.State.READY || scheduling != null && !scheduling.mayBegin()) {
-                next.end(Status.NOT_SENT, null, null);   // our reason: it says nothing of the real server
+            if (state != ServerList.State.READY || attempt != null && !attempt.mayBegin()) {
+                next.end(Status.NOT_SENT, null, null);   // our reason: it says nothing of the server
                 rest();
                 return;
             }
@@ -336,21 +336,21 @@
             limit(0);
             HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST,
                     address.getHostString() + ":" + address.getPort());
-            if (scheduling == null) {
+            if (attempt == null) {
                 write(new MetaData.Request("GET", HttpURI.from("/-/load"), HttpVersion.HTTP_1_1, fields, 0), NO_BODY,
                         () -> next.written = true);
                 return;
             }
-            Flow flow = scheduling.flow();
-            fields.add("X-Request-ID", flow.id());
-            fields.add("X-Timeout-Ms", String.valueOf(Math.max(1, scheduling.left() / 1000)));
-            if (flow.key() != null) {
-                fields.add("Idempotency-Key", flow.key());
+            JobRequest request = attempt.request();
+            fields.add("X-Request-ID", request.id());
+            fields.add("X-Timeout-Ms", String.valueOf(Math.max(1, attempt.left() / 1000)));
+            if (request.key() != null) {
+                fields.add("Idempotency-Key", request.key());
             }
-            write(new MetaData.Request(flow.method(), HttpURI.from(flow.target()), HttpVersion.HTTP_1_1, fields,
-                    flow.body().length), flow.body(), () -> {
+            write(new MetaData.Request(request.method(), HttpURI.from(request.target()), HttpVersion.HTTP_1_1, fields,
+                    request.body().length), request.body(), () -> {
                         next.written = true;
-                        scheduling.written();
+                        attempt.written();
                     });
             next.partly = !next.written && !hasWriteFailed();
         }
@@ -390,11 +390,11 @@
             if (status < 200) {
                 return false;   // an interim answer: the answer is still to come
             }
-            if (work.scheduling != null && status == 200) {
+            if (work.attempt != null && status == 200) {
                 lines = new LineBuffer(LONGEST_LINE);
             } else {
                 body = new StringBuilder();
-                if (work.scheduling != null && !neverRan()) {
+                if (work.attempt != null && !neverRan()) {
                     last(Status.ERROR, load, null);   // its body, which may never end, says nothing more
                 } else {
                     limit(TAIL);
@@ -409,7 +409,7 @@
          */
         private boolean neverRan() {
             return notProcessed && (status == 503 || status == 504)
-                    && (!used || work.scheduling.flow().window() == Flow.ALWAYS);
+                    && (!used || work.attempt.request().window() == JobRequest.ALWAYS);
         }
 
         @Override
@@ -433,15 +433,15 @@
             if (text.isBlank() || work.over) {
                 return;
             }
-            if (!(Json.orNull(text) instanceof Map<?, ?> map) || !work.scheduling.flow().id().equals(map.get("id"))) {
-                // Not an answer to this flow: nothing on this connection can be trusted any more. It is closed before its end
+            if (!(Json.orNull(text) instanceof Map<?, ?> map) || !work.attempt.request().id().equals(map.get("id"))) {
+                // Not an answer to this request: nothing on this connection can be trusted any more. It is closed before its end
                 // is told, as by any exception here: a repeat that overtook the close would be a second copy.
                 throw new IllegalStateException("an answer to another request");
             }
             Load told = load(map.get("load"));
             switch (String.valueOf(map.get("state"))) {
-                case "started" -> work.scheduling.noted(Note.STARTED, 0);
-                case "running" -> work.scheduling.noted(Note.PROGRESS,
+                case "started" -> work.attempt.noted(Note.STARTED, 0);
+                case "running" -> work.attempt.noted(Note.PROGRESS,
                         map.get("share") instanceof Number n ? n.doubleValue() : 0);
                 case "done" -> last(Status.OK, told, String.valueOf(map.get("result")).getBytes(StandardCharsets.UTF_8));
                 case "failed" -> last(Status.ERROR, told, null);
--- a/src/main/java/barrowshore/servers/ServiceEntry.java
+++ b/src/main/java/barrowshore/servers/ServiceDiscovery.java
@@ -28,13 +28,13 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * The service entry: discovery's list of real servers, followed by a watch that is reopened whenever it breaks or falls
+ * The service discovery: discovery's list of servers, followed by a watch that is reopened whenever it breaks or falls
  * silent, at an address that may change while it runs. An actor; it owns the watch's connection, its timers and the
- * version of the list last heard. It must never judge a real server: what it reads goes on to the module actor whole,
+ * version of the list last heard. It must never judge a server: what it reads goes on to the module actor whole,
  * in order, and it must never ask one address for what has changed since another's version.
  */
-public final class ServiceEntry {
-    private static final System.Logger LOG = System.getLogger(ServiceEntry.class.getName());
+public final class ServiceDiscovery {
+    private static final System.Logger LOG = System.getLogger(ServiceDiscovery.class.getName());
     private static final int LONGEST_OBJECT = 1 << 20;
     private static final long FIRST_PAUSE = 50;
     /**
@@ -97,7 +97,7 @@
      * but with no list; it is up, so what it has to tell counts as told. silent: discovery has not answered for a while,
      * or has said nothing against the known list: that will do. Called only where no call is out that may yet be answered.
      */
-    public ServiceEntry(InetSocketAddress address, Names names, Executor pool, Dialer dialer, Scheduler timers,
+    public ServiceDiscovery(InetSocketAddress address, Names names, Executor pool, Dialer dialer, Scheduler timers,
             Consumer<Update> listener, Runnable busy, Runnable silent, Update known, long grace) {
         this.known = known.entries().isEmpty() ? null : known;
         this.whole = this.known != null;
@@ -109,7 +109,7 @@
         this.address = address;
         this.names = names;
         this.listener = listener;
-        this.mailbox = new Mailbox("the service entry", pool);
+        this.mailbox = new Mailbox("the service discovery", pool);
         keepWithin(grace);
     }
 
@@ -215,7 +215,7 @@
         private int limits;
 
         Watch(EndPoint endPoint, int of) {
-            super(endPoint, ServiceEntry.this.mailbox, timers);
+            super(endPoint, ServiceDiscovery.this.mailbox, timers);
             this.of = of;
             parser = new HttpParser((HttpParser.ResponseHandler) this, MAX_HEADER);
         }
@@ -349,7 +349,7 @@
             try {
                 Update update = ServerList.read((Map<?, ?>) Json.parse(object), names);
                 if (!update.unknown().isEmpty()) {
-                    LOG.log(Level.WARNING, "real servers of an unknown model, left out: {0}",
+                    LOG.log(Level.WARNING, "servers of an unknown model, left out: {0}",
                             String.join(", ", update.unknown()));
                 }
                 if (known != null && of == life && !update.all()) {
--- a/src/test/java/barrowshore/PackageRulesTest.java
+++ b/src/test/java/barrowshore/PackageRulesTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** The rules between packages: what decides is pure, and data flows one way. */
+/** The rules between packages: what decides is pure, and data requests one way. */
 class PackageRulesTest {
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("barrowshore");
--- a/src/test/java/barrowshore/client/UnreadInvitationTest.java
+++ b/src/test/java/barrowshore/client/UnreadInvitationTest.java
@@ -4,7 +4,7 @@
 
 import barrowshore.config.Config;
 import barrowshore.duty.Standing;
-import barrowshore.flow.Flow;
+import barrowshore.request.JobRequest;
 import barrowshore.net.Clock;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -26,16 +26,16 @@
     private static final int TAKEN = 10;
 
     /** Takes requests in and leaves them open. */
-    private static final class Desk implements Flow.Desk {
-        final List<Flow.Client> open = new ArrayList<>();
+    private static final class Desk implements JobRequest.Desk {
+        final List<JobRequest.Client> open = new ArrayList<>();
 
         @Override
-        public void open(Flow flow, Flow.Client client) {
+        public void open(JobRequest request, JobRequest.Client client) {
             open.add(client);
         }
 
         @Override
-        public void clientGone(Flow flow) { }
+        public void clientGone(JobRequest request) { }
 
         @Override
         public void turnedAway(int jobClass) { }
@@ -63,7 +63,7 @@
             while (desk.open.isEmpty()) {
                 Thread.onSpinWait();
             }
-            desk.open.get(0).answer(new Flow.Served("one".getBytes(StandardCharsets.UTF_8)));
+            desk.open.get(0).answer(new JobRequest.Served("one".getBytes(StandardCharsets.UTF_8)));
             String read = "";
             while (!read.endsWith("one")) {
                 read += client.takeOutputString();
--- a/src/test/java/barrowshore/emulate/EmulatorPropertyTest.java
+++ b/src/test/java/barrowshore/emulate/EmulatorPropertyTest.java
@@ -40,7 +40,7 @@
                 chance.nextInt(3) * 0.2, chance.nextInt(3) * 0.1, chance.nextBoolean(), halls, happenings);
     }
 
-    /** One final answer for each flow inside its time, no unsafe job twice, no cold node pushed over, no late send. */
+    /** One final answer for each request inside its time, no unsafe job twice, no cold node pushed over, no late send. */
     @Property(tries = 80, seed = "20261201")
     void theRulesHoldWhateverHappens(@ForAll long seed, @ForAll @IntRange(min = 1, max = 6) int misfortunes) {
         Report r = Emulator.play(day(new Random(seed), misfortunes), ON, seed);
--- a/src/test/java/barrowshore/files/ServersFileTest.java
+++ b/src/test/java/barrowshore/files/ServersFileTest.java
@@ -18,7 +18,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-/** Lists of real servers in files: what they say, what is wrong in them, and what they may change at once. */
+/** Lists of servers in files: what they say, what is wrong in them, and what they may change at once. */
 class ServersFileTest {
     private static final ServerList.Names NAMES = new ServerList.Names(List.of("hala-a", "hala-b"),
             List.of("plny-vykon", "usporny"));
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -42,7 +42,7 @@
  * Plays recorded byte exchanges against a whole scheduler on loopback sockets. Each file under {@code exchanges} is a
  * script of blocks: a line {@code == WHO DOES}, then the bytes, whose lines end in CR LF unless a backslash ends them;
  * {@code @NAME ARGUMENTS} behind it stands for the bytes in {@code messages/NAME}. C1, C2.. are clients, S1, S2.. the
- * connections that the one real server accepts, in order, D1, D2.. discovery's, E1, E2.. those of a second discovery, O1,
+ * connections that the one server accepts, in order, D1, D2.. discovery's, E1, E2.. those of a second discovery, O1,
  * O2.. operators; {@code == figures} reads the door's figures until they hold the lines given. Time stands still but for
  * {@code == time MILLIS} and the steps that move it on until something comes; nothing here waits for a clock.
  */
--- a/src/test/java/barrowshore/node/LateConnectionTest.java
+++ b/src/test/java/barrowshore/node/LateConnectionTest.java
@@ -3,12 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import barrowshore.config.Config;
-import barrowshore.flow.Flow;
+import barrowshore.request.JobRequest;
 import barrowshore.list.ServerList;
 import barrowshore.module.Dispatcher;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
-import barrowshore.servers.RealServer;
+import barrowshore.servers.Server;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -69,7 +69,7 @@
                         + listening[1].getLocalPort() + "\",\"az\":\"a\",\"model\":\"m\",\"state\":\"Ready\"},"));
         // Messages run in the poster's stack: in the order in which the test does things.
         module = new ModuleActor(clock, Runnable::run, timers, config.classes(), 5,
-                uid -> new RealServer(uid, Runnable::run, dialers[uid.equals("s-1") ? 0 : 1], timers, 60_000_000, 1),
+                uid -> new Server(uid, Runnable::run, dialers[uid.equals("s-1") ? 0 : 1], timers, 60_000_000, 1),
                 message -> { }, actions -> new Dispatcher(config.settings(), actions));
         module.start();
         module.update(config.known());
@@ -111,8 +111,8 @@
         }
     }
 
-    private Flow keyed(String id) {
-        return new Flow(id, 0, 0, 1, 0, clock.micros() + 4_000_000, WINDOW, "POST", "/menu", "key", new byte[] {'a'});
+    private JobRequest keyed(String id) {
+        return new JobRequest(id, 0, 0, 1, 0, clock.micros() + 4_000_000, WINDOW, "POST", "/menu", "key", new byte[] {'a'});
     }
 
     private static String firstLine(InputStream in) throws Exception {
@@ -128,9 +128,9 @@
         module.update(new ServerList.Update(6, false, List.of(new ServerList.Entry("s-2", "", null, 0, 0, 0,
                 ServerList.State.TERMINATING, 1, 0))));
         hold(dialers[0]);
-        Flow flow = keyed("gone");
-        module.open(flow, answer -> { });
-        module.clientGone(flow);
+        JobRequest request = keyed("gone");
+        module.open(request, answer -> { });
+        module.clientGone(request);
         try (Socket accepted = accept()) {
             free.countDown();
             // There is one connection at most: it carries the one that has gone, or else one of these, once it is up.
@@ -145,7 +145,7 @@
 
     @Test
     void aRepeatIsNotSentOnceItsWindowIsOver() throws Exception {
-        CompletableFuture<Flow.Answer> answer = new CompletableFuture<>();
+        CompletableFuture<JobRequest.Answer> answer = new CompletableFuture<>();
         module.open(keyed("a1"), answer::complete);
         try (Socket first = accept()) {
             assertThat(firstLine(first.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
@@ -156,7 +156,7 @@
             try (Socket second = accept()) {
                 nanos.addAndGet(WINDOW * 1000);
                 free.countDown();
-                assertThat(answer.get()).isInstanceOf(Flow.TurnDown.class);
+                assertThat(answer.get()).isInstanceOf(JobRequest.Rejection.class);
                 LifeCycle.stop(dialers[0]);
                 LifeCycle.stop(dialers[1]);
                 assertThat(second.getInputStream().readAllBytes()).isEmpty();
--- a/src/test/java/barrowshore/servers/LoadReportTest.java
+++ b/src/test/java/barrowshore/servers/LoadReportTest.java
@@ -7,18 +7,18 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** What of a real server's load report is taken: figures that a machine can have, and nothing else. */
+/** What of a server's load report is taken: figures that a machine can have, and nothing else. */
 class LoadReportTest {
     @ParameterizedTest
     @ValueSource(strings = {"-0.5", "1e18", "1e999", "\"4\"", "null", "true", "[4]", "{}", "NaN"})
     void aFigureThatNoMachineCanHaveIsNone(String value) {
-        assertThat(RealServer.load(Json.orNull("{\"inflight\":" + value + ",\"util\":1,\"x0\":2.5}")))
+        assertThat(Server.load(Json.orNull("{\"inflight\":" + value + ",\"util\":1,\"x0\":2.5}")))
                 .isEqualTo(new Load(Double.NaN, Double.NaN, 2.5));
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"", "{", "{\"inflight\":7", "[]", "7", "{}", "inflight=7"})
     void whatIsNoReportIsNone(String text) {
-        assertThat(RealServer.load(Json.orNull(text))).isNull();
+        assertThat(Server.load(Json.orNull(text))).isNull();
     }
 }
--- a/src/test/java/barrowshore/servers/RealServerTest.java
+++ b/src/test/java/barrowshore/servers/ServerTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.flow.Flow;
+import barrowshore.request.JobRequest;
 import barrowshore.list.ServerList;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Note;
@@ -34,16 +34,16 @@
  * that the connection is up for the kernel and not yet for us, each time.
  */
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-class RealServerTest {
+class ServerTest {
     private final ExecutorService pool = Executors.newFixedThreadPool(4);
     private final Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
     private final CountDownLatch free = new CountDownLatch(1);
     private Dialer dialer;
     private ServerSocket listening;
-    private RealServer server;
+    private Server server;
 
     /** One attempt, as the module's actor would hand it on. */
-    private static final class Attempt implements RealServer.Scheduling {
+    private static final class Attempt implements Server.Attempt {
         final CompletableFuture<Status> end = new CompletableFuture<>();
         private final String id;
         private volatile boolean mayBegin = true;
@@ -55,8 +55,8 @@
         }
 
         @Override
-        public Flow flow() {
-            return new Flow(id, 0, -1, 1, 0, Long.MAX_VALUE, Flow.ALWAYS, "POST", "/menu", null, new byte[] {'a'});
+        public JobRequest request() {
+            return new JobRequest(id, 0, -1, 1, 0, Long.MAX_VALUE, JobRequest.ALWAYS, "POST", "/menu", null, new byte[] {'a'});
         }
 
         @Override
@@ -89,7 +89,7 @@
         dialer.start();
         listening = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         // Messages run in the poster's stack: in the order in which the test does things.
-        server = new RealServer("s-1", Runnable::run, dialer, timers, 60_000_000, 10);
+        server = new Server("s-1", Runnable::run, dialer, timers, 60_000_000, 10);
         say(ServerList.State.READY);
     }
 
@@ -140,7 +140,7 @@
     void whatWaitedForItsConnectionDoesNotGoToAServerThatLeavesSince() throws Exception {
         holdConnections();
         Attempt attempt = new Attempt("a1");
-        server.schedule(attempt);
+        server.send(attempt);
         say(ServerList.State.TERMINATING);
         free.countDown();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
@@ -151,7 +151,7 @@
     void norToOneThatTheListLeavesOutSince() throws Exception {
         holdConnections();
         Attempt attempt = new Attempt("a1");
-        server.schedule(attempt);
+        server.send(attempt);
         server.gone();
         free.countDown();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
@@ -163,7 +163,7 @@
     void whatNobodyWaitsForAnyMoreIsNotBegun() throws Exception {
         holdConnections();
         Attempt attempt = new Attempt("a1");
-        server.schedule(attempt);
+        server.send(attempt);
         server.withdraw(attempt);
         assertThat(attempt.end.get()).as("at once").isEqualTo(Status.NOT_SENT);
         assertThat(carried()).isEmpty();
@@ -172,7 +172,7 @@
     @Test
     void whatHasBegunIsNotWithdrawn() throws Exception {
         Attempt attempt = new Attempt("a1");
-        server.schedule(attempt);
+        server.send(attempt);
         try (Socket accepted = listening.accept()) {
             assertThat(firstLine(accepted.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
             server.withdraw(attempt);
@@ -187,7 +187,7 @@
     void whatMayNotBeginAnyMoreIsNotBegun() throws Exception {
         holdConnections();
         Attempt attempt = new Attempt("a1");
-        server.schedule(attempt);
+        server.send(attempt);
         attempt.mayBegin = false;
         free.countDown();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
@@ -199,7 +199,7 @@
     void anAnswerToAnotherRequestEndsTheConnectionBeforeItsEndIsTold() throws Exception {
         Attempt attempt = new Attempt("a1");
         CompletableFuture<Boolean> closed = new CompletableFuture<>();
-        server.schedule(attempt);
+        server.send(attempt);
         try (Socket accepted = listening.accept()) {
             InputStream in = accepted.getInputStream();
             assertThat(firstLine(in)).isEqualTo("POST /menu HTTP/1.1");
--- a/src/test/java/barrowshore/standin/HallMoveTest.java
+++ b/src/test/java/barrowshore/standin/HallMoveTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * A hall that is lost, regained and lost again on loopback sockets, with real schedulers: every flow gets its one answer,
+ * A hall that is lost, regained and lost again on loopback sockets, with real schedulers: every request gets its one answer,
  * nothing that must not runs twice, and no cold node is pushed over. Time passes only as jobs are answered.
  */
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
--- a/src/test/java/barrowshore/standin/WatchedServersTest.java
+++ b/src/test/java/barrowshore/standin/WatchedServersTest.java
@@ -31,7 +31,7 @@
 
 /**
  * A scheduler without any discovery, whose servers come from a file that is rewritten all the time: by rename, in place,
- * cut off, and as garbage. Nothing goes to a server of a list that was not taken whole, and no flow is lost.
+ * cut off, and as garbage. Nothing goes to a server of a list that was not taken whole, and no request is lost.
  */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class WatchedServersTest {
