--- /dev/null
+++ b/src/test/java/barrowshore/DeployTest.java
@@ -0,0 +1,52 @@
+package barrowshore;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The deploy file names what a scheduler is made of: every package that one reaches is in its node. */
+class DeployTest {
+    private static final Path SOURCES = Path.of("src/main/java");
+    private static final Pattern PACKAGE = Pattern.compile("\\bbarrowshore\\.([a-z]+)\\.[A-Z]");
+
+    @Test
+    void nodeNamesEveryFolderThatServeRuns() throws IOException {
+        String deploy = Files.readString(Path.of("deploy/balancer.toml"));
+        Matcher node = Pattern.compile("node = \\[(.*)]").matcher(deploy);
+        assertThat(node.find()).isTrue();
+        List<String> named = Stream.of(node.group(1).split(",")).map(n -> n.trim().replace("\"", "")).toList();
+        assertThat(named).allMatch(folder -> Files.isDirectory(Path.of(folder)));
+        assertThat(named).containsAll(reached("node").stream().map(p -> SOURCES.resolve("barrowshore").resolve(p).toString())
+                .toList());
+    }
+
+    /** The packages whose classes are named in this one's sources, and in theirs. */
+    private static Set<String> reached(String from) throws IOException {
+        Set<String> all = new TreeSet<>(Set.of(from));
+        Queue<String> open = new ArrayDeque<>(all);
+        while (!open.isEmpty()) {
+            try (Stream<Path> files = Files.list(SOURCES.resolve("barrowshore").resolve(open.remove()))) {
+                for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+                    Matcher used = PACKAGE.matcher(Files.readString(file));
+                    while (used.find()) {
+                        if (all.add(used.group(1))) {
+                            open.add(used.group(1));
+                        }
+                    }
+                }
+            }
+        }
+        return all;
+    }
+}
