--- a/src/main/java/barrowshore/module/FleetLoad.java
+++ b/src/main/java/barrowshore/module/FleetLoad.java
@@ -7,7 +7,7 @@
  */
 final class FleetLoad {
     /** Up to so many dispatchers, each one's own jobs are a fair sample of what all have, and a fresher one than any report. */
-    private static final double FEW = 10;
+    private static final double FEW = 20;
 
     private FleetLoad() { }
 
