--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -37,8 +37,8 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * The clients' HTTP side: turns requests into requests and final answers into responses. An actor that owns the set of
- * client connections and their limit; each connection is an actor of its own and owns at most one open request. It must
+ * The clients' HTTP side: turns HTTP requests into job requests and final answers into responses. An actor that owns the set of
+ * client connections and their limit; each connection is an actor of its own and owns at most one open job request. It must
  * never let a request that is not well formed reach the module, and never answer a request twice.
  */
 public final class ClientSide {
@@ -46,11 +46,11 @@
     private static final int MAX_HEADERS = 16 * 1024;
     /** Microseconds before the client's deadline at which a request is answered come what may: the answer's way back. */
     private static final long MARGIN = 25_000;
-    /** How long a connection may stand idle that has had a request's answer. */
+    /** How long a connection may stand idle that has had a job's answer. */
     private static final long IDLE = 120_000;
     /**
      * How long a request may take from the connection's first moment, or from its first byte on a connection that has
-     * had a request's answer, until it is whole. The usual client sends it in one piece.
+     * had a job's answer, until it is whole. The usual client sends it in one piece.
      */
     private static final long WHOLE = 2_000;
     /** How long one that comes when there is no room may take to say what for. */
@@ -92,7 +92,7 @@
     private final Mailbox mailbox;
     private final Set<ClientLink> links = new HashSet<>();
     /**
-     * Those to close when there are too many: ended but for the peer, oldest first; without a request yet, the longest there
+     * Those to close when there are too many: ended but for the peer, oldest first; without a job yet, the longest there
      * first, whatever it asked for meanwhile; idle, oldest first.
      */
     private final Set<ClientLink> ending = new LinkedHashSet<>();
@@ -143,7 +143,7 @@
     }
 
     /**
-     * Closes connections without a request on them: those that have had a request, or all of them. One without is about to
+     * Closes connections without a request on them: those that have had a job's answer, or all of them. One without is about to
      * bring a request, or else its time runs out by itself.
      */
     public void closeIdle(boolean all) {
@@ -181,7 +181,7 @@
 
     /**
      * Guards the limit on descriptors, for the usual clients: above it the connection goes that nobody will miss, the
-     * longest there first. One that has had a request's answer goes last, and one with a request on it never.
+     * longest there first. One that has had a job's answer goes last, and one with a request on it never.
      */
     private boolean makeRoom() {
         for (Set<ClientLink> some : List.of(ending, waiting, idle)) {
@@ -223,7 +223,7 @@
         }
     }
 
-    /** A request that is turned away with a plain status before it becomes a request. */
+    /** A request that is turned away with a plain status before it becomes a job request. */
     private static final class BadRequest extends Exception {
         private static final long serialVersionUID = 1;
         final int status;
@@ -240,10 +240,10 @@
         private String target;
         private HttpFields.Mutable fields;
         private ByteArrayOutputStream body;
-        /** The request's head as a request, still without its body; null: it asks whether we are ready. */
+        /** The HTTP request's head as a job request, still without its body; null: it asks whether we are ready. */
         private JobRequest head;
         private boolean busy;
-        /** Whether a request has been answered here: a usual client's connection, as far as we can tell. */
+        /** Whether a job has been answered here: a usual client's connection, as far as we can tell. */
         private boolean known;
         /** Whether a request is on its way in, its time running. */
         private boolean dribbling;
@@ -495,7 +495,7 @@
             return true;
         }
 
-        /** Reads the request's head as a request. */
+        /** Reads the HTTP request's head as a job request. */
         private JobRequest head() throws BadRequest {
             if (!TARGET.matcher(target).matches()) {
                 throw new BadRequest(400, "the target cannot be read");
--- a/src/main/java/barrowshore/module/LoadReader.java
+++ b/src/main/java/barrowshore/module/LoadReader.java
@@ -45,9 +45,9 @@
             for (Job.Attempt a : w.out) {
                 running += a.startedAt > 0 ? a.job.slots : 0;
             }
-            // A full one shows no more than what we run there: where the first report is such a one's, the kind has a usual worker's
-            // slots until it has shown more. What is free
-            // by itself is there, but for the reports' noise; what we run may have been counted as free when that was reported.
+            // A full one shows no more than what we run there: where the first report is such a one's, the kind has a usual
+            // worker's slots until it has shown more. What is free by itself is there, but for the reports' noise; what we run
+            // may have been counted as free when that was reported.
             k.slots = k.slots > 0 ? k.slots : load.queue() >= 1 ? w.slots : load.freeSlots() + running;
             k.slots += Math.max(0, load.freeSlots() - k.slots) * FREE;
             learn(k, load.freeSlots() + running, FALL);
