--- a/src/benchmark/java/barrowshore/module/PickBenchmark.java
+++ b/src/benchmark/java/barrowshore/module/PickBenchmark.java
@@ -1,5 +1,6 @@
 package barrowshore.module;
 
+import barrowshore.halls.HallRules;
 import barrowshore.module.DispatchApi.Effect;
 import barrowshore.module.DispatchApi.Health;
 import barrowshore.module.DispatchApi.JobClass;
@@ -10,7 +11,6 @@
 import barrowshore.module.DispatchApi.Scope;
 import barrowshore.module.DispatchApi.Settings;
 import barrowshore.module.DispatchApi.Status;
-import barrowshore.halls.HallRules;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -48,19 +48,19 @@
         byte[] told;
 
         @Override
-        public void send(String id, String worker, long timeout) { }
+        public void send(String id, String worker, long timeout) {}
 
         @Override
-        public void refuse(String id, long retryAfter) { }
+        public void refuse(String id, long retryAfter) {}
 
         @Override
-        public void fail(String id) { }
+        public void fail(String id) {}
 
         @Override
-        public void cancel(String id, int attempt) { }
+        public void cancel(String id, int attempt) {}
 
         @Override
-        public void probe(String worker) { }
+        public void probe(String worker) {}
 
         @Override
         public void tell(byte[] message) {
@@ -68,19 +68,18 @@
         }
 
         @Override
-        public void timer(long delay, String token) { }
+        public void timer(long delay, String token) {}
 
         @Override
-        public void watch() { }
+        public void watch() {}
 
         @Override
-        public void log(String line) { }
+        public void log(String line) {}
     }
 
     private DispatchApi module(int me, Nothing actions) {
         Settings set = new Settings();
-        set.classes = new JobClass[] {
-            new JobClass(200_000, 1, 5_000_000, 10, 0, Effect.SAFE, Scope.ALL, 0, -1, 0)};
+        set.classes = new JobClass[] {new JobClass(200_000, 1, 5_000_000, 10, 0, Effect.SAFE, Scope.ALL, 0, -1, 0)};
         set.dispatchers = Math.max(2, servers / 8);
         set.me = me;
         set.mayTell = true;
--- a/src/main/java/barrowshore/budget/ColdTurns.java
+++ b/src/main/java/barrowshore/budget/ColdTurns.java
@@ -51,7 +51,7 @@
         }
     }
 
-    private record Sent(long at, double size) { }
+    private record Sent(long at, double size) {}
 
     private final List<Sent> sent = new ArrayList<>(0);
 
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -6,10 +6,10 @@
 import barrowshore.emulate.Scenario;
 import barrowshore.files.FileMac;
 import barrowshore.files.ServersFile;
-import barrowshore.list.Guard;
-import barrowshore.list.HandList;
 import barrowshore.fleet.Fleet;
 import barrowshore.fleet.FleetScenario;
+import barrowshore.list.Guard;
+import barrowshore.list.HandList;
 import barrowshore.node.Node;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
@@ -72,7 +72,9 @@
         public void run() throws Exception {
             if (with > 0) {
                 // Whoever started it for a while may be killed: nobody else would end it then.
-                ProcessHandle.of(with).orElseThrow(() -> new ConfigException("--with: there is no process " + with)).onExit()
+                ProcessHandle.of(with)
+                        .orElseThrow(() -> new ConfigException("--with: there is no process " + with))
+                        .onExit()
                         .thenRun(() -> Runtime.getRuntime().halt(1));
             }
             Node.serve(files(config, operator));
@@ -109,7 +111,9 @@
             }
             Setup setup = files(config, operator).read();
             System.out.println(setup.config().summary()
-                    + (operator == null ? "" : "\n" + operator + ": " + setup.operator().summary()));
+                    + (operator == null
+                            ? ""
+                            : "\n" + operator + ": " + setup.operator().summary()));
         }
     }
 
@@ -122,14 +126,18 @@
         @Override
         public void run() throws IOException {
             Operator read = operator == null ? Operator.NONE : Operator.read(operator);
-            new WireHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out),
-                    (zones, settings) -> settings.halls = read.halls() == null ? null
-                            : read.halls().rules(zones, settings.zone)).run();
+            new WireHost(
+                            new FileInputStream(FileDescriptor.in),
+                            new FileOutputStream(FileDescriptor.out),
+                            (zones, settings) -> settings.halls =
+                                    read.halls() == null ? null : read.halls().rules(zones, settings.zone))
+                    .run();
         }
     }
 
     /** A fleet of real processes with faults between them. */
-    @About("Starts a fleet of real schedulers before stand-in workers, with load and faults, and checks what must hold.")
+    @About(
+            "Starts a fleet of real schedulers before stand-in workers, with load and faults, and checks what must hold.")
     public static final class RunFleet implements Command {
         @Argument(index = 0, required = true, metaVar = "SCENARIO", usage = "the fleet's XML file")
         Path scenario;
@@ -137,7 +145,10 @@
         @Option(name = "--folder", metaVar = "DIR", usage = "for logs, events and figures (default: a new one)")
         Path folder;
 
-        @Option(name = "--deploy", metaVar = "FILE", usage = "whose run line has the JVM's options (default: none are set)")
+        @Option(
+                name = "--deploy",
+                metaVar = "FILE",
+                usage = "whose run line has the JVM's options (default: none are set)")
         Path deploy;
 
         @Override
@@ -175,10 +186,16 @@
         @Argument(index = 2, metaVar = "FILE", usage = "for diff: the one that would follow")
         Path other;
 
-        @Option(name = "--most-lost", metaVar = "SHARE", usage = "the share of capacity that may go at once (default 0.5)")
+        @Option(
+                name = "--most-lost",
+                metaVar = "SHARE",
+                usage = "the share of capacity that may go at once (default 0.5)")
         double mostLost = 0.5;
 
-        @Option(name = "--keys", metaVar = "DIR", usage = "the directory of keys, ID.key each: check verifies, sign signs")
+        @Option(
+                name = "--keys",
+                metaVar = "DIR",
+                usage = "the directory of keys, ID.key each: check verifies, sign signs")
         Path keys;
 
         @Option(name = "--key", metaVar = "ID", usage = "for sign: a key's id; may be given twice")
@@ -222,14 +239,22 @@
         @Argument(index = 0, metaVar = "SCENARIO", usage = "the scenario's XML file")
         Path scenario;
 
-        @Option(name = "--deployments", metaVar = "COUNT", forbids = {"--operator", "--json", "--compare", "--seeds"},
-                usage = "in place of a scenario: so many deployments drawn by seeds, a day on each; where it loses, worst first")
+        @Option(
+                name = "--deployments",
+                metaVar = "COUNT",
+                forbids = {"--operator", "--json", "--compare", "--seeds"},
+                usage =
+                        "in place of a scenario: so many deployments drawn by seeds, a day on each; where it loses, worst first")
         int deployments;
 
         @Option(name = "--rivals", depends = "--deployments", usage = "and the same days by textbook policies")
         boolean rivals;
 
-        @Option(name = "--csv", metaVar = "FILE", depends = "--deployments", usage = "writes every deployment's figures")
+        @Option(
+                name = "--csv",
+                metaVar = "FILE",
+                depends = "--deployments",
+                usage = "writes every deployment's figures")
         Path csv;
 
         @Option(name = "--seed", metaVar = "N", usage = "the first seed (default 1)")
@@ -256,8 +281,14 @@
                 Matrix.run(System.out, deployments, seed, rivals, csv);
                 return;
             }
-            Rehearsal.run(System.out, Scenario.read(scenario), operator == null ? Operator.NONE : Operator.read(operator),
-                    seed, seeds, compare, json);
+            Rehearsal.run(
+                    System.out,
+                    Scenario.read(scenario),
+                    operator == null ? Operator.NONE : Operator.read(operator),
+                    seed,
+                    seeds,
+                    compare,
+                    json);
         }
     }
 
@@ -271,14 +302,18 @@
         }
     }
 
-    @Argument(index = 0, required = true, metaVar = "COMMAND",
-            usage = "what to do", handler = SubCommandHandler.class)
+    @Argument(index = 0, required = true, metaVar = "COMMAND", usage = "what to do", handler = SubCommandHandler.class)
     @SubCommands({
-        @SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "check", impl = Check.class),
+        @SubCommand(name = "serve", impl = Serve.class),
+        @SubCommand(name = "check", impl = Check.class),
         @SubCommand(name = "drill", impl = Drill.class),
         @SubCommand(name = "servers", impl = Servers.class),
-        @SubCommand(name = "demo", impl = Show.class), @SubCommand(name = "fleet", impl = RunFleet.class), @SubCommand(name = "emulate", impl = Emulate.class),
-        @SubCommand(name = "rehearse", impl = Rehearse.class), @SubCommand(name = "version", impl = Version.class)})
+        @SubCommand(name = "demo", impl = Show.class),
+        @SubCommand(name = "fleet", impl = RunFleet.class),
+        @SubCommand(name = "emulate", impl = Emulate.class),
+        @SubCommand(name = "rehearse", impl = Rehearse.class),
+        @SubCommand(name = "version", impl = Version.class)
+    })
     Command command;
 
     private static SetupFiles files(Path file, Path operator) {
@@ -299,7 +334,10 @@
 
     /** What a command is for, and its options: of the one that the words begin with, or of all. */
     private static int help(List<String> args) throws ReflectiveOperationException {
-        SubCommand[] all = Main.class.getDeclaredField("command").getAnnotation(SubCommands.class).value();
+        SubCommand[] all = Main.class
+                .getDeclaredField("command")
+                .getAnnotation(SubCommands.class)
+                .value();
         for (SubCommand one : all) {
             if (!args.isEmpty() && one.name().equals(args.get(0))) {
                 System.out.println("usage: barrowshore " + one.name() + " [options]\n"
@@ -314,7 +352,9 @@
         }
         System.out.println("usage: barrowshore COMMAND [options]; barrowshore COMMAND --help says more");
         for (SubCommand one : all) {
-            System.out.printf("  %-10s %s%n", one.name(), one.impl().getAnnotation(About.class).value());
+            System.out.printf(
+                    "  %-10s %s%n",
+                    one.name(), one.impl().getAnnotation(About.class).value());
         }
         return 0;
     }
@@ -327,7 +367,9 @@
     static int run(String... args) throws Exception {
         if (args.length == 0 || Arrays.asList(args).contains("--help") || args[0].equals("help")) {
             List<String> words = Arrays.asList(args);
-            return args.length == 0 ? usage() : help(words.get(0).equals("help") ? words.subList(1, words.size()) : words);
+            return args.length == 0
+                    ? usage()
+                    : help(words.get(0).equals("help") ? words.subList(1, words.size()) : words);
         }
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -1,13 +1,13 @@
 package barrowshore.client;
 
-import barrowshore.module.DispatchApi;
 import barrowshore.config.Config;
 import barrowshore.duty.Standing;
-import barrowshore.request.JobRequest;
+import barrowshore.module.DispatchApi;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
 import barrowshore.net.HttpLink;
 import barrowshore.net.Mailbox;
+import barrowshore.request.JobRequest;
 import barrowshore.wire.SettingsReader;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -65,20 +65,24 @@
     private static final long GRACE = 600;
     /** Slots and hints above this are no job's. */
     private static final double MOST_SLOTS = 64;
+
     private static final double MOST_HINT = 1e9;
     /** The longest time that a client may wait, in milliseconds. */
     private static final long LONGEST_WAIT = 3_600_000;
+
     private static final Pattern ID = Pattern.compile("[0-9A-Za-z._-]{1,64}");
     private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,9}");
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,10}(\\.[0-9]{1,9})?");
     /** What goes on to the server as it is: nothing that another reader might take for the end of a line. */
     private static final Pattern KEY = Pattern.compile("[!-~]([ -~]*[!-~])?");
+
     private static final Pattern TARGET = Pattern.compile("/[A-Za-z0-9._~:/?\\[\\]@!$&'()*+,;=%-]{0,4095}");
     /** What decides of a request; said twice, it says nothing. */
-    private static final List<String> ONCE = List.of("X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout-Ms",
-            "X-Attrs", "Idempotency-Key");
+    private static final List<String> ONCE =
+            List.of("X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout-Ms", "X-Attrs", "Idempotency-Key");
     /** Bytes of request bodies held at once, over all connections: a quarter of the heap. */
     private static final int MOST_BYTES = 14 << 20;
+
     private static final byte[] NOTHING = new byte[0];
 
     private final Clock clock;
@@ -88,6 +92,7 @@
     private final Semaphore bytes = new Semaphore(MOST_BYTES);
     /** What jobs may be; replaced whole. */
     private volatile Terms terms;
+
     private int most;
     private final Mailbox mailbox;
     private final Set<ClientLink> links = new HashSet<>();
@@ -96,6 +101,7 @@
      * first, whatever it asked for meanwhile; idle, oldest first.
      */
     private final Set<ClientLink> ending = new LinkedHashSet<>();
+
     private final Set<ClientLink> waiting = new TreeSet<>(Comparator.comparingLong(link -> link.number));
     private final Set<ClientLink> idle = new LinkedHashSet<>();
     private final Supplier<Standing> standing;
@@ -105,7 +111,14 @@
     /** Connections so far. */
     private long admitted;
 
-    public ClientSide(Config config, Clock clock, Executor pool, Scheduler timers, JobRequest.Desk desk, Supplier<Standing> standing, int most) {
+    public ClientSide(
+            Config config,
+            Clock clock,
+            Executor pool,
+            Scheduler timers,
+            JobRequest.Desk desk,
+            Supplier<Standing> standing,
+            int most) {
         this.clock = clock;
         this.pool = pool;
         this.timers = timers;
@@ -154,7 +167,7 @@
     public void most(int now) {
         mailbox.post(() -> {
             most = now;
-            for (int over = links.size() - most; over > 0 && makeRoom(); over--) { }
+            for (int over = links.size() - most; over > 0 && makeRoom(); over--) {}
         });
     }
 
@@ -242,6 +255,7 @@
         private ByteArrayOutputStream body;
         /** The HTTP request's head as a job request, still without its body; null: it asks whether we are ready. */
         private JobRequest head;
+
         private boolean busy;
         /** Whether a job has been answered here: a usual client's connection, as far as we can tell. */
         private boolean known;
@@ -249,15 +263,19 @@
         private boolean dribbling;
         /** Whether an answer is being written; whether that was the last and the peer is let read it. */
         private boolean answering;
+
         private boolean lingering;
         /** Whether a 100 is being written, and the answer that waits for it: a client may leave even that unread. */
         private boolean inviting;
+
         private Runnable behindInvitation;
         /** Whether it came when there was no room. */
         private boolean shedding;
+
         private boolean last;
         /** Its place among those that have come; the client side's. */
         private long number;
+
         private long cappedFrom = Long.MAX_VALUE;
         private long cap = Long.MAX_VALUE;
         private long firstByteAt;
@@ -302,18 +320,18 @@
         private void closeIfIdle(boolean evicted) {
             mailbox.post(() -> {
                 if (!busy) {
-                    read();   // what is in the socket may be a whole request
+                    read(); // what is in the socket may be a whole request
                 }
                 if (isClosed()) {
                     return;
                 }
                 if (lingering) {
                     if (evicted) {
-                        shut();   // else its own limit ends it: the last answer may still be on its way
+                        shut(); // else its own limit ends it: the last answer may still be on its way
                     }
                 } else if (!busy && parser.isStart()) {
                     if (evicted && !known) {
-                        shut();   // it has had nothing of us that could be lost, and room is needed now
+                        shut(); // it has had nothing of us that could be lost, and room is needed now
                     } else {
                         linger();
                     }
@@ -369,7 +387,7 @@
             if (!busy && !isClosed() && !dribbling && !parser.isStart()) {
                 dribbling = true;
                 if (known) {
-                    limit(WHOLE);   // else its time has run since the connection came up
+                    limit(WHOLE); // else its time has run since the connection came up
                 }
             }
         }
@@ -428,7 +446,9 @@
             }
             if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
                 inviting = true;
-                write(new MetaData.Response(100, null, HttpVersion.HTTP_1_1, HttpFields.EMPTY), NOTHING,
+                write(
+                        new MetaData.Response(100, null, HttpVersion.HTTP_1_1, HttpFields.EMPTY),
+                        NOTHING,
                         () -> mailbox.post(this::invited));
             }
             return false;
@@ -541,7 +561,7 @@
                 switch (pair.substring(0, eq).strip()) {
                     case "slots" -> slots = positive("X-Attrs slots", value, DECIMAL, MOST_SLOTS);
                     case "hint" -> hint = positive("X-Attrs hint", value, DECIMAL, MOST_HINT);
-                    default -> { }
+                    default -> {}
                 }
             }
             long deadline = firstByteAt + timeout - Math.min(MARGIN, timeout / 4);
@@ -552,20 +572,31 @@
             if (key != null && !KEY.matcher(key).matches()) {
                 throw new BadRequest(400, "Idempotency-Key is not plain text");
             }
-            return new JobRequest(id, jobClass, tenant, slots, hint,
+            return new JobRequest(
+                    id,
+                    jobClass,
+                    tenant,
+                    slots,
+                    hint,
                     firstByteAt >= cappedFrom ? Math.min(deadline, cap) : deadline,
                     switch (effect) {
                         case SAFE -> JobRequest.ALWAYS;
                         case KEYED -> terms.types()[jobClass].repeatWindow();
                         case UNSAFE -> 0;
-                    }, method, target, key, NOTHING);
+                    },
+                    method,
+                    target,
+                    key,
+                    NOTHING);
         }
 
         /** The client's guess at the work, in microseconds; one that cannot be read is none: the job is whole without. */
         private double cost() {
             List<String> told = fields.getValuesList("X-Cost");
-            double value = told.size() == 1 && DECIMAL.matcher(told.get(0).strip()).matches()
-                    ? Double.parseDouble(told.get(0).strip()) : 0;
+            double value =
+                    told.size() == 1 && DECIMAL.matcher(told.get(0).strip()).matches()
+                            ? Double.parseDouble(told.get(0).strip())
+                            : 0;
             return value <= MOST_HINT ? value : 0;
         }
 
@@ -592,7 +623,9 @@
             request = null;
             known |= !(answer instanceof JobRequest.IdInUse);
             if (answer instanceof JobRequest.Served served) {
-                respond(200, HttpFields.build().add(HttpHeader.CONTENT_TYPE, "application/octet-stream"),
+                respond(
+                        200,
+                        HttpFields.build().add(HttpHeader.CONTENT_TYPE, "application/octet-stream"),
                         served.result());
             } else if (answer instanceof JobRequest.Rejection down) {
                 HttpFields.Mutable extra = HttpFields.build();
@@ -641,7 +674,9 @@
             }
             answering = true;
             limit(UNREAD);
-            write(new MetaData.Response(status, null, HttpVersion.HTTP_1_1, extra, content.length), content,
+            write(
+                    new MetaData.Response(status, null, HttpVersion.HTTP_1_1, extra, content.length),
+                    content,
                     () -> mailbox.post(this::answered));
         }
 
--- a/src/main/java/barrowshore/config/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -1,8 +1,8 @@
 package barrowshore.config;
 
+import barrowshore.list.ServerList;
 import barrowshore.module.DispatchApi.JobClass;
 import barrowshore.module.DispatchApi.Settings;
-import barrowshore.list.ServerList;
 import barrowshore.wire.Json;
 import barrowshore.wire.SettingsReader;
 import java.io.IOException;
@@ -23,20 +23,41 @@
  * else: each field is checked here, once, and a wrong one gets a {@link ConfigException} that names it. It must never
  * guess a value that is required, and never open a socket.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress ops, int sockets, Settings settings,
-                     long keepAlive, long grace, List<String> classes, List<String> tenants, ServerList.Names names,
-                     ServerList.Update known, Peering peers, Set<String> served, Map<String, Object> fixed,
-                     Map<?, ?> raw) {
+public record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        InetSocketAddress ops,
+        int sockets,
+        Settings settings,
+        long keepAlive,
+        long grace,
+        List<String> classes,
+        List<String> tenants,
+        ServerList.Names names,
+        ServerList.Update known,
+        Peering peers,
+        Set<String> served,
+        Map<String, Object> fixed,
+        Map<?, ?> raw) {
     /* grace: microseconds after which nothing new may go to a server that leaves. */
 
     /** Where we are heard, the peers by their numbers, ours, and the address that reaches them all and us. */
-    public record Peering(InetSocketAddress listen, List<InetSocketAddress> peers, int me, InetSocketAddress all) { }
+    public record Peering(InetSocketAddress listen, List<InetSocketAddress> peers, int me, InetSocketAddress all) {}
 
     /** The fields that a running scheduler takes over, and those that matter only to a fresh one. */
     private static final Set<String> LIVE = Set.of("discovery", "known", "seed", "settings");
     /** The settings that it does not take over: what the rest is numbered and built by. */
-    private static final List<String> BUILT_ON = List.of("groupSize", "me", "zone", "zones", "kinds", "tick", "tier",
-            "policyLimits.dialTimeout", "policyLimits.keepalive");
+    private static final List<String> BUILT_ON = List.of(
+            "groupSize",
+            "me",
+            "zone",
+            "zones",
+            "kinds",
+            "tick",
+            "tier",
+            "policyLimits.dialTimeout",
+            "policyLimits.keepalive");
     /** Names of classes that one life of a process knows at most. */
     private static final int MOST_CLASSES = 1000;
 
@@ -45,8 +66,25 @@
      * be another one's too. Null or empty: there is none.
      */
     public Config withOps(String text) {
-        return text == null || text.isEmpty() ? this : new Config(name, listen, discovery, address(text, "GW_OPS"), sockets,
-                settings, keepAlive, grace, classes, tenants, names, known, peers, served, fixed, raw);
+        return text == null || text.isEmpty()
+                ? this
+                : new Config(
+                        name,
+                        listen,
+                        discovery,
+                        address(text, "GW_OPS"),
+                        sockets,
+                        settings,
+                        keepAlive,
+                        grace,
+                        classes,
+                        tenants,
+                        names,
+                        known,
+                        peers,
+                        served,
+                        fixed,
+                        raw);
     }
 
     /** The text of a configuration's file. */
@@ -63,7 +101,8 @@
             }
             return text;
         } catch (IOException e) {
-            throw new ConfigException("configuration " + file + " cannot be read: " + e.getClass().getSimpleName());
+            throw new ConfigException(
+                    "configuration " + file + " cannot be read: " + e.getClass().getSimpleName());
         }
     }
 
@@ -101,8 +140,23 @@
         merged.take(settings);
         merged.halls = settings.halls;
         merged.classes = types.toArray(JobClass[]::new);
-        return new Config(former.name, former.listen, discovery, former.ops, former.sockets, merged, former.keepAlive, grace,
-                List.copyOf(numbered), tenants, former.names, known, former.peers, Set.copyOf(classes), former.fixed, raw);
+        return new Config(
+                former.name,
+                former.listen,
+                discovery,
+                former.ops,
+                former.sockets,
+                merged,
+                former.keepAlive,
+                grace,
+                List.copyOf(numbered),
+                tenants,
+                former.names,
+                known,
+                former.peers,
+                Set.copyOf(classes),
+                former.fixed,
+                raw);
     }
 
     /** How often a file is read again that changes meanwhile. */
@@ -163,10 +217,23 @@
         root.forEach((field, value) -> fixed.put(String.valueOf(field), value));
         fixed.keySet().removeAll(LIVE);
         BUILT_ON.forEach(key -> fixed.put("settings." + key, reader.text(key)));
-        return new Config(text(root, "name"), address(text(root, "listen"), "listen"),
+        return new Config(
+                text(root, "name"),
+                address(text(root, "listen"), "listen"),
                 address(text(root, "discovery"), "discovery"),
-                root.get("ops") == null ? null : address(text(root, "ops"), "ops"), sockets, settings, keepAlive, grace, reader.names("lanes"),
-                reader.names("tenants"), names, known, peers(root, settings.me), Set.copyOf(reader.names("lanes")), fixed, root);
+                root.get("ops") == null ? null : address(text(root, "ops"), "ops"),
+                sockets,
+                settings,
+                keepAlive,
+                grace,
+                reader.names("lanes"),
+                reader.names("tenants"),
+                names,
+                known,
+                peers(root, settings.me),
+                Set.copyOf(reader.names("lanes")),
+                fixed,
+                root);
     }
 
     /** The fields that differ from another configuration's and are taken over only at a start. */
@@ -202,8 +269,13 @@
         if (!(root.get("peers") instanceof List<?> list)) {
             throw new ConfigException("peers is missing or not a list");
         }
-        List<InetSocketAddress> peers = list.stream().map(peer -> address(String.valueOf(peer), "peers")).toList();
-        return new Peering(address(text(root, "peer_listen"), "peer_listen"), peers, me,
+        List<InetSocketAddress> peers = list.stream()
+                .map(peer -> address(String.valueOf(peer), "peers"))
+                .toList();
+        return new Peering(
+                address(text(root, "peer_listen"), "peer_listen"),
+                peers,
+                me,
                 address(text(root, "peers_all"), "peers_all"));
     }
 
--- a/src/main/java/barrowshore/config/Shape.java
+++ b/src/main/java/barrowshore/config/Shape.java
@@ -9,7 +9,7 @@
  * the one in use has. It owns no meaning, and must never object to what is new.
  */
 final class Shape {
-    private Shape() { }
+    private Shape() {}
 
     /** The first key that the later one lacks or has in another form, with what is wrong; null: none. */
     static String lost(String path, Object now, Object next) {
@@ -22,17 +22,23 @@
         if (now instanceof List<?> list) {
             return next instanceof List<?> other ? lost(path, list, other) : path + " is not a list";
         }
-        if (now instanceof Number && !(next instanceof Number) || now instanceof Boolean && !(next instanceof Boolean)
+        if (now instanceof Number && !(next instanceof Number)
+                || now instanceof Boolean && !(next instanceof Boolean)
                 || now instanceof String && !(next instanceof String)) {
-            return path + " is not a " + (now instanceof Number ? "number" : now instanceof Boolean ? "truth value" : "text");
+            return path + " is not a "
+                    + (now instanceof Number ? "number" : now instanceof Boolean ? "truth value" : "text");
         }
         return null;
     }
 
     private static String lost(String path, Map<?, ?> now, Map<?, ?> next) {
         for (Map.Entry<?, ?> each : now.entrySet()) {
-            String lost = each.getValue() == null ? null
-                    : lost(path.isEmpty() ? "" + each.getKey() : path + "." + each.getKey(), each.getValue(), next.get(each.getKey()));
+            String lost = each.getValue() == null
+                    ? null
+                    : lost(
+                            path.isEmpty() ? "" + each.getKey() : path + "." + each.getKey(),
+                            each.getValue(),
+                            next.get(each.getKey()));
             if (lost != null) {
                 return lost;
             }
--- a/src/main/java/barrowshore/config/XmlFile.java
+++ b/src/main/java/barrowshore/config/XmlFile.java
@@ -34,9 +34,10 @@
 public final class XmlFile {
     /** The largest file read. */
     public static final int MOST_BYTES = 1 << 20;
+
     private static final String DISALLOW = "http://apache.org/xml/features/disallow-doctype-decl";
 
-    private XmlFile() { }
+    private XmlFile() {}
 
     /** One element, with the schema's defaults among its attributes. */
     public record Element(String name, Map<String, String> attributes, List<Element> children, int line, int column) {
@@ -61,11 +62,12 @@
                 digits++;
             }
             long number = Long.parseLong(text.substring(0, digits));
-            return number * switch (text.substring(digits)) {
-                case "ms" -> 1_000L;
-                case "s" -> 1_000_000L;
-                default -> 60_000_000L;
-            };
+            return number
+                    * switch (text.substring(digits)) {
+                        case "ms" -> 1_000L;
+                        case "s" -> 1_000_000L;
+                        default -> 60_000_000L;
+                    };
         }
 
         /** The children of a name. */
@@ -75,7 +77,10 @@
 
         /** The first child of a name; null if there is none. */
         public Element one(String child) {
-            return children.stream().filter(e -> e.name.equals(child)).findFirst().orElse(null);
+            return children.stream()
+                    .filter(e -> e.name.equals(child))
+                    .findFirst()
+                    .orElse(null);
         }
 
         /** What is wrong with this element. */
@@ -153,7 +158,10 @@
         String[] lines = new String(bytes, StandardCharsets.UTF_8).split("\n", -1);
         StringBuilder before = new StringBuilder();
         for (int k = Math.max(0, line - 20); k < Math.min(line, lines.length); k++) {
-            before.append(k < line - 1 ? lines[k] : lines[k].substring(0, Math.max(0, Math.min(column - 1, lines[k].length()))))
+            before.append(
+                            k < line - 1
+                                    ? lines[k]
+                                    : lines[k].substring(0, Math.max(0, Math.min(column - 1, lines[k].length()))))
                     .append(' ');
         }
         int tag = before.lastIndexOf("<");
@@ -163,8 +171,11 @@
 
     /** The parser's own message without its code; the code is of use to nobody who edits a file. */
     private static String oneLine(String message) {
-        return String.valueOf(message).replaceFirst("^[A-Za-z0-9.-]+: ", "").replaceAll("\\s+", " ")
-                .replaceAll("\"urn:barrowshore:[a-z:0-9]*\":", "").replaceAll("'\\{([A-Za-z-]+)}'", "$1");
+        return String.valueOf(message)
+                .replaceFirst("^[A-Za-z0-9.-]+: ", "")
+                .replaceAll("\\s+", " ")
+                .replaceAll("\"urn:barrowshore:[a-z:0-9]*\":", "")
+                .replaceAll("'\\{([A-Za-z-]+)}'", "$1");
     }
 
     /** Collects the elements; anything that the schema or the parser does not like ends the reading. */
@@ -189,8 +200,8 @@
             for (int k = 0; k < given.getLength(); k++) {
                 attributes.put(given.getLocalName(k), given.getValue(k).strip());
             }
-            Element element = new Element(local, attributes, new ArrayList<>(), locator.getLineNumber(),
-                    locator.getColumnNumber());
+            Element element = new Element(
+                    local, attributes, new ArrayList<>(), locator.getLineNumber(), locator.getColumnNumber());
             if (open.isEmpty()) {
                 root = element;
             } else {
--- a/src/main/java/barrowshore/duty/Figures.java
+++ b/src/main/java/barrowshore/duty/Figures.java
@@ -6,10 +6,17 @@
  * What a scheduler reports of itself, at one moment, as a whole; its names are those that the operators' tools read. A
  * value: whoever counts makes a new one, and it must never change once it is handed out.
  */
-public record Figures(boolean ready, List<OfClass> classes, long tries, int inProgress, int known, int skipped, long loads,
-                      long loadErrors) {
+public record Figures(
+        boolean ready,
+        List<OfClass> classes,
+        long tries,
+        int inProgress,
+        int known,
+        int skipped,
+        long loads,
+        long loadErrors) {
     /** Final answers to jobs of one class since the start. */
-    public record OfClass(String name, long passed, long dropped, long badGateway) { }
+    public record OfClass(String name, long passed, long dropped, long badGateway) {}
 
     public static final Figures NONE = new Figures(false, List.of(), 0, 0, 0, 0, 0, 0);
 
--- a/src/main/java/barrowshore/duty/Standing.java
+++ b/src/main/java/barrowshore/duty/Standing.java
@@ -8,7 +8,11 @@
  */
 public record Standing(Phase phase, boolean away, boolean lettingGo, int turn) {
     /** What it is there for now. */
-    public enum Phase { SERVING, AWAY, ENDING }
+    public enum Phase {
+        SERVING,
+        AWAY,
+        ENDING
+    }
 
     public static final Standing SERVING = new Standing(Phase.SERVING, false, false, 0);
 
--- a/src/main/java/barrowshore/duty/Tally.java
+++ b/src/main/java/barrowshore/duty/Tally.java
@@ -9,7 +9,11 @@
  */
 public final class Tally {
     /** How a job ended, as operators count it. */
-    public enum End { PASSED, DROPPED, BAD_GATEWAY }
+    public enum End {
+        PASSED,
+        DROPPED,
+        BAD_GATEWAY
+    }
 
     private final List<String> names = new ArrayList<>();
     private final List<long[]> ends = new ArrayList<>();
--- a/src/main/java/barrowshore/emulate/Emulator.java
+++ b/src/main/java/barrowshore/emulate/Emulator.java
@@ -11,7 +11,7 @@
     /** Pure figures, the same for all: worked out once for each thread that plays. */
     private static final ThreadLocal<IndexTables> TABLES = ThreadLocal.withInitial(IndexTables::new);
 
-    private Emulator() { }
+    private Emulator() {}
 
     /** Plays a scenario at the first site with the operators' settings. */
     public static Report play(Scenario scenario, Operator operator, long seed) {
--- a/src/main/java/barrowshore/emulate/Evenness.java
+++ b/src/main/java/barrowshore/emulate/Evenness.java
@@ -14,10 +14,11 @@
 final class Evenness {
     /** The short window, in microseconds, and how many of them a long one holds. */
     static final long SHORT = 100_000;
+
     private static final int LONG = 10;
 
     /** What a node has for work at a look: capacity in cores at speed 1 (0: none), free slots, slots of work that waits. */
-    record Look(double capacity, double free, double waiting) { }
+    record Look(double capacity, double free, double waiting) {}
 
     /** Spreads over the windows of one length: sums of the coefficient of variation and of the most against the mean. */
     private static final class Windows {
@@ -58,6 +59,7 @@
     private final List<BitSet> senders = new ArrayList<>();
     /** For what chance would give; its own source, so that counting changes nothing. */
     private final SplittableRandom chance = new SplittableRandom(1);
+
     private double[] offered = new double[0], offeredLong = new double[0];
     private int looks, sends;
     private double wasted, slots;
--- a/src/main/java/barrowshore/emulate/Kernel.java
+++ b/src/main/java/barrowshore/emulate/Kernel.java
@@ -8,10 +8,10 @@
  * give the same run. It owns the clock and what is still to come; it must never look at the real time.
  */
 final class Kernel implements Timeline {
-    private record Event(long at, long order, Runnable run) { }
+    private record Event(long at, long order, Runnable run) {}
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
-            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private long now;
     private long order;
 
--- a/src/main/java/barrowshore/emulate/Matrix.java
+++ b/src/main/java/barrowshore/emulate/Matrix.java
@@ -25,6 +25,7 @@
 public final class Matrix {
     /** How many deployments are printed by default, and how far behind a rival counts as lost. */
     private static final int SHOWN = 20;
+
     private static final double MISSED = 0.03;
 
     /** One deployment: what each made of its day; score 0 where a rule was broken. */
@@ -35,8 +36,11 @@
 
         /** The best that does not see true state. */
         Rival.Rule best() {
-            return rivals.entrySet().stream().filter(e -> e.getKey() != Rival.Rule.TRUE_STATE)
-                    .max(Map.Entry.comparingByValue()).orElseThrow().getKey();
+            return rivals.entrySet().stream()
+                    .filter(e -> e.getKey() != Rival.Rule.TRUE_STATE)
+                    .max(Map.Entry.comparingByValue())
+                    .orElseThrow()
+                    .getKey();
         }
 
         double lead() {
@@ -44,7 +48,7 @@
         }
     }
 
-    private Matrix() { }
+    private Matrix() {}
 
     /** Plays so many deployments from a seed on; csv null: nothing is written. */
     public static void run(PrintStream out, int count, long seed, boolean rivals, Path csv) throws IOException {
@@ -55,7 +59,7 @@
         print(out, rows, rivals);
         if (count == 1) {
             out.println();
-            out.print(rows.get(0).module.table());   // one alone is looked at closely
+            out.print(rows.get(0).module.table()); // one alone is looked at closely
         }
         if (csv != null) {
             write(csv, rows);
@@ -63,7 +67,10 @@
     }
 
     static List<Row> play(int count, long seed, boolean rivals) {
-        return LongStream.range(seed, seed + count).parallel().mapToObj(s -> play(s, rivals)).toList();
+        return LongStream.range(seed, seed + count)
+                .parallel()
+                .mapToObj(s -> play(s, rivals))
+                .toList();
     }
 
     private static Row play(long seed, boolean rivals) {
@@ -71,41 +78,73 @@
         Report module = new World(drawn.day(), drawn.deployment(), Operator.NONE, seed, Emulator::module).play();
         Map<Rival.Rule, Double> scores = new EnumMap<>(Rival.Rule.class);
         for (Rival.Rule rule : rivals ? Rival.Rule.values() : new Rival.Rule[0]) {
-            Report r = new World(drawn.day(), drawn.deployment(), Operator.NONE, seed, rival(rule, drawn.deployment())).play();
+            Report r = new World(drawn.day(), drawn.deployment(), Operator.NONE, seed, rival(rule, drawn.deployment()))
+                    .play();
             scores.put(rule, r.broken() > 0 ? 0 : r.priced());
         }
         return new Row(seed, drawn, module, scores);
     }
 
     private static World.Modules rival(Rival.Rule rule, Deployment deployment) {
-        double meanWork = deployment.classes().stream().mapToDouble(k -> k.share() * k.work()).sum();
-        return (settings, actions, truth) -> new Rival(rule, settings, actions,
-                new SplittableRandom(settings.seed)::nextDouble, (worker, slots) ->
-                truth.startsIn(worker, slots) + meanWork / truth.pace(worker, slots));
+        double meanWork = deployment.classes().stream()
+                .mapToDouble(k -> k.share() * k.work())
+                .sum();
+        return (settings, actions, truth) -> new Rival(
+                rule,
+                settings,
+                actions,
+                new SplittableRandom(settings.seed)::nextDouble,
+                (worker, slots) -> truth.startsIn(worker, slots) + meanWork / truth.pace(worker, slots));
     }
 
     private static void print(PrintStream out, List<Row> rows, boolean rivals) {
         int broken = (int) rows.stream().filter(r -> r.module.broken() > 0).count();
         double mean = rows.stream().mapToDouble(Row::score).average().orElse(0);
-        out.printf(Locale.ROOT, "%d deployments from seed %d: worth served less deductions %.3f on average; rules broken on %d%n",
-                rows.size(), rows.get(0).seed, mean, broken);
+        out.printf(
+                Locale.ROOT,
+                "%d deployments from seed %d: worth served less deductions %.3f on average; rules broken on %d%n",
+                rows.size(),
+                rows.get(0).seed,
+                mean,
+                broken);
         if (rivals) {
             long ahead = rows.stream().filter(r -> r.lead() >= 0).count();
             long missed = rows.stream().filter(r -> r.lead() < -MISSED).count();
-            out.printf(Locale.ROOT, "the best blind rival is beaten on %.1f%%, by %.3f on average; behind it by over %.2f on %d%n",
-                    100.0 * ahead / rows.size(), rows.stream().mapToDouble(Row::lead).average().orElse(0), MISSED, missed);
+            out.printf(
+                    Locale.ROOT,
+                    "the best blind rival is beaten on %.1f%%, by %.3f on average; behind it by over %.2f on %d%n",
+                    100.0 * ahead / rows.size(),
+                    rows.stream().mapToDouble(Row::lead).average().orElse(0),
+                    MISSED,
+                    missed);
             for (Rival.Rule rule : Rival.Rule.values()) {
-                out.printf(Locale.ROOT, "  %-20s %.3f%n", name(rule),
-                        rows.stream().mapToDouble(r -> r.rivals.get(rule)).average().orElse(0));
+                out.printf(
+                        Locale.ROOT,
+                        "  %-20s %.3f%n",
+                        name(rule),
+                        rows.stream()
+                                .mapToDouble(r -> r.rivals.get(rule))
+                                .average()
+                                .orElse(0));
             }
             features(out, rows);
         }
-        out.printf("%n%-6s %7s %7s %-20s %7s %s  %s%n", "seed", "module", "lead", rivals ? "against" : "", "sighted",
-                "rules", "what is on");
-        rows.stream().sorted(Comparator.comparingDouble(rivals ? Row::lead : Row::score)).limit(SHOWN).forEach(r -> out.printf(
-                Locale.ROOT, "%-6d %7.3f %7.3f %-20s %7.3f %s  %s%n", r.seed, r.score(), r.lead(),
-                rivals ? name(r.best()) : "", rivals ? r.rivals.get(Rival.Rule.TRUE_STATE) : 0,
-                r.module.rulesBroken(), what(r)));
+        out.printf(
+                "%n%-6s %7s %7s %-20s %7s %s  %s%n",
+                "seed", "module", "lead", rivals ? "against" : "", "sighted", "rules", "what is on");
+        rows.stream()
+                .sorted(Comparator.comparingDouble(rivals ? Row::lead : Row::score))
+                .limit(SHOWN)
+                .forEach(r -> out.printf(
+                        Locale.ROOT,
+                        "%-6d %7.3f %7.3f %-20s %7.3f %s  %s%n",
+                        r.seed,
+                        r.score(),
+                        r.lead(),
+                        rivals ? name(r.best()) : "",
+                        rivals ? r.rivals.get(Rival.Rule.TRUE_STATE) : 0,
+                        r.module.rulesBroken(),
+                        what(r)));
     }
 
     /** What the module's lead is where a feature is on: the feature that costs most comes first. */
@@ -113,15 +152,25 @@
         Map<String, List<Double>> leads = new TreeMap<>();
         for (Row r : rows) {
             for (String feature : r.drawn.deployment().features().split(", ")) {
-                leads.computeIfAbsent(feature.replaceAll("cross [0-9.]+ ms", "crossing"), f -> new ArrayList<>()).add(r.lead());
+                leads.computeIfAbsent(feature.replaceAll("cross [0-9.]+ ms", "crossing"), f -> new ArrayList<>())
+                        .add(r.lead());
             }
-            r.drawn.day().happenings().forEach(h -> leads.computeIfAbsent(h.what().name().toLowerCase(Locale.ROOT),
-                    f -> new ArrayList<>()).add(r.lead()));
+            r.drawn.day().happenings().forEach(h -> leads.computeIfAbsent(
+                            h.what().name().toLowerCase(Locale.ROOT), f -> new ArrayList<>())
+                    .add(r.lead()));
         }
         out.printf("%n%-28s %6s %10s %10s%n", "where this is on", "count", "mean lead", "behind");
-        leads.entrySet().stream().sorted(Comparator.comparingDouble(e -> mean(e.getValue()))).forEach(e -> out.printf(
-                Locale.ROOT, "%-28s %6d %10.3f %9.1f%%%n", e.getKey(), e.getValue().size(), mean(e.getValue()),
-                100.0 * e.getValue().stream().filter(lead -> lead < 0).count() / e.getValue().size()));
+        leads.entrySet().stream()
+                .sorted(Comparator.comparingDouble(e -> mean(e.getValue())))
+                .forEach(e -> out.printf(
+                        Locale.ROOT,
+                        "%-28s %6d %10.3f %9.1f%%%n",
+                        e.getKey(),
+                        e.getValue().size(),
+                        mean(e.getValue()),
+                        100.0
+                                * e.getValue().stream().filter(lead -> lead < 0).count()
+                                / e.getValue().size()));
     }
 
     private static double mean(List<Double> of) {
@@ -134,9 +183,16 @@
 
     private static String what(Row r) {
         Scenario day = r.drawn.day();
-        return String.format(Locale.ROOT, "%d zones, %d schedulers, %d nodes, load %.2f%s; %s", day.halls().size(),
-                day.schedulers(), day.halls().stream().mapToInt(Scenario.HallSpec::nodes).sum(), day.load(),
-                day.happenings().stream().map(h -> ", " + h.what().name().toLowerCase(Locale.ROOT)).reduce("", String::concat),
+        return String.format(
+                Locale.ROOT,
+                "%d zones, %d schedulers, %d nodes, load %.2f%s; %s",
+                day.halls().size(),
+                day.schedulers(),
+                day.halls().stream().mapToInt(Scenario.HallSpec::nodes).sum(),
+                day.load(),
+                day.happenings().stream()
+                        .map(h -> ", " + h.what().name().toLowerCase(Locale.ROOT))
+                        .reduce("", String::concat),
                 r.drawn.deployment().features());
     }
 
--- a/src/main/java/barrowshore/emulate/Rehearsal.java
+++ b/src/main/java/barrowshore/emulate/Rehearsal.java
@@ -21,11 +21,12 @@
  * played side by side, each in a world of its own, so their order does not show. It owns what is printed and written.
  */
 public final class Rehearsal {
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** Plays; json null: nothing is written. */
-    public static void run(PrintStream out, Scenario scenario, Operator operator, long seed, int seeds, boolean compare,
-                           Path json) throws IOException {
+    public static void run(
+            PrintStream out, Scenario scenario, Operator operator, long seed, int seeds, boolean compare, Path json)
+            throws IOException {
         if (seeds < 1) {
             throw new ConfigException("--seeds must be at least 1");
         }
@@ -73,13 +74,19 @@
 
     private static List<Report> play(Scenario scenario, Operator operator, long seed, int seeds) {
         Report[] reports = new Report[seeds];
-        LongStream.range(0, seeds).parallel().forEach(k ->
-                reports[(int) k] = Emulator.play(scenario, operator, seed + k));
+        LongStream.range(0, seeds)
+                .parallel()
+                .forEach(k -> reports[(int) k] = Emulator.play(scenario, operator, seed + k));
         return Arrays.asList(reports);
     }
 
-    private static void row(PrintStream out, String name, ToDoubleFunction<Report> figure, boolean most,
-                            List<Report> on, List<Report> off) {
+    private static void row(
+            PrintStream out,
+            String name,
+            ToDoubleFunction<Report> figure,
+            boolean most,
+            List<Report> on,
+            List<Report> off) {
         out.printf(Locale.ROOT, "%-34s %10.4f %10.4f", name, mean(on, figure), extreme(on, figure, most));
         if (!off.isEmpty()) {
             out.printf(Locale.ROOT, " %10.4f %10.4f", mean(off, figure), extreme(off, figure, most));
--- a/src/main/java/barrowshore/emulate/Report.java
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -17,7 +17,7 @@
     /** Answer times are kept to the hundredth, up to a minute. */
     private static final long MOST_MICROS = 60 * S;
 
-    private record Dark(int hall, long from, long to, double part) { }
+    private record Dark(int hall, long from, long to, double part) {}
 
     private final Scenario scenario;
     private final long seed;
@@ -67,7 +67,8 @@
         this.scenario = scenario;
         this.prices = deployment.prices();
         this.seed = seed;
-        this.classes = deployment.classes().stream().map(Deployment.ClassOf::name).toList();
+        this.classes =
+                deployment.classes().stream().map(Deployment.ClassOf::name).toList();
         seconds = (int) (scenario.length() / S) + 2;
         askedAt = new double[seconds];
         servedAt = new double[seconds];
@@ -154,7 +155,12 @@
             HallState was = h < from.size() ? from.get(h) : HallState.SERVING;
             if (was != to.get(h)) {
                 movesCounted++;
-                moves.add(String.format(Locale.ROOT, "%.1f s  scheduler %d: %s %s", at / 1e6, scheduler, names.get(h),
+                moves.add(String.format(
+                        Locale.ROOT,
+                        "%.1f s  scheduler %d: %s %s",
+                        at / 1e6,
+                        scheduler,
+                        names.get(h),
                         to.get(h).name().toLowerCase(Locale.ROOT)));
             }
         }
@@ -180,8 +186,7 @@
 
     /** The same less what the operators deduct: for requests that cross halls, and for work wasted. */
     double priced() {
-        return kept() - prices.crossing() * share(crossings, flows)
-                - prices.waste() * (work <= 0 ? 0 : wasted / work);
+        return kept() - prices.crossing() * share(crossings, flows) - prices.waste() * (work <= 0 ? 0 : wasted / work);
     }
 
     /** The share served of what was asked for from one second to another. */
@@ -331,30 +336,64 @@
     /** A table for people. */
     public String table() {
         StringBuilder out = new StringBuilder();
-        out.append(String.format(Locale.ROOT, "%s, seed %d: kept %.3f (%.3f less deductions), worst 10 s %.3f, refused %d, failed %d, sends %d"
-                + " (%d across halls), probes %d, messages %d%n", scenario.name(), seed, kept(), priced(), worst(), refused, failed,
-                sends, crossings, probes, messages));
+        out.append(String.format(
+                Locale.ROOT,
+                "%s, seed %d: kept %.3f (%.3f less deductions), worst 10 s %.3f, refused %d, failed %d, sends %d"
+                        + " (%d across halls), probes %d, messages %d%n",
+                scenario.name(),
+                seed,
+                kept(),
+                priced(),
+                worst(),
+                refused,
+                failed,
+                sends,
+                crossings,
+                probes,
+                messages));
         out.append(String.format("%-16s %8s %14s %14s%n", "hall", "diners", "most spilled", "of its slots"));
         for (int h = 0; h < scenario.halls().size(); h++) {
-            out.append(String.format(Locale.ROOT, "%-16s %8.3f %14.1f %14.2f%n", scenario.halls().get(h).name(),
-                    diners(h), mostSpilled[h], mostSpillShare[h]));
+            out.append(String.format(
+                    Locale.ROOT,
+                    "%-16s %8.3f %14.1f %14.2f%n",
+                    scenario.halls().get(h).name(),
+                    diners(h),
+                    mostSpilled[h],
+                    mostSpillShare[h]));
         }
-        out.append(String.format(Locale.ROOT, "even load: variation %.2f in 0.1 s, %.2f in 1 s, most %.2f times the mean in 1 s; free while"
-                + " others queue %.3f slots a node; crowding %.2f of chance's%n", even.variationShort(), even.variationLong(),
-                even.mostLong(), even.idleWhileOthersQueue(), even.crowd()));
+        out.append(String.format(
+                Locale.ROOT,
+                "even load: variation %.2f in 0.1 s, %.2f in 1 s, most %.2f times the mean in 1 s; free while"
+                        + " others queue %.3f slots a node; crowding %.2f of chance's%n",
+                even.variationShort(),
+                even.variationLong(),
+                even.mostLong(),
+                even.idleWhileOthersQueue(),
+                even.crowd()));
         out.append("by 5 s, worth served:");
         for (int from = 0; from < seconds; from += 5) {
             out.append(String.format(Locale.ROOT, " %.3f", share(servedAt, askedAt, from, from + 5)));
         }
         out.append(String.format("%n%-16s %8s %14s %14s%n", "class", "kept", "p50 ms", "p99 ms"));
         for (int c = 0; c < classes.size(); c++) {
-            out.append(String.format(Locale.ROOT, "%-16s %8.3f %14.0f %14.0f%n", classes.get(c),
-                    share(servedClass[c], askedClass[c]), times.get(c).getValueAtPercentile(50) / 1e3,
+            out.append(String.format(
+                    Locale.ROOT,
+                    "%-16s %8.3f %14.0f %14.0f%n",
+                    classes.get(c),
+                    share(servedClass[c], askedClass[c]),
+                    times.get(c).getValueAtPercentile(50) / 1e3,
                     times.get(c).getValueAtPercentile(99) / 1e3));
         }
-        out.append(String.format(Locale.ROOT, "rules: ran twice %d, no answer in time %d, fallen over %d, cold budget used"
-                + " %.2f; to a dark hall after 2 s %.4f; longest message %d bytes%n", twice, silent, fallen, coldUse,
-                toDark(), longestMessage));
+        out.append(String.format(
+                Locale.ROOT,
+                "rules: ran twice %d, no answer in time %d, fallen over %d, cold budget used"
+                        + " %.2f; to a dark hall after 2 s %.4f; longest message %d bytes%n",
+                twice,
+                silent,
+                fallen,
+                coldUse,
+                toDark(),
+                longestMessage));
         moves.forEach(line -> out.append("  ").append(line).append(System.lineSeparator()));
         return out.toString();
     }
--- a/src/main/java/barrowshore/emulate/Scenario.java
+++ b/src/main/java/barrowshore/emulate/Scenario.java
@@ -11,21 +11,49 @@
  * What is emulated: halls with their nodes, schedulers and clients, and what happens to them when. It owns the reading
  * of the scenario's file; times are microseconds from the start.
  */
-public record Scenario(String name, long length, double load, int cores, int retries, double loss, double leaving,
-                       boolean probes,
-                       List<HallSpec> halls, List<Happening> happenings) {
+public record Scenario(
+        String name,
+        long length,
+        double load,
+        int cores,
+        int retries,
+        double loss,
+        double leaving,
+        boolean probes,
+        List<HallSpec> halls,
+        List<Happening> happenings) {
     /** clients: the share of all clients that belong to the hall. */
-    public record HallSpec(String name, int nodes, int schedulers, double clients) { }
+    public record HallSpec(String name, int nodes, int schedulers, double clients) {}
 
     /** What a thing is that happens. */
-    public enum What { VANISH, CRASH, RENEW, CUT, DRAIN, UNLIST, HANG, SLOW, BURST, RESTART, TROUBLES }
+    public enum What {
+        VANISH,
+        CRASH,
+        RENEW,
+        CUT,
+        DRAIN,
+        UNLIST,
+        HANG,
+        SLOW,
+        BURST,
+        RESTART,
+        TROUBLES
+    }
 
     /**
      * Something that happens. spread: over how long its parts begin and end; part: of the hall's nodes; back: the share
      * of those that ever come back; factor, scheduler and count where they mean something.
      */
-    public record Happening(What what, long at, long lasts, long spread, int hall, double part, double back,
-                            double factor, int scheduler) { }
+    public record Happening(
+            What what,
+            long at,
+            long lasts,
+            long spread,
+            int hall,
+            double part,
+            double back,
+            double factor,
+            int scheduler) {}
 
     /** Reads a file; a {@link barrowshore.config.ConfigException} names line, column and element. */
     public static Scenario read(Path file) {
@@ -33,8 +61,9 @@
     }
 
     static Scenario parse(String text) {
-        return of("scenario", XmlFile.read("scenario", text.getBytes(StandardCharsets.UTF_8), Scenario.class,
-                "scenario.xsd"));
+        return of(
+                "scenario",
+                XmlFile.read("scenario", text.getBytes(StandardCharsets.UTF_8), Scenario.class, "scenario.xsd"));
     }
 
     private static Scenario of(String file, Element root) {
@@ -43,8 +72,8 @@
             if (halls.stream().anyMatch(h -> h.name().equals(e.get("name")))) {
                 throw e.wrong(file, e.get("name") + " is there twice");
             }
-            halls.add(new HallSpec(e.get("name"), (int) e.number("nodes"), (int) e.number("schedulers"),
-                    e.number("clients")));
+            halls.add(new HallSpec(
+                    e.get("name"), (int) e.number("nodes"), (int) e.number("schedulers"), e.number("clients")));
         }
         if (halls.stream().mapToDouble(HallSpec::clients).sum() <= 0) {
             throw root.wrong(file, "no hall has clients");
@@ -71,17 +100,33 @@
             if (scheduler >= schedulers) {
                 throw e.wrong(file, "there is no scheduler " + scheduler + "; they are numbered from 0");
             }
-            What what = switch (e.name()) {
-                case "dark" -> What.valueOf(e.get("how").toUpperCase(java.util.Locale.ROOT));
-                default -> What.valueOf(e.name().toUpperCase(java.util.Locale.ROOT));
-            };
-            happenings.add(new Happening(what, e.micros("at"), e.micros("for"), e.micros("spread"), hall,
-                    number(e, "part", 1), number(e, "back", 1), number(e, what == What.TROUBLES ? "count" : "factor", 1),
+            What what =
+                    switch (e.name()) {
+                        case "dark" -> What.valueOf(e.get("how").toUpperCase(java.util.Locale.ROOT));
+                        default -> What.valueOf(e.name().toUpperCase(java.util.Locale.ROOT));
+                    };
+            happenings.add(new Happening(
+                    what,
+                    e.micros("at"),
+                    e.micros("for"),
+                    e.micros("spread"),
+                    hall,
+                    number(e, "part", 1),
+                    number(e, "back", 1),
+                    number(e, what == What.TROUBLES ? "count" : "factor", 1),
                     scheduler));
         }
-        return new Scenario(root.get("name"), root.micros("length"), root.number("load"), (int) root.number("cores"),
-                (int) root.number("retries"), root.number("loss"), root.number("leaving"), "true".equals(root.get("probes"))
-                || "1".equals(root.get("probes")), halls, happenings);
+        return new Scenario(
+                root.get("name"),
+                root.micros("length"),
+                root.number("load"),
+                (int) root.number("cores"),
+                (int) root.number("retries"),
+                root.number("loss"),
+                root.number("leaving"),
+                "true".equals(root.get("probes")) || "1".equals(root.get("probes")),
+                halls,
+                happenings);
     }
 
     private static double number(Element e, String attribute, double otherwise) {
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -1,5 +1,8 @@
 package barrowshore.emulate;
 
+import barrowshore.emulate.Deployment.ClassOf;
+import barrowshore.halls.HallState;
+import barrowshore.model.NodeModel;
 import barrowshore.module.DispatchApi;
 import barrowshore.module.DispatchApi.Effect;
 import barrowshore.module.DispatchApi.Health;
@@ -10,12 +13,8 @@
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Reports;
 import barrowshore.module.DispatchApi.Request;
-import barrowshore.module.DispatchApi.Scope;
 import barrowshore.module.DispatchApi.Settings;
 import barrowshore.module.DispatchApi.Status;
-import barrowshore.emulate.Deployment.ClassOf;
-import barrowshore.halls.HallState;
-import barrowshore.model.NodeModel;
 import barrowshore.operator.Operator;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,6 +38,7 @@
     private static final long MS = 1_000, S = 1_000_000;
     /** When a run begins, on its own clock: late enough that 0 means long ago. */
     static final long START = 1_000 * S;
+
     private static final int CELL = 4;
     private static final long CONNECT_TIMEOUT = 250 * MS, PROBE_TIMEOUT = 400 * MS;
     /** Time after the last arrival until all is answered. */
@@ -56,6 +56,7 @@
      * same seed gives them the same day.
      */
     private final UniformRandomProvider day, fate, random;
+
     private final SharedStateContinuousSampler exponential;
     private final SharedStateContinuousSampler[] works;
     private final SharedStateContinuousSampler normal;
@@ -100,17 +101,20 @@
         for (int c = 0; c < works.length; c++) {
             ClassOf k = classes.get(c);
             double sigma = Math.sqrt(Math.log(1 + k.spread() * k.spread()));
-            works[c] = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(day),
-                    Math.log(k.work()) - sigma * sigma / 2, sigma);
+            works[c] = LogNormalSampler.of(
+                    ZigguratSampler.NormalizedGaussian.of(day), Math.log(k.work()) - sigma * sigma / 2, sigma);
         }
         meanSize = deployment.meanSize();
         for (int h = 0; h < scenario.halls().size(); h++) {
             for (int n = 0; n < scenario.halls().get(h).nodes(); n++) {
                 int kind = kind();
-                nodes.add(new Node("s-" + h + "-" + n, h, kind, spec(deployment.machines().get(kind))));
+                nodes.add(new Node(
+                        "s-" + h + "-" + n, h, kind, spec(deployment.machines().get(kind))));
             }
         }
-        double capacity = nodes.stream().mapToDouble(n -> n.model.spec().cores() * n.model.spec().speed()).sum();
+        double capacity = nodes.stream()
+                .mapToDouble(n -> n.model.spec().cores() * n.model.spec().speed())
+                .sum();
         rate = scenario.load() * capacity / meanSize;
         for (int h = 0; h < scenario.halls().size(); h++) {
             for (int s = 0; s < scenario.halls().get(h).schedulers(); s++) {
@@ -122,7 +126,8 @@
     private int kind() {
         double pick = fate.nextDouble();
         int kind = 0;
-        while (kind < deployment.machines().size() - 1 && (pick -= deployment.machines().get(kind).share()) > 0) {
+        while (kind < deployment.machines().size() - 1
+                && (pick -= deployment.machines().get(kind).share()) > 0) {
             kind++;
         }
         return kind;
@@ -131,8 +136,13 @@
     private NodeModel.Spec spec(Deployment.Machine m) {
         int cores = m.cores() == 0 ? scenario.cores() : m.cores();
         double least = deployment.rules().startCapacity();
-        return new NodeModel.Spec(cores, fated(m.speedFrom(), m.speedTo()), cores * fated(m.queueFrom(), m.queueTo()),
-                fate.nextBoolean(), fated(least, least * 2), (long) (deployment.rules().cold() * fated(0.5, 1)));
+        return new NodeModel.Spec(
+                cores,
+                fated(m.speedFrom(), m.speedTo()),
+                cores * fated(m.queueFrom(), m.queueTo()),
+                fate.nextBoolean(),
+                fated(least, least * 2),
+                (long) (deployment.rules().cold() * fated(0.5, 1)));
     }
 
     private double fated(double from, double to) {
@@ -225,10 +235,13 @@
                     }
                 }
                 default -> {
-                    List<Node> in = nodes.stream().filter(n -> n.hall == what.hall() && !n.gone).toList();
+                    List<Node> in = nodes.stream()
+                            .filter(n -> n.hall == what.hall() && !n.gone)
+                            .toList();
                     int count = (int) Math.round(what.part() * in.size());
                     int back = (int) Math.round(what.back() * count);
-                    if (what.what() == Scenario.What.VANISH || what.what() == Scenario.What.CRASH
+                    if (what.what() == Scenario.What.VANISH
+                            || what.what() == Scenario.What.CRASH
                             || what.what() == Scenario.What.RENEW) {
                         report.dark(what.hall(), kernel.now() - START, what.lasts(), what.part());
                     }
@@ -283,18 +296,20 @@
         kernel.after((long) (fate.nextDouble() * when.lasts() / 2), () -> {
             int count = nodes.size();
             int kind = fate.nextInt(4);
-            double part = switch (kind) {
-                case 0 -> fated(0.057, 0.23);
-                case 1 -> fated(0.056, 0.16);
-                case 2 -> fated(0.084, 0.19);
-                default -> fated(0.11, 0.44);
-            };
+            double part =
+                    switch (kind) {
+                        case 0 -> fated(0.057, 0.23);
+                        case 1 -> fated(0.056, 0.16);
+                        case 2 -> fated(0.084, 0.19);
+                        default -> fated(0.11, 0.44);
+                    };
             long lasts = (long) (switch (kind) {
-                case 0 -> fated(10, 28);
-                case 1 -> fated(8.3, 24);
-                case 2 -> fated(5.4, 27);
-                default -> fated(18, 39);
-            } * S);
+                        case 0 -> fated(10, 28);
+                        case 1 -> fated(8.3, 24);
+                        case 2 -> fated(5.4, 27);
+                        default -> fated(18, 39);
+                    }
+                    * S);
             Set<Node> hit = new HashSet<>();
             List<Node> order = new ArrayList<>();
             while (hit.size() < Math.max(1, (int) (part * count))) {
@@ -309,17 +324,23 @@
                     case 0 -> n.model.slow(size);
                     case 1 -> {
                         n.model.hang(true);
-                        report.hung(n.hall, nodes.stream().filter(o -> o.hall == n.hall && o.model.hung()).count());
+                        report.hung(
+                                n.hall,
+                                nodes.stream()
+                                        .filter(o -> o.hall == n.hall && o.model.hung())
+                                        .count());
                     }
                     case 2 -> n.errors = size;
                     default -> n.model.slow(1 / (1 - size));
                 }
             }
-            kernel.after(lasts, () -> order.forEach(n -> {
-                n.model.slow(1);
-                n.model.hang(false);
-                n.errors = 0;
-            }));
+            kernel.after(
+                    lasts,
+                    () -> order.forEach(n -> {
+                        n.model.slow(1);
+                        n.model.hang(false);
+                        n.errors = 0;
+                    }));
         });
     }
 
@@ -333,7 +354,7 @@
         kernel.after((long) Math.max(1, exponential.sample() / (rate * burst)), this::nextArrival);
     }
 
-    private record Start(Node node, long came, Object request) { }
+    private record Start(Node node, long came, Object request) {}
 
     /** What a client wants: one thing, however often it tries. */
     private final class Wish {
@@ -365,12 +386,14 @@
         void started(Node node, long came, Object request) {
             ClassOf k = classes.get(type);
             for (Start s : starts) {
-                boolean dropped = k.effect() == Effect.KEYED && (s.request != request || came - s.came < k.window()
-                        && switch (k.scope()) {
-                            case ALL -> true;
-                            case ZONE -> s.node.hall == node.hall;
-                            case CELL -> s.node.cell == node.cell;
-                        });
+                boolean dropped = k.effect() == Effect.KEYED
+                        && (s.request != request
+                                || came - s.came < k.window()
+                                        && switch (k.scope()) {
+                                            case ALL -> true;
+                                            case ZONE -> s.node.hall == node.hall;
+                                            case CELL -> s.node.cell == node.cell;
+                                        });
                 report.twice += k.effect() == Effect.SAFE || dropped ? 0 : 1;
             }
             starts.add(new Start(node, came, request));
@@ -378,8 +401,11 @@
 
         /** A client knows how long nodes remember its key. */
         boolean mayTryAgain(long after) {
-            return classes.get(type).effect() != Effect.KEYED || starts.stream()
-                    .allMatch(s -> kernel.now() + after + classes.get(type).deadline() - s.came < classes.get(type).window());
+            return classes.get(type).effect() != Effect.KEYED
+                    || starts.stream()
+                            .allMatch(s ->
+                                    kernel.now() + after + classes.get(type).deadline() - s.came
+                                            < classes.get(type).window());
         }
 
         /** What it pays: its class's worth, for each unit of work where the site counts so. */
@@ -389,7 +415,8 @@
         }
 
         boolean inTime() {
-            return kernel.now() - since <= classes.get(type).aim() + classes.get(type).stretch() * work;
+            return kernel.now() - since
+                    <= classes.get(type).aim() + classes.get(type).stretch() * work;
         }
     }
 
@@ -405,17 +432,22 @@
         while (s < k.slots().length - 1 && (chance -= k.slots()[s]) > 0) {
             s++;
         }
-        double all = scenario.halls().stream().mapToDouble(Scenario.HallSpec::clients).sum();
+        double all = scenario.halls().stream()
+                .mapToDouble(Scenario.HallSpec::clients)
+                .sum();
         double where = day.nextDouble() * all;
         int hall = 0;
-        while (hall < scenario.halls().size() - 1 && (where -= scenario.halls().get(hall).clients()) > 0) {
+        while (hall < scenario.halls().size() - 1
+                && (where -= scenario.halls().get(hall).clients()) > 0) {
             hall++;
         }
-        double work = works[type].sample(), guess = switch (deployment.told().hints()) {
-            case NONE -> 0;
-            case GOOD -> work * Math.exp(0.1 * normal.sample());
-            case MISLEADING -> k.work() * Math.exp(1.5 * normal.sample());
-        };
+        double work = works[type].sample(),
+                guess =
+                        switch (deployment.told().hints()) {
+                            case NONE -> 0;
+                            case GOOD -> work * Math.exp(0.1 * normal.sample());
+                            case MISLEADING -> k.work() * Math.exp(1.5 * normal.sample());
+                        };
         Wish wish = new Wish(type, hall, SLOTS[s], work, guess, day.nextInt(7));
         report.asked(kernel.now() - START, wish.hall, wish.type, wish.worth(), wish.work * wish.slots);
         attempt(wish);
@@ -423,10 +455,11 @@
 
     private void attempt(Wish wish) {
         wish.tries++;
-        List<Scheduler> there = schedulers.stream().filter(s -> s.hall == wish.hall).toList();
+        List<Scheduler> there =
+                schedulers.stream().filter(s -> s.hall == wish.hall).toList();
         Scheduler to = there.get(random.nextInt(there.size()));
         if (to.module == null) {
-            retry(wish, 0);   // nobody there: the front has not noticed yet
+            retry(wish, 0); // nobody there: the front has not noticed yet
             return;
         }
         to.open(wish);
@@ -447,7 +480,8 @@
                 if (!n.model.up() || n.vanished || n.model.hung()) {
                     return Double.POSITIVE_INFINITY;
                 }
-                double over = Math.max(0, n.model.heldSlots() + slots - n.model.spec().cores());
+                double over =
+                        Math.max(0, n.model.heldSlots() + slots - n.model.spec().cores());
                 return over / n.model.spec().cores() * meanSize / n.model.pace() + 2 * way(hall, n.hall);
             }
 
@@ -467,6 +501,7 @@
         final int number = nodes.size();
         /** Cells are a few machines each, within a zone. */
         final int cell = number / CELL;
+
         final NodeModel model;
         double errors;
         boolean vanished;
@@ -486,19 +521,25 @@
             this.kind = kind;
             byId.put(id, this);
             Deployment.Rules rules = deployment.rules();
-            this.model = new NodeModel(kernel, spec, new NodeModel.Falling(rules.fallMultiple(), rules.fall(), meanSize),
+            this.model = new NodeModel(
+                    kernel,
+                    spec,
+                    new NodeModel.Falling(rules.fallMultiple(), rules.fall(), meanSize),
                     deployment.told().progress());
             weight = size();
             Deployment.Told told = deployment.told();
-            long every = (long) fated(told.period()[0], told.period()[1]), late = (long) fated(told.delay()[0], told.delay()[1]);
+            long every = (long) fated(told.period()[0], told.period()[1]),
+                    late = (long) fated(told.delay()[0], told.delay()[1]);
             kernel.after((long) (fate.nextDouble() * every), () -> renew(every, late));
         }
 
         /** Its load as it is now comes to be known a while later, and so does a weight that follows it. */
         private void renew(long every, long late) {
             Deployment.Told told = deployment.told();
-            Load load = new Load(told.inFlight() ? noisy(model.held()) : Double.NaN,
-                    told.queue() ? noisy(model.waiting()) : Double.NaN, told.free() ? noisy(model.freeSlots()) : Double.NaN);
+            Load load = new Load(
+                    told.inFlight() ? noisy(model.held()) : Double.NaN,
+                    told.queue() ? noisy(model.waiting()) : Double.NaN,
+                    told.free() ? noisy(model.freeSlots()) : Double.NaN);
             kernel.after(late, () -> reported = load);
             if (told.weights() == Deployment.Weights.LIVE) {
                 weight = size() / (1 + model.held() / (double) model.spec().cores());
@@ -512,7 +553,8 @@
         /** What is registered of it: its cores, by their usual speed where the site counts so. */
         private double size() {
             Deployment.Machine m = deployment.machines().get(kind);
-            return deployment.told().weights() == Deployment.Weights.NONE ? 1
+            return deployment.told().weights() == Deployment.Weights.NONE
+                    ? 1
                     : model.spec().cores() * (deployment.told().bySpeed() ? (m.speedFrom() + m.speedTo()) / 2 : 1);
         }
 
@@ -625,8 +667,8 @@
             set.classes = new JobClass[classes.size()];
             for (int c = 0; c < set.classes.length; c++) {
                 ClassOf k = classes.get(c);
-                set.classes[c] = new JobClass(k.aim(), k.stretch(), k.deadline(), k.worth(), 0, k.effect(), k.scope(),
-                        k.window(), -1, 0);
+                set.classes[c] = new JobClass(
+                        k.aim(), k.stretch(), k.deadline(), k.worth(), 0, k.effect(), k.scope(), k.window(), -1, 0);
             }
             set.worthByWork = deployment.prices().worthByWork();
             set.maxAttempts = deployment.allowed().attempts();
@@ -657,7 +699,12 @@
         }
 
         private void whole() {
-            list(ListKind.WHOLE, nodes.stream().filter(n -> n.health != Health.GONE && !n.gone).map(Node::entry).toList());
+            list(
+                    ListKind.WHOLE,
+                    nodes.stream()
+                            .filter(n -> n.health != Health.GONE && !n.gone)
+                            .map(Node::entry)
+                            .toList());
         }
 
         void die() {
@@ -707,7 +754,8 @@
         }
 
         void open(Wish wish) {
-            Open open = new Open(wish, "f" + ++flows, kernel.now() + classes.get(wish.type).deadline() - 25 * MS);
+            Open open = new Open(
+                    wish, "f" + ++flows, kernel.now() + classes.get(wish.type).deadline() - 25 * MS);
             flowsOpen.put(open.id, open);
             int born = life;
             kernel.at(open.deadline, () -> {
@@ -722,8 +770,9 @@
                     }
                 });
             }
-            module.request(kernel.now(), new Request(open.id, wish.type, -1, wish.slots, wish.guess,
-                    open.deadline - kernel.now()));
+            module.request(
+                    kernel.now(),
+                    new Request(open.id, wish.type, -1, wish.slots, wish.guess, open.deadline - kernel.now()));
         }
 
         private final class Open {
@@ -773,7 +822,12 @@
                     boolean inTime = wish.inTime();
                     if (!wish.served) {
                         wish.served = true;
-                        report.served(wish.since - START, wish.hall, wish.type, wish.worth(), inTime,
+                        report.served(
+                                wish.since - START,
+                                wish.hall,
+                                wish.type,
+                                wish.worth(),
+                                inTime,
                                 kernel.now() - wish.since);
                     }
                 } else if (how == Status.FULL) {
@@ -804,6 +858,7 @@
             long cameAt;
             /** Whether its scheduler had been told of the node's last start as it was sent. */
             boolean knew;
+
             boolean ended;
             boolean failing;
 
@@ -824,7 +879,13 @@
                     open.answer(Status.OK, 0);
                 }
                 boolean answer = status == Status.OK || status == Status.ERROR || status == Status.FULL;
-                module.outcome(kernel.now(), open.id, number, open.answered, status, kernel.now() - sentAt,
+                module.outcome(
+                        kernel.now(),
+                        open.id,
+                        number,
+                        open.answered,
+                        status,
+                        kernel.now() - sentAt,
                         answer && settings.reports == Reports.ANSWERS ? node.reported : null);
                 open.forget();
             }
@@ -842,7 +903,7 @@
                 }
                 later(3 * there, () -> {
                     if (listed.get(node.id) != Health.READY) {
-                        end(Status.NOT_SENT);   // it was told to drain while the connection came up
+                        end(Status.NOT_SENT); // it was told to drain while the connection came up
                         return;
                     }
                     knew = bootsHeard.getOrDefault(node.id, -1L) == node.boot;
@@ -852,7 +913,7 @@
                             cameAt = kernel.now();
                             report.even.came(node.number, Scheduler.this.number, work() * slots());
                             node.model.offer(this);
-                        }   // else its bytes wait in vain, and it is never heard of
+                        } // else its bytes wait in vain, and it is never heard of
                     });
                 });
             }
@@ -917,7 +978,7 @@
             @Override
             public void done() {
                 if (open.answered || born != life) {
-                    report.wasted(open.wish.work * open.wish.slots);   // done for nobody
+                    report.wasted(open.wish.work * open.wish.slots); // done for nobody
                 }
                 back(() -> end(failing ? Status.ERROR : Status.OK));
             }
@@ -948,14 +1009,18 @@
                 report.sentAfterEnd++;
                 return;
             }
-            report.notAllowed += open.attempts.size() >= settings.maxAttempts
-                    || open.outstanding > 0 && !settings.secondCopies ? 1 : 0;
+            report.notAllowed +=
+                    open.attempts.size() >= settings.maxAttempts || open.outstanding > 0 && !settings.secondCopies
+                            ? 1
+                            : 0;
             Attempt a = new Attempt(open, open.attempts.size(), node);
             a.failing = random.nextDouble() < node.errors;
             open.attempts.add(a);
             open.outstanding++;
             out[node.hall] += open.wish.slots;
-            HallState stands = operator.halls() == null ? HallState.SERVING : module.halls().get(node.hall);
+            HallState stands = operator.halls() == null
+                    ? HallState.SERVING
+                    : module.halls().get(node.hall);
             report.chosen(kernel.now() - START, node.hall, stands == HallState.DARK || stands == HallState.RETURNING);
             a.go();
         }
@@ -1004,9 +1069,12 @@
             long takes = answers || refused ? way(hall, node.hall) + way(node.hall, hall) : PROBE_TIMEOUT;
             kernel.after(takes, () -> {
                 if (born == life) {
-                    module.probed(kernel.now(), worker, answers ? Status.OK : refused ? Status.CONNECT_FAILED
-                            : Status.TIMEOUT, kernel.now() - sentAt, answers
-                            ? node.reported : null);
+                    module.probed(
+                            kernel.now(),
+                            worker,
+                            answers ? Status.OK : refused ? Status.CONNECT_FAILED : Status.TIMEOUT,
+                            kernel.now() - sentAt,
+                            answers ? node.reported : null);
                 }
             });
         }
--- a/src/main/java/barrowshore/files/FileMac.java
+++ b/src/main/java/barrowshore/files/FileMac.java
@@ -27,10 +27,15 @@
     private static final Pattern ID = Pattern.compile("[0-9A-Za-z._-]{1,32}");
     /** Bytes of a key at least, and of a MAC file at most. */
     private static final int LEAST_KEY = 32;
+
     private static final int MOST_MAC = 4096;
-    private static final Set<PosixFilePermission> OTHERS = EnumSet.of(PosixFilePermission.GROUP_READ,
-            PosixFilePermission.GROUP_WRITE, PosixFilePermission.GROUP_EXECUTE, PosixFilePermission.OTHERS_READ,
-            PosixFilePermission.OTHERS_WRITE, PosixFilePermission.OTHERS_EXECUTE);
+    private static final Set<PosixFilePermission> OTHERS = EnumSet.of(
+            PosixFilePermission.GROUP_READ,
+            PosixFilePermission.GROUP_WRITE,
+            PosixFilePermission.GROUP_EXECUTE,
+            PosixFilePermission.OTHERS_READ,
+            PosixFilePermission.OTHERS_WRITE,
+            PosixFilePermission.OTHERS_EXECUTE);
 
     private final Path keys;
 
@@ -58,7 +63,8 @@
             }
             return key;
         } catch (IOException | UnsupportedOperationException e) {
-            throw new ConfigException("key " + file + " cannot be read: " + e.getClass().getSimpleName());
+            throw new ConfigException(
+                    "key " + file + " cannot be read: " + e.getClass().getSimpleName());
         } catch (IllegalArgumentException e) {
             throw e instanceof ConfigException ? e : new ConfigException("key " + file + " is not hexadecimal");
         }
@@ -80,13 +86,17 @@
             byte[] bytes = Files.readAllBytes(file);
             StringBuilder lines = new StringBuilder();
             for (String id : ids) {
-                lines.append(id).append(' ').append(HexFormat.of().formatHex(mac(id, bytes))).append('\n');
+                lines.append(id)
+                        .append(' ')
+                        .append(HexFormat.of().formatHex(mac(id, bytes)))
+                        .append('\n');
             }
             Path fresh = file.resolveSibling(file.getFileName() + ".mac.new");
             Files.writeString(fresh, lines);
             Files.move(fresh, beside(file), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
-            throw new ConfigException(file + " cannot be signed: " + e.getClass().getSimpleName());
+            throw new ConfigException(
+                    file + " cannot be signed: " + e.getClass().getSimpleName());
         }
     }
 
@@ -99,7 +109,8 @@
             }
             text = Files.readString(beside(file), StandardCharsets.US_ASCII);
         } catch (IOException e) {
-            throw new ConfigException(beside(file) + " cannot be read: " + e.getClass().getSimpleName());
+            throw new ConfigException(
+                    beside(file) + " cannot be read: " + e.getClass().getSimpleName());
         }
         String why = "it holds no MAC";
         for (String line : text.lines().toList()) {
--- a/src/main/java/barrowshore/files/ServersFile.java
+++ b/src/main/java/barrowshore/files/ServersFile.java
@@ -28,7 +28,7 @@
     /** The most servers in a file. */
     public static final int MOST_SERVERS = 20_000;
 
-    private ServersFile() { }
+    private ServersFile() {}
 
     /** Reads a file; a {@link ConfigException} names line, column and element. */
     public static HandList read(Path file) {
@@ -64,17 +64,20 @@
             Server server = server(file, e, networks == null ? null : four, six);
             Server before = servers.put(server.uid(), server);
             if (before != null) {
-                throw e.wrong(file, "uid " + server.uid() + " is in line " + before.line() + " already"
-                        + (before.weight() != server.weight() ? ", with another weight" : ""));
+                throw e.wrong(
+                        file,
+                        "uid " + server.uid() + " is in line " + before.line() + " already"
+                                + (before.weight() != server.weight() ? ", with another weight" : ""));
             }
             before = ends.put(server.endpoint(), server);
             if (before != null) {
-                throw e.wrong(file, "endpoint " + e.get("endpoint") + " is that of " + before.uid() + " in line "
-                        + before.line());
+                throw e.wrong(
+                        file,
+                        "endpoint " + e.get("endpoint") + " is that of " + before.uid() + " in line " + before.line());
             }
         }
-        return new HandList(file, (long) root.number("revision"), isTrue(root.get("force")), root.micros("grace"),
-                servers);
+        return new HandList(
+                file, (long) root.number("revision"), isTrue(root.get("force")), root.micros("grace"), servers);
     }
 
     private static IPAddress block(String file, Element e) {
@@ -94,18 +97,28 @@
 
     private static Server server(String file, Element e, IPv4AddressTrie four, IPv6AddressTrie six) {
         HostName host = new HostName(e.get("endpoint"));
-        if (!host.isValid() || !host.isAddress() || host.getPort() == null || host.asAddress().isMultiple()) {
+        if (!host.isValid()
+                || !host.isAddress()
+                || host.getPort() == null
+                || host.asAddress().isMultiple()) {
             throw e.wrong(file, "endpoint " + e.get("endpoint") + " is not address:port");
         }
         IPAddress address = host.asAddress();
-        boolean inside = four == null || (address.isIPv4() ? four.elementContains(address.toIPv4())
-                : six.elementContains(address.toIPv6()));
+        boolean inside = four == null
+                || (address.isIPv4() ? four.elementContains(address.toIPv4()) : six.elementContains(address.toIPv6()));
         if (!inside) {
             throw e.wrong(file, "endpoint " + e.get("endpoint") + " is in none of the networks");
         }
-        return new Server(e.get("uid"), new InetSocketAddress(address.toInetAddress(), host.getPort()), e.get("hall"),
-                e.get("model"), e.number("weight"), (int) e.number("cell"), "drain".equals(e.get("state")),
-                isTrue(e.get("warm")), e.line());
+        return new Server(
+                e.get("uid"),
+                new InetSocketAddress(address.toInetAddress(), host.getPort()),
+                e.get("hall"),
+                e.get("model"),
+                e.number("weight"),
+                (int) e.number("cell"),
+                "drain".equals(e.get("state")),
+                isTrue(e.get("warm")),
+                e.line());
     }
 
     private static boolean isTrue(String text) {
--- a/src/main/java/barrowshore/files/WatchedFile.java
+++ b/src/main/java/barrowshore/files/WatchedFile.java
@@ -57,8 +57,13 @@
      * there, or null. mostLost: see {@link Guard}; macs: what a file
      * must be signed by, null: nothing.
      */
-    public WatchedFile(Path file, double mostLost, FileMac macs, Executor pool, Scheduler timers,
-                       Function<HandList, RuntimeException> taker) {
+    public WatchedFile(
+            Path file,
+            double mostLost,
+            FileMac macs,
+            Executor pool,
+            Scheduler timers,
+            Function<HandList, RuntimeException> taker) {
         this.file = file.toAbsolutePath();
         this.mostLost = mostLost;
         this.macs = macs;
@@ -73,8 +78,12 @@
     private WatchService open() {
         try {
             WatchService service = file.getFileSystem().newWatchService();
-            file.getParent().register(service, StandardWatchEventKinds.ENTRY_CREATE,
-                    StandardWatchEventKinds.ENTRY_MODIFY, StandardWatchEventKinds.ENTRY_DELETE);
+            file.getParent()
+                    .register(
+                            service,
+                            StandardWatchEventKinds.ENTRY_CREATE,
+                            StandardWatchEventKinds.ENTRY_MODIFY,
+                            StandardWatchEventKinds.ENTRY_DELETE);
             Thread thread = new Thread(() -> await(service), "watch of " + file.getFileName());
             thread.setDaemon(true);
             thread.start();
@@ -93,7 +102,7 @@
                 key.pollEvents();
                 mailbox.post(this::hasten);
                 if (!key.reset()) {
-                    return;   // the directory is gone; the poll goes on
+                    return; // the directory is gone; the poll goes on
                 }
             }
         } catch (ClosedWatchServiceException e) {
@@ -104,22 +113,28 @@
     }
 
     private void poll() {
-        timers.schedule(() -> mailbox.post(() -> {
-            if (!stopped) {
-                look();
-                poll();
-            }
-        }), POLL, TimeUnit.MILLISECONDS);
+        timers.schedule(
+                () -> mailbox.post(() -> {
+                    if (!stopped) {
+                        look();
+                        poll();
+                    }
+                }),
+                POLL,
+                TimeUnit.MILLISECONDS);
     }
 
     /** However many events there are, one look is due at a time. */
     private void hasten() {
         if (!looking && !stopped) {
             looking = true;
-            timers.schedule(() -> mailbox.post(() -> {
-                looking = false;
-                look();
-            }), SETTLE, TimeUnit.MILLISECONDS);
+            timers.schedule(
+                    () -> mailbox.post(() -> {
+                        looking = false;
+                        look();
+                    }),
+                    SETTLE,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -137,7 +152,7 @@
         }
         if (!Arrays.equals(now, seen)) {
             seen = now;
-            hasten();   // it may be half written: it counts when it has stood
+            hasten(); // it may be half written: it counts when it has stood
         } else if (!Arrays.equals(now, judged)) {
             judged = now;
             judge(now);
@@ -147,7 +162,7 @@
     private void judge(byte[] bytes) {
         try {
             if (macs != null) {
-                judged = null;   // its MAC may come after it: it is judged again until there is a good one
+                judged = null; // its MAC may come after it: it is judged again until there is a good one
                 macs.verify(file, bytes);
                 judged = bytes;
             }
@@ -156,8 +171,8 @@
             switch (verdict.outcome()) {
                 case TAKEN -> take(next);
                 case SAME -> inUse = next;
-                case HELD, REFUSED -> say(Level.WARNING, "revision " + next.revision() + " is not taken: "
-                        + verdict.why() + kept());
+                case HELD, REFUSED -> say(
+                        Level.WARNING, "revision " + next.revision() + " is not taken: " + verdict.why() + kept());
             }
         } catch (ConfigException e) {
             say(Level.WARNING, "left unused: " + e.getMessage() + kept());
@@ -174,10 +189,13 @@
         said = "";
         LOG.log(Level.INFO, "{0}: taken, {1}", file, next.summary());
         paused = true;
-        timers.schedule(() -> mailbox.post(() -> {
-            paused = false;
-            look();
-        }), PAUSE, TimeUnit.MILLISECONDS);
+        timers.schedule(
+                () -> mailbox.post(() -> {
+                    paused = false;
+                    look();
+                }),
+                PAUSE,
+                TimeUnit.MILLISECONDS);
     }
 
     private String kept() {
--- a/src/main/java/barrowshore/fleet/Clients.java
+++ b/src/main/java/barrowshore/fleet/Clients.java
@@ -26,6 +26,7 @@
     private static final int WAITS_MILLIS = 3_000, PATIENCE_MILLIS = 5_000;
     /** Processor milliseconds of work of each class, at speed 1. */
     private static final int[] WORK = {60, 120};
+
     private static final int MOST_AT_ONCE = 512;
 
     private final FleetScenario scenario;
@@ -67,7 +68,7 @@
     private void ask(int number, double pick) {
         List<Instance> there = instances.stream().filter(i -> i.inService).toList();
         if (there.isEmpty()) {
-            return;   // no front would take it
+            return; // no front would take it
         }
         Instance to = there.get((int) (pick * there.size()));
         int type = number % WORK.length;
@@ -78,9 +79,11 @@
             socket.connect(to.address(), WAITS_MILLIS);
             answer = Answer.NONE;
             socket.setSoTimeout(WAITS_MILLIS + PATIENCE_MILLIS);
-            socket.getOutputStream().write(("POST /" + name + "?work=" + WORK[type] + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: "
-                    + id + "\r\nX-Priority-Class: " + name + "\r\nX-Timeout-Ms: " + WAITS_MILLIS
-                    + "\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx").getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream()
+                    .write(("POST /" + name + "?work=" + WORK[type] + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: "
+                                    + id + "\r\nX-Priority-Class: " + name + "\r\nX-Timeout-Ms: " + WAITS_MILLIS
+                                    + "\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             answer = answer(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1));
         } catch (SocketTimeoutException e) {
             answer = Answer.NONE;
@@ -96,8 +99,12 @@
         if (end < 0 || !text.startsWith("HTTP/1.1 ")) {
             return Answer.NONE;
         }
-        int length = text.substring(0, end).lines().filter(l -> l.toLowerCase(Locale.ROOT).startsWith("content-length:"))
-                .mapToInt(l -> Integer.parseInt(l.substring(15).trim())).findFirst().orElse(0);
+        int length = text.substring(0, end)
+                .lines()
+                .filter(l -> l.toLowerCase(Locale.ROOT).startsWith("content-length:"))
+                .mapToInt(l -> Integer.parseInt(l.substring(15).trim()))
+                .findFirst()
+                .orElse(0);
         if (text.length() != end + 4 + length) {
             return Answer.NONE;
         }
--- a/src/main/java/barrowshore/fleet/Fleet.java
+++ b/src/main/java/barrowshore/fleet/Fleet.java
@@ -52,11 +52,12 @@
     private static final long NOTICES = 1_000, TOLD = 300;
     /** When discovery notices that a worker has died, and until when new work to one that drains may go on. */
     private static final long GONE = 500, GRACE = 3_000;
+
     private static final int MOST_CONNECTIONS = 15_000;
     private static final int CORES = 4, MOST_AT_ONCE = 64;
 
     /** What came of a run: counts by answer, what is broken (empty if nothing), memory and processor time of schedulers. */
-    public record Outcome(Map<String, Long> answers, List<String> broken, double mostMemory, double processorSeconds) { }
+    public record Outcome(Map<String, Long> answers, List<String> broken, double mostMemory, double processorSeconds) {}
 
     private final FleetScenario scenario;
     private final Path folder;
@@ -81,8 +82,8 @@
         this.folder = folder;
         this.out = out;
         this.command = Instance.command(deploy);
-        this.faults = Executors.newScheduledThreadPool(2 + Math.min(MOST_AT_ONCE, scenario.faults().size()),
-                run -> daemon(run, "faults"));
+        this.faults = Executors.newScheduledThreadPool(
+                2 + Math.min(MOST_AT_ONCE, scenario.faults().size()), run -> daemon(run, "faults"));
         Files.createDirectories(folder);
     }
 
@@ -110,10 +111,11 @@
 
     private static long available() {
         try {
-            Matcher free = Pattern.compile("MemAvailable:\\s+(\\d+) kB").matcher(Files.readString(Path.of("/proc/meminfo")));
+            Matcher free =
+                    Pattern.compile("MemAvailable:\\s+(\\d+) kB").matcher(Files.readString(Path.of("/proc/meminfo")));
             return free.find() ? Long.parseLong(free.group(1)) / 1024 : Long.MAX_VALUE;
         } catch (IOException e) {
-            return Long.MAX_VALUE;   // not told here
+            return Long.MAX_VALUE; // not told here
         }
     }
 
@@ -126,9 +128,14 @@
         }
         for (int w = 0; w < scenario.workers(); w++) {
             double speed = w % 3 == 0 ? 0.7 : 1;
-            workers.add(new StandInNode("s-" + w, new NodeModel.Spec(CORES, speed, 40, w % 2 == 0,
-                    StandInConfig.START_CAPACITY, StandInConfig.COLD), new NodeModel.Falling(StandInConfig.MULTIPLE,
-                    StandInConfig.FALL, StandInConfig.USUAL_JOB), StandInConfig.PROGRESS, front, pool, timers));
+            workers.add(new StandInNode(
+                    "s-" + w,
+                    new NodeModel.Spec(CORES, speed, 40, w % 2 == 0, StandInConfig.START_CAPACITY, StandInConfig.COLD),
+                    new NodeModel.Falling(StandInConfig.MULTIPLE, StandInConfig.FALL, StandInConfig.USUAL_JOB),
+                    StandInConfig.PROGRESS,
+                    front,
+                    pool,
+                    timers));
             tell(w, "Ready", 0);
         }
         for (int k = 0; k < scenario.schedulers(); k++) {
@@ -151,15 +158,28 @@
         for (int k = 0; k < scenario.schedulers(); k++) {
             peers.add(StandInConfig.text(hub.door(k)));
         }
-        return StandInConfig.of("n" + one.number, one.address(), discoveries.get(one.number).address(), one.number,
-                one.number % StandInConfig.HALLS.size(), hub.listen(one.number), peers, hub.all());
+        return StandInConfig.of(
+                "n" + one.number,
+                one.address(),
+                discoveries.get(one.number).address(),
+                one.number,
+                one.number % StandInConfig.HALLS.size(),
+                hub.listen(one.number),
+                peers,
+                hub.all());
     }
 
     private void tell(int worker, String state, long boot) {
         StandInNode node = workers.get(worker);
         for (StandInDiscovery each : discoveries) {
-            each.tell(node.uid(), node.address(), StandInConfig.HALLS.get(worker % StandInConfig.HALLS.size()), "usual", CORES,
-                    state, boot);
+            each.tell(
+                    node.uid(),
+                    node.address(),
+                    StandInConfig.HALLS.get(worker % StandInConfig.HALLS.size()),
+                    "usual",
+                    CORES,
+                    state,
+                    boot);
         }
     }
 
@@ -175,17 +195,20 @@
             clients.run();
             watch.cancel(false);
             for (Future<?> one : under) {
-                one.get(60, TimeUnit.SECONDS);   // a fault that could not be made is a failed run
+                one.get(60, TimeUnit.SECONDS); // a fault that could not be made is a failed run
             }
             return conclude(clients.asked());
         }
     }
 
     private void plan(long afterMillis, Step step) {
-        under.add(faults.schedule(() -> {
-            step.run();
-            return null;
-        }, afterMillis, TimeUnit.MILLISECONDS));
+        under.add(faults.schedule(
+                () -> {
+                    step.run();
+                    return null;
+                },
+                afterMillis,
+                TimeUnit.MILLISECONDS));
     }
 
     /** A step of a fault, which may fail. */
@@ -202,14 +225,19 @@
     }
 
     private void after(long millis, Step step) {
-        faults.schedule(() -> {
-            step.run();
-            return null;
-        }, millis, TimeUnit.MILLISECONDS);
+        faults.schedule(
+                () -> {
+                    step.run();
+                    return null;
+                },
+                millis,
+                TimeUnit.MILLISECONDS);
     }
 
     private void begin(Fault f) throws Exception {
-        event(f.what().name().toLowerCase(Locale.ROOT), f.one() >= 0 ? f.one() : f.others().toString());
+        event(
+                f.what().name().toLowerCase(Locale.ROOT),
+                f.one() >= 0 ? f.one() : f.others().toString());
         long lasts = f.lasts() / 1000;
         switch (f.what()) {
             case KILL -> {
@@ -283,9 +311,12 @@
 
     /** How much longer some scheduler stands still or hears nothing of discovery, at that time of the scenario, milliseconds. */
     private long untilHeard(long at) {
-        return scenario.faults().stream().filter(f -> f.what() == FleetScenario.What.PAUSE
-                || f.what() == FleetScenario.What.SILENCE).filter(f -> f.at() - GRACE * 1000 <= at && f.at() + f.lasts() >= at)
-                .mapToLong(f -> (f.at() + f.lasts() - at) / 1000).max().orElse(0);
+        return scenario.faults().stream()
+                .filter(f -> f.what() == FleetScenario.What.PAUSE || f.what() == FleetScenario.What.SILENCE)
+                .filter(f -> f.at() - GRACE * 1000 <= at && f.at() + f.lasts() >= at)
+                .mapToLong(f -> (f.at() + f.lasts() - at) / 1000)
+                .max()
+                .orElse(0);
     }
 
     /** The front notices a while later that it is gone, unless it has been started again meanwhile. */
@@ -310,7 +341,9 @@
     private static Map<String, Long> counts(List<Asked> asked) {
         Map<String, Long> counts = new LinkedHashMap<>();
         for (Answer answer : Answer.values()) {
-            counts.put(answer.name().toLowerCase(Locale.ROOT), asked.stream().filter(a -> a.answer() == answer).count());
+            counts.put(
+                    answer.name().toLowerCase(Locale.ROOT),
+                    asked.stream().filter(a -> a.answer() == answer).count());
         }
         return counts;
     }
@@ -331,8 +364,10 @@
         }
         List<String> left = new ArrayList<>();
         for (Instance one : instances) {
-            if (!one.alive() && scenario.faults().stream().noneMatch(f -> f.one() == one.number
-                    && (f.what() == FleetScenario.What.KILL || f.what() == FleetScenario.What.TERM))) {
+            if (!one.alive()
+                    && scenario.faults().stream()
+                            .noneMatch(f -> f.one() == one.number
+                                    && (f.what() == FleetScenario.What.KILL || f.what() == FleetScenario.What.TERM))) {
                 left.add("scheduler " + one.number + " ended by itself, see " + one.log());
             }
             if (!one.end()) {
@@ -355,14 +390,25 @@
         for (int type = 0; type < StandInConfig.CLASSES.size(); type++) {
             Histogram times = new Histogram(60_000_000, 2);
             boolean unsafe = type == 1;
-            asked.stream().filter(a -> a.unsafe() == unsafe && a.answer() == Answer.SERVED)
+            asked.stream()
+                    .filter(a -> a.unsafe() == unsafe && a.answer() == Answer.SERVED)
                     .forEach(a -> times.recordValue(Math.min(60_000_000, a.answeredAt() - a.sentAt())));
-            out.printf(Locale.ROOT, "  %-12s p50 %.0f ms, p99 %.0f ms%n", StandInConfig.CLASSES.get(type),
-                    times.getValueAtPercentile(50) / 1e3, times.getValueAtPercentile(99) / 1e3);
+            out.printf(
+                    Locale.ROOT,
+                    "  %-12s p50 %.0f ms, p99 %.0f ms%n",
+                    StandInConfig.CLASSES.get(type),
+                    times.getValueAtPercentile(50) / 1e3,
+                    times.getValueAtPercentile(99) / 1e3);
         }
-        out.printf(Locale.ROOT, "  schedulers: %.0f MiB at most, %.1f s of processor time; cold budget used %.2f at most;"
-                + " datagrams %d, lost %d%n", memory, processor,
-                worked.stream().mapToDouble(Worked::coldUse).max().orElse(0), hub.carried(), hub.lost());
+        out.printf(
+                Locale.ROOT,
+                "  schedulers: %.0f MiB at most, %.1f s of processor time; cold budget used %.2f at most;"
+                        + " datagrams %d, lost %d%n",
+                memory,
+                processor,
+                worked.stream().mapToDouble(Worked::coldUse).max().orElse(0),
+                hub.carried(),
+                hub.lost());
         broken.forEach(line -> out.println("BROKEN  " + line));
         out.println(broken.isEmpty() ? "every invariant holds" : broken.size() + " broken; see " + folder);
         return new Outcome(counts(asked), broken, memory, processor);
@@ -382,7 +428,9 @@
         }
         Files.writeString(folder.resolve("figures.csv"), csv);
         Files.writeString(folder.resolve("schedulers.csv"), members);
-        events.addAll(broken.stream().map(line -> new JSON().toJSON(Map.of("event", "broken", "of", line))).toList());
+        events.addAll(broken.stream()
+                .map(line -> new JSON().toJSON(Map.of("event", "broken", "of", line)))
+                .toList());
         Files.write(folder.resolve("events.jsonl"), events);
     }
 
--- a/src/main/java/barrowshore/fleet/FleetScenario.java
+++ b/src/main/java/barrowshore/fleet/FleetScenario.java
@@ -16,10 +16,28 @@
  * A fleet of real processes and what befalls it: how many schedulers and workers, how many jobs a second for how long, and
  * the faults at set times. It owns the reading of the file; times are microseconds from the start of the load.
  */
-public record FleetScenario(String name, int schedulers, int workers, double rate, long length, long seed, double loss,
-                            List<Fault> faults) {
+public record FleetScenario(
+        String name,
+        int schedulers,
+        int workers,
+        double rate,
+        long length,
+        long seed,
+        double loss,
+        List<Fault> faults) {
     /** What happens. Schedulers are numbered from 0, and so are workers. */
-    public enum What { KILL, TERM, START, PAUSE, PARTITION, SILENCE, CRASH, HANG, SLOW, DRAIN }
+    public enum What {
+        KILL,
+        TERM,
+        START,
+        PAUSE,
+        PARTITION,
+        SILENCE,
+        CRASH,
+        HANG,
+        SLOW,
+        DRAIN
+    }
 
     /** one: the scheduler or worker; lasts 0: for good; others: the schedulers on the other side of a partition. */
     public record Fault(What what, long at, long lasts, int one, double factor, List<Integer> others) {
@@ -34,7 +52,9 @@
     }
 
     static FleetScenario parse(String text) {
-        return of("fleet", XmlFile.read("fleet", text.getBytes(StandardCharsets.UTF_8), FleetScenario.class, "fleet.xsd"));
+        return of(
+                "fleet",
+                XmlFile.read("fleet", text.getBytes(StandardCharsets.UTF_8), FleetScenario.class, "fleet.xsd"));
     }
 
     private static FleetScenario of(String file, Element root) {
@@ -46,7 +66,9 @@
             boolean worker = e.get("worker") != null;
             int one = what == What.PARTITION ? -1 : (int) e.number(worker ? "worker" : "scheduler");
             if (one >= (worker ? workers : schedulers)) {
-                throw e.wrong(file, "there is no " + (worker ? "worker " : "scheduler ") + one + "; they are numbered from 0");
+                throw e.wrong(
+                        file,
+                        "there is no " + (worker ? "worker " : "scheduler ") + one + "; they are numbered from 0");
             }
             if (e.micros("at") + e.micros("for") > length) {
                 throw e.wrong(file, "it is not over before the load is");
@@ -61,13 +83,25 @@
                 }
                 others.add(Integer.parseInt(word));
             }
-            faults.add(new Fault(what, e.micros("at"), e.micros("for"), one,
-                    e.get("factor") == null ? 1 : e.number("factor"), others));
+            faults.add(new Fault(
+                    what,
+                    e.micros("at"),
+                    e.micros("for"),
+                    one,
+                    e.get("factor") == null ? 1 : e.number("factor"),
+                    others));
             inOrder(file, e, faults, schedulers);
         }
         faults.sort(Comparator.comparingLong(Fault::at));
-        return new FleetScenario(root.get("name"), schedulers, workers, root.number("rate"), length,
-                (long) root.number("seed"), root.number("loss"), List.copyOf(faults));
+        return new FleetScenario(
+                root.get("name"),
+                schedulers,
+                workers,
+                root.number("rate"),
+                length,
+                (long) root.number("seed"),
+                root.number("loss"),
+                List.copyOf(faults));
     }
 
     /** What is down cannot be killed, ended or paused, and what is up cannot be started. */
--- a/src/main/java/barrowshore/fleet/Instance.java
+++ b/src/main/java/barrowshore/fleet/Instance.java
@@ -33,6 +33,7 @@
     private final List<String> command;
     /** Holds the port until the first start: another program on this machine must not get it meanwhile. */
     private final ServerSocket reserved;
+
     private volatile Process process;
     /** How often it has been started: what is noticed late must not be laid to a later life. */
     private volatile int lives;
@@ -53,19 +54,27 @@
      * classes.
      */
     static List<String> command(Path deploy) {
-        List<String> all = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
+        List<String> all =
+                new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
         if (deploy != null) {
             try {
-                Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar \\S+ serve\"").matcher(Files.readString(deploy));
+                Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar \\S+ serve\"")
+                        .matcher(Files.readString(deploy));
                 if (!run.find()) {
                     throw new ConfigException(deploy + ": no line run = \"exec java ... -jar ... serve\"");
                 }
                 all.addAll(List.of(run.group(1).split("\\s+")));
             } catch (IOException e) {
-                throw new ConfigException(deploy + " cannot be read: " + e.getClass().getSimpleName());
+                throw new ConfigException(
+                        deploy + " cannot be read: " + e.getClass().getSimpleName());
             }
         }
-        all.addAll(List.of("-cp", System.getProperty("java.class.path"), "barrowshore.cli.Main", "serve", "--with",
+        all.addAll(List.of(
+                "-cp",
+                System.getProperty("java.class.path"),
+                "barrowshore.cli.Main",
+                "serve",
+                "--with",
                 String.valueOf(ProcessHandle.current().pid())));
         return all;
     }
@@ -83,7 +92,8 @@
         Path file = folder.resolve("n" + number + ".json"), temporary = folder.resolve("tmp" + number);
         Files.writeString(file, config);
         Files.createDirectories(temporary);
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
         builder.environment().put("GW_CONFIG", file.toString());
         builder.environment().put("GW_NAME", "n" + number);
@@ -101,8 +111,11 @@
         // Whoever answers there must be ours: a process that has ended answers nothing.
         while (!ready() || !mine.isAlive()) {
             if (mine.waitFor(20, TimeUnit.MILLISECONDS) || System.nanoTime() > until) {
-                throw new ConfigException("scheduler " + number + (mine.isAlive() ? " was not ready in " + READY_SECONDS + " s"
-                        : " ended with exit code " + mine.exitValue() + " before it was ready") + "; see " + log());
+                throw new ConfigException("scheduler " + number
+                        + (mine.isAlive()
+                                ? " was not ready in " + READY_SECONDS + " s"
+                                : " ended with exit code " + mine.exitValue() + " before it was ready")
+                        + "; see " + log());
             }
         }
         inService = true;
@@ -112,13 +125,15 @@
         try (Socket socket = new Socket()) {
             socket.connect(address(), 1000);
             socket.setSoTimeout(2000);
-            socket.getOutputStream().write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-                    .getBytes(StandardCharsets.ISO_8859_1));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1).startsWith("HTTP/1.1 200");
+            socket.getOutputStream()
+                    .write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1)
+                    .startsWith("HTTP/1.1 200");
         } catch (ConnectException e) {
             return false;
         } catch (IOException e) {
-            return false;   // it is coming up, or going
+            return false; // it is coming up, or going
         }
     }
 
@@ -144,7 +159,10 @@
 
     /** SIGSTOP or SIGCONT: there is no call for these in the JDK. */
     void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).inheritIO().start().waitFor();
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
+                .inheritIO()
+                .start()
+                .waitFor();
     }
 
     /** Waits for one that was told to end, which still answers what it holds; one that does not go is ended. */
@@ -168,11 +186,15 @@
     double[] use() {
         double memory = 0;
         try {
-            Matcher rss = Pattern.compile("VmHWM:\\s+(\\d+) kB").matcher(Files.readString(Path.of("/proc/" + pid() + "/status")));
+            Matcher rss = Pattern.compile("VmHWM:\\s+(\\d+) kB")
+                    .matcher(Files.readString(Path.of("/proc/" + pid() + "/status")));
             memory = rss.find() ? Double.parseDouble(rss.group(1)) / 1024 : 0;
         } catch (IOException e) {
-            memory = 0;   // it has ended, or this system has no such file
+            memory = 0; // it has ended, or this system has no such file
         }
-        return new double[] {memory, process.info().totalCpuDuration().map(d -> d.toMillis() / 1000.0).orElse(0.0)};
+        return new double[] {
+            memory,
+            process.info().totalCpuDuration().map(d -> d.toMillis() / 1000.0).orElse(0.0)
+        };
     }
 }
--- a/src/main/java/barrowshore/fleet/Invariants.java
+++ b/src/main/java/barrowshore/fleet/Invariants.java
@@ -11,27 +11,38 @@
  */
 final class Invariants {
     /** What came back to a client; REFUSED: its connection never came up; NONE: it ended, or time passed, without an answer. */
-    enum Answer { SERVED, TURNED_DOWN, FAILED, REFUSED, NONE }
+    enum Answer {
+        SERVED,
+        TURNED_DOWN,
+        FAILED,
+        REFUSED,
+        NONE
+    }
 
     /** A request; times in microseconds on one clock; until: when its client stopped waiting. */
-    record Asked(String id, boolean unsafe, int scheduler, long sentAt, long answeredAt, long until, Answer answer) { }
+    record Asked(String id, boolean unsafe, int scheduler, long sentAt, long answeredAt, long until, Answer answer) {}
 
     /** A scheduler was killed, or stood still: what it held then may be without an answer. */
-    record Outage(int scheduler, long from, long to) { }
+    record Outage(int scheduler, long from, long to) {}
 
     /** What a worker recorded; late: jobs that came after its drain had been told and the grace was over. */
-    record Worked(String worker, int late, boolean pushedOver, double coldUse) { }
+    record Worked(String worker, int late, boolean pushedOver, double coldUse) {}
 
-    private Invariants() { }
+    private Invariants() {}
 
     /** What is broken, a line each; empty if all holds. runs: how often each id started, on all workers together. */
-    static List<String> broken(Collection<Asked> asked, Map<String, Integer> runs, List<Outage> outages,
-                               List<Worked> workers, List<String> leftBehind) {
+    static List<String> broken(
+            Collection<Asked> asked,
+            Map<String, Integer> runs,
+            List<Outage> outages,
+            List<Worked> workers,
+            List<String> leftBehind) {
         List<String> broken = new ArrayList<>();
         for (Asked a : asked) {
             int ran = runs.getOrDefault(a.id, 0);
-            if (a.answer == Answer.NONE && outages.stream().noneMatch(o -> o.scheduler == a.scheduler
-                    && o.from <= a.until && o.to >= a.sentAt)) {
+            if (a.answer == Answer.NONE
+                    && outages.stream()
+                            .noneMatch(o -> o.scheduler == a.scheduler && o.from <= a.until && o.to >= a.sentAt)) {
                 broken.add("no answer: " + a.id + " at scheduler " + a.scheduler + ", sent at " + seconds(a.sentAt));
             }
             if (a.unsafe && ran > 1) {
--- a/src/main/java/barrowshore/fleet/PeerHub.java
+++ b/src/main/java/barrowshore/fleet/PeerHub.java
@@ -35,6 +35,7 @@
     private final SplittableRandom chance;
     /** The schedulers on one side of a cut; replaced as a whole, read by the carrier. */
     private volatile Set<Integer> apart = Set.of();
+
     private volatile long carried, lost, tooLong;
 
     /** So many schedulers, each at a free port of its own that it will listen on. */
@@ -130,7 +131,7 @@
             } catch (ClosedSelectorException e) {
                 return;
             } catch (IOException e) {
-                lost++;   // its receiver is down: as on any network
+                lost++; // its receiver is down: as on any network
             }
         }
     }
--- a/src/main/java/barrowshore/halls/Hall.java
+++ b/src/main/java/barrowshore/halls/Hall.java
@@ -12,12 +12,20 @@
  */
 final class Hall {
     /** Why a hall is dark. */
-    enum Why { NONE, LOST, CUT_OFF, UNLISTED, PLANNED, TOLD }
+    enum Why {
+        NONE,
+        LOST,
+        CUT_OFF,
+        UNLISTED,
+        PLANNED,
+        TOLD
+    }
 
     /** A sign counts as of now for so long; so does what only says that something happened. */
     private static final long FRESH = 3_000_000;
     /** At this share lost a doubt is settled at once, and below this one it is over. */
     private static final double SURE = 0.9;
+
     private static final double OVER = 0.4;
     /** Servers in trouble that never move a larger hall. */
     private static final int FEW = 2;
@@ -35,7 +43,7 @@
     private static final long PROBE_PAUSE = 400_000;
 
     /** What the peers that know something say: how many hold it for lost, had a sign just now, and that it serves. */
-    record Hearsay(int heard, int lost, int served, int well) { }
+    record Hearsay(int heard, int lost, int served, int well) {}
 
     HallRules rules;
     private final DoubleSupplier random;
@@ -53,6 +61,7 @@
     private boolean seen;
     /** As of the last turn: listed servers, their weight and slots, those lost, and the weight known to be alive. */
     private int listed;
+
     private int lost;
     private int words;
     private int draining;
@@ -70,6 +79,7 @@
     private long troubledAt = Long.MIN_VALUE / 2;
     /** The server that a dark hall's one trial is out at, and since when. */
     private Place trial;
+
     private long trialSentAt;
 
     Hall(int number, HallRules rules, DoubleSupplier random) {
@@ -80,8 +90,9 @@
 
     /** Slots of the servers that are listed and not taken for lost; while it returns, of those that have served. */
     double usable() {
-        return state == HallState.RETURNING ? provedSlots : state == HallState.DARK || state == HallState.HELD ? 0
-                : slots;
+        return state == HallState.RETURNING
+                ? provedSlots
+                : state == HallState.DARK || state == HallState.HELD ? 0 : slots;
     }
 
     long signAt() {
@@ -107,7 +118,7 @@
                 continue;
             }
             if (p.lost() && p.soft && now - p.againstAt > FRESH) {
-                p.lostAt = 0;   // a reset told of a moment, and that has passed
+                p.lostAt = 0; // a reset told of a moment, and that has passed
             }
             listed++;
             weight += p.weight;
@@ -210,9 +221,9 @@
             return !fresh && lost == 0 ? move(now, HallState.SERVING) : comeBack(now);
         }
         if (why == Why.LOST && peers.served() > 0) {
-            why = Why.CUT_OFF;   // known only now: their word takes its time
-            return String.format(Locale.ROOT, "hall %s is only cut off from here: others are served there",
-                    rules.name(number));
+            why = Why.CUT_OFF; // known only now: their word takes its time
+            return String.format(
+                    Locale.ROOT, "hall %s is only cut off from here: others are served there", rules.name(number));
         }
         // What was only told is over when nobody says so any more.
         return signAt > darkAt || why == Why.TOLD && peers.lost() == 0 ? comeBack(now) : null;
@@ -231,15 +242,18 @@
         if (listed == 0) {
             return goDark(now, drained() ? Why.PLANNED : Why.UNLISTED);
         }
-        boolean gone = proved > 0 && (provedLost >= provedWeight
-                || provedLost >= rules.doubtShare() * provedWeight && lost > FEW && provedLost > provedWeight / 2);
+        boolean gone = proved > 0
+                && (provedLost >= provedWeight
+                        || provedLost >= rules.doubtShare() * provedWeight
+                                && lost > FEW
+                                && provedLost > provedWeight / 2);
         if (gone) {
             return goDark(now, peers.served() > 0 ? Why.CUT_OFF : Why.LOST);
         }
         if (proved == 0 && now - since > rules.settle() && enough() && lostShare() >= rules.doubtShare()) {
-            return goDark(now, Why.LOST);   // the sign that brought it back was the last one
+            return goDark(now, Why.LOST); // the sign that brought it back was the last one
         }
-        boolean seen = peers.well() > 0 && peers.lost() == 0 && lost == 0;   // we have no work there, others have
+        boolean seen = peers.well() > 0 && peers.lost() == 0 && lost == 0; // we have no work there, others have
         boolean served = proved > 0 && provedWeight - provedLost >= BACK * weight;
         if (now - since >= rules.settle() && (served || seen && proved == 0)) {
             returnedAt = why == Why.LOST ? now : returnedAt;
@@ -251,8 +265,8 @@
 
     private String goDark(long now, Why reason) {
         boolean planned = reason == Why.PLANNED || reason == Why.UNLISTED || reason == Why.CUT_OFF;
-        boolean again = !planned && (state == HallState.RETURNING && proved > 0
-                || now - returnedAt <= rules.flapWindow());
+        boolean again =
+                !planned && (state == HallState.RETURNING && proved > 0 || now - returnedAt <= rules.flapWindow());
         why = reason;
         darkAt = now;
         trial = null;
@@ -270,7 +284,7 @@
         for (Place p : places) {
             p.unprove(now, now + (long) (random.getAsDouble() * rules.trialEvery()));
             if (!suspect()) {
-                p.allow = Math.max(1, p.slots / 2);   // it was well all the time; still it is not hit by all at once
+                p.allow = Math.max(1, p.slots / 2); // it was well all the time; still it is not hit by all at once
             }
         }
         return move(now, HallState.RETURNING);
@@ -284,9 +298,17 @@
         HallState from = state;
         state = to;
         since = now;
-        return String.format(Locale.ROOT, "hall %s %s (was %s%s): %d of %d servers lost, share %.2f, flaps %d",
-                rules.name(number), word(to), word(from), why == Why.NONE || to == HallState.SERVING ? ""
-                : ", " + word(why), lost, listed, lostShare(), flaps);
+        return String.format(
+                Locale.ROOT,
+                "hall %s %s (was %s%s): %d of %d servers lost, share %.2f, flaps %d",
+                rules.name(number),
+                word(to),
+                word(from),
+                why == Why.NONE || to == HallState.SERVING ? "" : ", " + word(why),
+                lost,
+                listed,
+                lostShare(),
+                flaps);
     }
 
     private static String word(Enum<?> e) {
@@ -298,12 +320,15 @@
         return switch (state) {
             case SERVING -> true;
             case DOUBTED -> !p.lost();
-            // One trial at a time; the first ones with what may run twice, if there is such work.
+                // One trial at a time; the first ones with what may run twice, if there is such work.
             case DARK -> trial == null && now >= trialAt && (repeatable || pauses > 1);
             case HELD -> false;
-            case RETURNING -> p.proved ? p.held + size <= p.allow || p.held == 0 && size <= p.slots
-                    : !p.trying && now >= p.nextTry && (trying < Math.max(1, proved) || !suspect())
-                    && (repeatable || !p.lost() || now - p.nextTry > 4 * rules.trialEvery());
+            case RETURNING -> p.proved
+                    ? p.held + size <= p.allow || p.held == 0 && size <= p.slots
+                    : !p.trying
+                            && now >= p.nextTry
+                            && (trying < Math.max(1, proved) || !suspect())
+                            && (repeatable || !p.lost() || now - p.nextTry > 4 * rules.trialEvery());
         };
     }
 
@@ -338,7 +363,7 @@
             trial = null;
         }
         if (sentAt < p.epoch) {
-            return;   // work of before: it is a sign, but proves nothing of what it can take now
+            return; // work of before: it is a sign, but proves nothing of what it can take now
         }
         p.held = Math.max(0, p.held - size);
         trying = Math.max(0, trying - (p.trying ? 1 : 0));
@@ -360,9 +385,11 @@
         while (left-- > 0) {
             Place next = null;
             for (Place p : places) {
-                boolean due = p.counts() && now - p.probedAt > PROBE_PAUSE && (state == HallState.DARK
-                        || state == HallState.RETURNING && !p.proved && p.lost()
-                        || state == HallState.DOUBTED && !p.lost() && now - p.signAt > FRESH / 2);
+                boolean due = p.counts()
+                        && now - p.probedAt > PROBE_PAUSE
+                        && (state == HallState.DARK
+                                || state == HallState.RETURNING && !p.proved && p.lost()
+                                || state == HallState.DOUBTED && !p.lost() && now - p.signAt > FRESH / 2);
                 if (due && (next == null || p.probedAt < next.probedAt)) {
                     next = p;
                 }
--- a/src/main/java/barrowshore/halls/HallGate.java
+++ b/src/main/java/barrowshore/halls/HallGate.java
@@ -15,7 +15,7 @@
     byte MARK = 3;
 
     /** The gate of a scheduler whose operators have said nothing of halls. */
-    HallGate OFF = new HallGate() { };
+    HallGate OFF = new HallGate() {};
 
     /** Goes on under other rules for the same halls; false: it cannot, and has to be made anew. */
     default boolean rules(HallRules rules) {
@@ -28,28 +28,28 @@
     }
 
     /** What the list says of a server now. slots and speed: what it can do, by the caller's own measure. */
-    default void listed(long now, Place place, int zone, boolean ready, boolean draining, long startedAt) { }
+    default void listed(long now, Place place, int zone, boolean ready, boolean draining, long startedAt) {}
 
     /** What the module believes of a listed server, renewed now and then; silent: signs that were due did not come. */
-    default void see(long now, Place place, double slots, double speed, boolean silent) { }
+    default void see(long now, Place place, double slots, double speed, boolean silent) {}
 
     /** A server has given a sign: it started a job, went on with one, or answered. */
-    default void sign(long now, Place place) { }
+    default void sign(long now, Place place) {}
 
     /** A probe of a server has ended; answered: by itself, whatever it said. */
-    default void probed(long now, Place place, boolean answered) { }
+    default void probed(long now, Place place, boolean answered) {}
 
     /** Something speaks against a server. */
-    default void against(long now, Place place, Place.Against what) { }
+    default void against(long now, Place place, Place.Against what) {}
 
     /** A job was sent. wait: how long it is expected to wait there, as a share of the usual wanted time. */
-    default void sent(long now, Place place, double slots, double wait) { }
+    default void sent(long now, Place place, double slots, double wait) {}
 
     /** A job that was sent at that time has ended; served: with a result. */
-    default void ended(long now, Place place, long sentAt, double slots, boolean served) { }
+    default void ended(long now, Place place, long sentAt, double slots, boolean served) {}
 
     /** A request of our own was turned down; worth: as in {@link #weigh}. */
-    default void refused(long now, double worth) { }
+    default void refused(long now, double worth) {}
 
     /** The number of the hall of a zone, an index into what {@link #weigh} returns. */
     default int hall(int zone) {
--- a/src/main/java/barrowshore/halls/HallRules.java
+++ b/src/main/java/barrowshore/halls/HallRules.java
@@ -21,9 +21,21 @@
  * @param retryShare what may be tried again of what a troubled hall gave back, against all requests sent
  * @param retryBurst requests that may be tried again at once, however few have been sent
  */
-public record HallRules(List<String> names, int home, List<Integer> tier, boolean strict, double spill,
-                        double doubtShare, long darkAfter, long trialEvery, long settle, long holdOff, long holdMost,
-                        long flapWindow, double retryShare, double retryBurst) {
+public record HallRules(
+        List<String> names,
+        int home,
+        List<Integer> tier,
+        boolean strict,
+        double spill,
+        double doubtShare,
+        long darkAfter,
+        long trialEvery,
+        long settle,
+        long holdOff,
+        long holdMost,
+        long flapWindow,
+        double retryShare,
+        double retryBurst) {
     /** Checks what cannot work; an IllegalArgumentException names it. */
     public HallRules {
         names = List.copyOf(names);
@@ -34,7 +46,8 @@
         require(tier.stream().allMatch(t -> t >= 0), "halls: a tier must not be negative");
         require(spill >= 0 && spill <= 1, "halls: spill must be in [0, 1]");
         require(doubtShare > 0.5 && doubtShare <= 1, "halls: doubtShare must be in (0.5, 1]");
-        require(darkAfter > 0 && trialEvery > 0 && settle > 0 && holdOff > 0 && flapWindow > 0,
+        require(
+                darkAfter > 0 && trialEvery > 0 && settle > 0 && holdOff > 0 && flapWindow > 0,
                 "halls: times must be positive");
         require(holdMost >= holdOff, "halls: holdMost must not be under holdOff");
         require(retryShare >= 0 && retryShare <= 1, "halls: retryShare must be in [0, 1]");
@@ -49,9 +62,23 @@
 
     /** The usual rules: the home hall first, all others second. */
     public static HallRules usual(List<String> names, int home) {
-        return new HallRules(names, home, java.util.stream.IntStream.range(0, names.size())
-                .mapToObj(h -> h == home ? 0 : 1).toList(), false, 1, 0.6, 1_000_000, 500_000, 3_000_000, 5_000_000,
-                60_000_000, 60_000_000, 0.1, 10);
+        return new HallRules(
+                names,
+                home,
+                java.util.stream.IntStream.range(0, names.size())
+                        .mapToObj(h -> h == home ? 0 : 1)
+                        .toList(),
+                false,
+                1,
+                0.6,
+                1_000_000,
+                500_000,
+                3_000_000,
+                5_000_000,
+                60_000_000,
+                60_000_000,
+                0.1,
+                10);
     }
 
     /** The number of the hall of a zone; what has no known zone is in the one after the last. */
--- a/src/main/java/barrowshore/halls/HallTalk.java
+++ b/src/main/java/barrowshore/halls/HallTalk.java
@@ -18,15 +18,16 @@
     private static final int ENTRY = 7;
     /** Halls in one message; of more, each message tells the next so many. */
     static final int MOST = (256 - HEAD) / ENTRY;
+
     private static final HallState[] STATES = HallState.values();
 
     /** What is told of one hall; sign: microseconds since the last sign of it, negative: there was none lately. */
-    record Told(int hall, HallState state, boolean asks, long sign, int promise, double used, double welcome) { }
+    record Told(int hall, HallState state, boolean asks, long sign, int promise, double used, double welcome) {}
 
     /** A whole message. */
-    record Message(int life, int number, int home, List<Told> halls) { }
+    record Message(int life, int number, int home, List<Told> halls) {}
 
-    private HallTalk() { }
+    private HallTalk() {}
 
     static byte[] write(Message m) {
         ByteBuffer out = ByteBuffer.allocate(HEAD + ENTRY * m.halls().size());
@@ -59,8 +60,14 @@
             if (hall >= halls || flags >> 4 >= STATES.length) {
                 return null;
             }
-            told.add(new Told(hall, STATES[flags >> 4], (flags & 1) != 0, sign == 255 ? -1 : sign * 100_000L, promise,
-                    used, welcome));
+            told.add(new Told(
+                    hall,
+                    STATES[flags >> 4],
+                    (flags & 1) != 0,
+                    sign == 255 ? -1 : sign * 100_000L,
+                    promise,
+                    used,
+                    welcome));
         }
         return new Message(life, number, home == 255 ? -1 : home, told);
     }
--- a/src/main/java/barrowshore/halls/Halls.java
+++ b/src/main/java/barrowshore/halls/Halls.java
@@ -30,6 +30,7 @@
     private static final double MISSED = 0.5;
     /** How a crowded hall's welcome falls in a turn, and how it rises again. */
     private static final double LESS = 0.95;
+
     private static final double MORE = 0.03;
     /** Tries that a request of no worth must leave in the budget for those worth more. */
     private static final double KEPT = 0.6;
@@ -63,6 +64,7 @@
     private final List<String> probes = new ArrayList<>();
     /** Of the request weighed last: its size, whether it may run twice, the time, and what each hall costs it. */
     private final double[] prices;
+
     private double size;
     private boolean repeatable;
     private long now;
@@ -71,10 +73,12 @@
     private boolean crowded;
     /** Whether no hall is in use, so that evidence against halls helps nobody. */
     private boolean panic;
+
     private long turnedAt;
     private long pausedUntil;
     /** Worked out for many requests at once, and when: our parts, the halls' tiers, how many crossings each is away. */
     private final double[] parts;
+
     private final int[] tiers;
     private final double[] away;
     private long partsAt = Long.MIN_VALUE / 2;
@@ -225,8 +229,11 @@
             boolean open = near && (h == rules.home() || welcomed(now, h, slots, worth));
             HallState state = halls[h].state;
             // A trial pays nothing: from far away it would never be the cheapest, and nobody would find out.
-            prices[h] = panic ? -1 - away[h] : !open ? CLOSED : state == HallState.SERVING ? away[h]
-                    : state == HallState.DARK ? -1 : -1 - away[h];
+            prices[h] = panic
+                    ? -1 - away[h]
+                    : !open
+                            ? CLOSED
+                            : state == HallState.SERVING ? away[h] : state == HallState.DARK ? -1 : -1 - away[h];
         }
         return prices;
     }
@@ -250,7 +257,7 @@
     private boolean welcomed(long now, int h, double slots, double worth) {
         HallState state = halls[h].state;
         if (state == HallState.DARK) {
-            return true;   // a trial, one at a time; whoever serves its diners will not have to find out alone
+            return true; // a trial, one at a time; whoever serves its diners will not have to find out alone
         }
         if (state != HallState.SERVING || rules.spill() == 0 || halls[h].places.isEmpty()) {
             return false;
@@ -315,7 +322,7 @@
     @Override
     public boolean mayRepeat(long now, Place p, double worth) {
         if (halls[p.hall].state == HallState.SERVING) {
-            return true;   // one server's trouble: the module's own budget will do
+            return true; // one server's trouble: the module's own budget will do
         }
         double kept = KEPT * rules.retryBurst() * (1 - Math.min(1, worth));
         if (tries < 1 + kept && tries < rules.retryBurst()) {
@@ -375,7 +382,7 @@
             boolean dark = p.states[h] == HallState.DARK || p.states[h] == HallState.HELD;
             // What was before our own trouble with it says nothing of who is cut off.
             boolean sign = now - p.signAt[h] <= SERVED && p.signAt[h] > halls[h].troubledAt();
-            heard += dark || sign ? 1 : 0;   // who had nothing to do there knows nothing
+            heard += dark || sign ? 1 : 0; // who had nothing to do there knows nothing
             lost += dark ? 1 : 0;
             served += sign ? 1 : 0;
             well += sign && p.states[h] == HallState.SERVING ? 1 : 0;
@@ -403,11 +410,16 @@
             long sign = now - halls[h].signAt();
             // Only first-hand: what was merely told must not come back to its teller as a second voice.
             HallState state = halls[h].why == Hall.Why.TOLD ? HallState.SERVING : halls[h].state;
-            told.add(new HallTalk.Told(h, state, foreign && share.asks(now), sign > 60_000_000 ? -1 : sign,
-                    foreign ? share.tell(now, even, well) : SpillShare.WHOLE, foreign ? share.used() : 0,
+            told.add(new HallTalk.Told(
+                    h,
+                    state,
+                    foreign && share.asks(now),
+                    sign > 60_000_000 ? -1 : sign,
+                    foreign ? share.tell(now, even, well) : SpillShare.WHOLE,
+                    foreign ? share.used() : 0,
                     foreign ? 1 : welcome));
         }
-        partsAt = Long.MIN_VALUE / 2;   // what was told binds from here on
+        partsAt = Long.MIN_VALUE / 2; // what was told binds from here on
         tellFrom = (tellFrom + HallTalk.MOST) % Math.max(1, halls.length);
         if (halls.length <= HallTalk.MOST) {
             tellFrom = 0;
--- a/src/main/java/barrowshore/halls/Place.java
+++ b/src/main/java/barrowshore/halls/Place.java
@@ -21,14 +21,17 @@
     boolean draining;
     /** Slots, and slots times speed: what it weighs in its hall. */
     double slots = 1;
+
     double weight = 1;
     long startedAt;
     /** Ours that are out. */
     double out;
+
     int jobsOut;
     long signAt = Long.MIN_VALUE / 2;
     /** Since when it is taken for lost, 0: it is not; the last word against it; how many; whether none was firm. */
     long lostAt;
+
     long againstAt;
     int against;
     boolean soft;
@@ -37,6 +40,7 @@
      * and holds of that, whether a first job is out, and when it may be tried next.
      */
     long epoch;
+
     boolean proved;
     double allow = 1;
     double held;
--- a/src/main/java/barrowshore/halls/SpillShare.java
+++ b/src/main/java/barrowshore/halls/SpillShare.java
@@ -16,9 +16,11 @@
 final class SpillShare {
     /** How long a promise counts after it was heard, and how long it is kept after it was told. */
     static final long VALID = 1_000_000;
+
     static final long HOLD = 2_000_000;
     /** The least that a lender keeps, as a share of the even part; its need is met with twice its height to spare. */
     private static final double KEPT = 0.25;
+
     private static final double SPARE = 2;
     /** Half-life of the memory of a need. */
     private static final double MEMORY = 2e6;
@@ -40,6 +42,7 @@
     private long needAt;
     /** The lowest of our promises that still binds us, when it was last told, and whether we have lent at all. */
     private int lowest = WHOLE;
+
     private long lowestAt = Long.MIN_VALUE / 2;
     private boolean lent;
     private long askedAt = Long.MIN_VALUE / 2;
@@ -105,7 +108,7 @@
         double share = even <= 0 || !mayLend || !asked || asks(now) ? 1 : Math.max(KEPT, SPARE * need / even);
         int promise = Math.min(WHOLE, (int) Math.ceil(share * WHOLE));
         if (promise == WHOLE || lends(now) && promise > lowest) {
-            return WHOLE;   // never a promise between: when the lower one has run out, nothing may bind any more
+            return WHOLE; // never a promise between: when the lower one has run out, nothing may bind any more
         }
         lowest = promise;
         lowestAt = now;
--- a/src/main/java/barrowshore/list/Guard.java
+++ b/src/main/java/barrowshore/list/Guard.java
@@ -14,12 +14,17 @@
  */
 public final class Guard {
     /** What becomes of a file, and why. */
-    public record Verdict(Outcome outcome, String why) { }
+    public record Verdict(Outcome outcome, String why) {}
 
     /** taken; the same as before; held until a later revision confirms it; refused. */
-    public enum Outcome { TAKEN, SAME, HELD, REFUSED }
+    public enum Outcome {
+        TAKEN,
+        SAME,
+        HELD,
+        REFUSED
+    }
 
-    private Guard() { }
+    private Guard() {}
 
     /** Judges a file against the one in use (null: none). mostLost: the share of capacity that may go at once. */
     public static Verdict judge(HandList inUse, HandList next, double mostLost) {
@@ -29,20 +34,23 @@
                     : new Verdict(Outcome.TAKEN, "the first one");
         }
         if (next.revision() < inUse.revision()) {
-            return new Verdict(Outcome.REFUSED, "its revision " + next.revision() + " is before " + inUse.revision()
-                    + ", which is in use");
+            return new Verdict(
+                    Outcome.REFUSED,
+                    "its revision " + next.revision() + " is before " + inUse.revision() + ", which is in use");
         }
         if (next.same(inUse)) {
             return new Verdict(Outcome.SAME, "it names the same servers");
         }
         if (next.revision() == inUse.revision()) {
-            return new Verdict(Outcome.REFUSED, "it differs from revision " + inUse.revision()
-                    + ", which is in use, but has the same number");
+            return new Verdict(
+                    Outcome.REFUSED,
+                    "it differs from revision " + inUse.revision() + ", which is in use, but has the same number");
         }
         if (next.force()) {
             return new Verdict(Outcome.TAKEN, "forced");
         }
-        Map<String, Double> had = capacity(inUse.servers().values()), has = capacity(next.servers().values());
+        Map<String, Double> had = capacity(inUse.servers().values()),
+                has = capacity(next.servers().values());
         double before = had.values().stream().mapToDouble(w -> w).sum();
         double lost = 0;
         for (Server s : inUse.servers().values()) {
@@ -50,17 +58,25 @@
             lost += Math.max(0, weight(s) - (now == null ? 0 : weight(now)));
         }
         if (has.isEmpty()) {
-            return new Verdict(Outcome.HELD, "it leaves no server in use; force=\"true\" in a later revision confirms it");
+            return new Verdict(
+                    Outcome.HELD, "it leaves no server in use; force=\"true\" in a later revision confirms it");
         }
         for (String hall : had.keySet()) {
             if (!has.containsKey(hall)) {
-                return new Verdict(Outcome.HELD, "it leaves hall " + hall
-                        + " empty; force=\"true\" in a later revision confirms it");
+                return new Verdict(
+                        Outcome.HELD,
+                        "it leaves hall " + hall + " empty; force=\"true\" in a later revision confirms it");
             }
         }
         if (before > 0 && lost / before > mostLost) {
-            return new Verdict(Outcome.HELD, String.format(Locale.ROOT, "it takes %.0f%% of the capacity away, over %.0f%%;"
-                    + " force=\"true\" in a later revision confirms it", 100 * lost / before, 100 * mostLost));
+            return new Verdict(
+                    Outcome.HELD,
+                    String.format(
+                            Locale.ROOT,
+                            "it takes %.0f%% of the capacity away, over %.0f%%;"
+                                    + " force=\"true\" in a later revision confirms it",
+                            100 * lost / before,
+                            100 * mostLost));
         }
         return new Verdict(Outcome.TAKEN, "");
     }
@@ -100,7 +116,9 @@
 
     /** The list, a line for each server. */
     public static List<String> show(HandList file) {
-        return file.servers().values().stream().map(s -> s.uid() + " " + describe(s)).toList();
+        return file.servers().values().stream()
+                .map(s -> s.uid() + " " + describe(s))
+                .toList();
     }
 
     private static String describe(Server s) {
--- a/src/main/java/barrowshore/list/HandList.java
+++ b/src/main/java/barrowshore/list/HandList.java
@@ -13,20 +13,34 @@
  */
 public record HandList(String name, long revision, boolean force, long grace, Map<String, Server> servers) {
     /** One server, as the file says. */
-    public record Server(String uid, InetSocketAddress endpoint, String hall, String model, double weight, int cell,
-                         boolean drains, boolean warm, int line) {
+    public record Server(
+            String uid,
+            InetSocketAddress endpoint,
+            String hall,
+            String model,
+            double weight,
+            int cell,
+            boolean drains,
+            boolean warm,
+            int line) {
         /** Whether two entries say the same; where they stand does not count. */
         boolean same(Server other) {
-            return uid.equals(other.uid) && endpoint.equals(other.endpoint) && hall.equals(other.hall)
-                    && model.equals(other.model) && weight == other.weight && cell == other.cell
-                    && drains == other.drains && warm == other.warm;
+            return uid.equals(other.uid)
+                    && endpoint.equals(other.endpoint)
+                    && hall.equals(other.hall)
+                    && model.equals(other.model)
+                    && weight == other.weight
+                    && cell == other.cell
+                    && drains == other.drains
+                    && warm == other.warm;
         }
     }
 
     /** Whether it names the same servers in the same way. */
     public boolean same(HandList other) {
-        return servers.size() == other.servers.size() && servers.values().stream().allMatch(s ->
-                other.servers.containsKey(s.uid) && s.same(other.servers.get(s.uid)));
+        return servers.size() == other.servers.size()
+                && servers.values().stream()
+                        .allMatch(s -> other.servers.containsKey(s.uid) && s.same(other.servers.get(s.uid)));
     }
 
     /**
@@ -48,8 +62,15 @@
             }
             // A weight of 0 takes nothing new, and finishes what it has: that is what a drain is.
             ServerList.State state = s.drains || s.weight == 0 ? ServerList.State.TERMINATING : ServerList.State.READY;
-            entries.add(new ServerList.Entry(s.uid, s.endpoint.getAddress().getHostAddress() + ":"
-                    + s.endpoint.getPort(), s.endpoint, zone, Math.max(0, kind), s.cell, state, s.weight,
+            entries.add(new ServerList.Entry(
+                    s.uid,
+                    s.endpoint.getAddress().getHostAddress() + ":" + s.endpoint.getPort(),
+                    s.endpoint,
+                    zone,
+                    Math.max(0, kind),
+                    s.cell,
+                    state,
+                    s.weight,
                     s.warm ? 0 : bootMicros.applyAsLong(s)));
         }
         return new ServerList.Update(revision, true, entries);
--- a/src/main/java/barrowshore/list/ServerBook.java
+++ b/src/main/java/barrowshore/list/ServerBook.java
@@ -41,7 +41,7 @@
     }
 
     /** What is known of a source: its rank, version, number of servers, and when it was heard last, microseconds. */
-    public record Standing(String source, int rank, long rev, int servers, long heardAt) { }
+    public record Standing(String source, int rank, long rev, int servers, long heardAt) {}
 
     private final Map<String, Source> sources = new LinkedHashMap<>();
     private Map<String, Entry> told = new LinkedHashMap<>();
@@ -71,12 +71,12 @@
         for (Entry e : update.entries()) {
             if (e.state() == State.GONE) {
                 next.remove(e.uid());
-                s.givenUp.remove(e.uid());   // its own word: gone at once, not after a grace
+                s.givenUp.remove(e.uid()); // its own word: gone at once, not after a grace
                 s.last.remove(e.uid());
                 s.entries.remove(e.uid());
             } else {
                 next.put(e.uid(), e);
-                s.givenUp.remove(e.uid());   // it is back within its grace
+                s.givenUp.remove(e.uid()); // it is back within its grace
             }
         }
         for (Entry e : s.entries.values()) {
@@ -110,7 +110,10 @@
 
     /** When {@link #tick} will have something to say; Long.MAX_VALUE: not before a source says something. */
     public long nextTick() {
-        return sources.values().stream().flatMap(s -> s.givenUp.values().stream()).mapToLong(t -> t).min()
+        return sources.values().stream()
+                .flatMap(s -> s.givenUp.values().stream())
+                .mapToLong(t -> t)
+                .min()
                 .orElse(Long.MAX_VALUE);
     }
 
@@ -163,7 +166,15 @@
     }
 
     private static Entry draining(Entry e) {
-        return new Entry(e.uid(), e.endpoint(), e.address(), e.zone(), e.kind(), e.cell(), State.TERMINATING, e.hint(),
+        return new Entry(
+                e.uid(),
+                e.endpoint(),
+                e.address(),
+                e.zone(),
+                e.kind(),
+                e.cell(),
+                State.TERMINATING,
+                e.hint(),
                 e.bootMicros());
     }
 
@@ -177,8 +188,16 @@
         }
         for (Entry e : from.values()) {
             if (!to.containsKey(e.uid())) {
-                changed.add(new Entry(e.uid(), e.endpoint(), e.address(), e.zone(), e.kind(), e.cell(), State.GONE,
-                        e.hint(), e.bootMicros()));
+                changed.add(new Entry(
+                        e.uid(),
+                        e.endpoint(),
+                        e.address(),
+                        e.zone(),
+                        e.kind(),
+                        e.cell(),
+                        State.GONE,
+                        e.hint(),
+                        e.bootMicros()));
             }
         }
         return new Update(rev, false, changed);
--- a/src/main/java/barrowshore/list/ServerList.java
+++ b/src/main/java/barrowshore/list/ServerList.java
@@ -14,14 +14,26 @@
  * saying so.
  */
 public final class ServerList {
-    private ServerList() { }
+    private ServerList() {}
 
     /** What a list says of a server. */
-    public enum State { READY, TERMINATING, GONE }
+    public enum State {
+        READY,
+        TERMINATING,
+        GONE
+    }
 
     /** One entry of the list; bootMicros in Unix time, 0: long ago; zone -1: not known; address null: not told. */
-    public record Entry(String uid, String endpoint, InetSocketAddress address, int zone, int kind, int cell,
-                        State state, double hint, long bootMicros) { }
+    public record Entry(
+            String uid,
+            String endpoint,
+            InetSocketAddress address,
+            int zone,
+            int kind,
+            int cell,
+            State state,
+            double hint,
+            long bootMicros) {}
 
     /**
      * A version of the list: all of it, or what changed; unknown: the servers left out, of no known model. One that
@@ -45,7 +57,7 @@
     }
 
     /** The settings' names for zones and kinds, by position. */
-    public record Names(List<String> zones, List<String> kinds) { }
+    public record Names(List<String> zones, List<String> kinds) {}
 
     /** Reads a list in discovery's form; an IllegalArgumentException names what is wrong. */
     public static Update read(Map<?, ?> json, Names names) {
@@ -55,23 +67,31 @@
         List<Entry> entries = new ArrayList<>();
         List<String> unknown = new ArrayList<>();
         for (Object target : targets) {
-            if (!(target instanceof Map<?, ?> t) || !(t.get("uid") instanceof String uid)
+            if (!(target instanceof Map<?, ?> t)
+                    || !(t.get("uid") instanceof String uid)
                     || !(t.get("state") instanceof String state)) {
                 throw new IllegalArgumentException("a target lacks its uid or state");
             }
             String endpoint = t.get("endpoint") instanceof String s ? s : "";
             int kind = names.kinds().indexOf(SettingsReader.plain(t.get("model")));
             if (kind < 0 && !names.kinds().isEmpty() && state.equals("Ready")) {
-                unknown.add(uid);   // guards the module against a kind that its settings do not name
+                unknown.add(uid); // guards the module against a kind that its settings do not name
                 continue;
             }
-            entries.add(new Entry(uid, endpoint, endpoint.isEmpty() ? null : Json.address(endpoint, "endpoint"),
-                    names.zones().indexOf(SettingsReader.plain(t.get("az"))), Math.max(0, kind),
-                    (int) number(t.get("pod_group"), 0), switch (state) {
+            entries.add(new Entry(
+                    uid,
+                    endpoint,
+                    endpoint.isEmpty() ? null : Json.address(endpoint, "endpoint"),
+                    names.zones().indexOf(SettingsReader.plain(t.get("az"))),
+                    Math.max(0, kind),
+                    (int) number(t.get("pod_group"), 0),
+                    switch (state) {
                         case "Ready" -> State.READY;
                         case "Gone" -> State.GONE;
-                        default -> State.TERMINATING;   // the careful reading of a word not known
-                    }, number(t.get("capacity_hint"), 1), (long) number(t.get("boot_ms"), 0) * 1000));
+                        default -> State.TERMINATING; // the careful reading of a word not known
+                    },
+                    number(t.get("capacity_hint"), 1),
+                    (long) number(t.get("boot_ms"), 0) * 1000));
         }
         return new Update((long) number(json.get("rev"), 0), Boolean.TRUE.equals(json.get("all")), entries, unknown);
     }
--- a/src/main/java/barrowshore/model/NodeModel.java
+++ b/src/main/java/barrowshore/model/NodeModel.java
@@ -21,10 +21,10 @@
      * What a node is. speed: of a core, against the standard one; queue: slots of work that may wait; coldFrom: the share
      * of its capacity at a start; coldTime: until it is warm, microseconds.
      */
-    public record Spec(int cores, double speed, double queue, boolean backfill, double coldFrom, long coldTime) { }
+    public record Spec(int cores, double speed, double queue, boolean backfill, double coldFrom, long coldTime) {}
 
     /** What pushes a cold node over: so many times its present capacity for so long. meanJob: work of a usual job. */
-    public record Falling(double multiple, long window, double meanJob) { }
+    public record Falling(double multiple, long window, double meanJob) {}
 
     /** A job on a node; work in microseconds at speed 1. The calls come in order, and the last one is one of four. */
     public interface Job {
@@ -68,7 +68,7 @@
         }
     }
 
-    private record Arrival(long at, double size, boolean knowing) { }
+    private record Arrival(long at, double size, boolean knowing) {}
 
     private final Timeline time;
     private final Spec spec;
@@ -148,7 +148,8 @@
     /** How fast a slot runs that is filled now. */
     public double pace() {
         return Math.min(1, warmth(time.now()) * spec.cores() / Math.max(1, Math.min(spec.cores(), used() + 1)))
-                * spec.speed() / slowness;
+                * spec.speed()
+                / slowness;
     }
 
     public double freeSlots() {
@@ -227,10 +228,13 @@
         }
         weigh(job);
         if (!up) {
-            job.lost();   // it was the one too many
+            job.lost(); // it was the one too many
             return;
         }
-        if (draining || job.slots() > spec.cores() || job.memory() > spec.cores() || waitingSlots + job.slots() > spec.queue() && !fits(job)) {
+        if (draining
+                || job.slots() > spec.cores()
+                || job.memory() > spec.cores()
+                || waitingSlots + job.slots() > spec.queue() && !fits(job)) {
             say(job::returned);
             return;
         }
@@ -249,7 +253,12 @@
             arrived -= arrivals.poll().size();
         }
         if (warmth(now) < 1) {
-            double jobs = falling.multiple() * spec.cores() * spec.speed() * warmth(now) * falling.window() / falling.meanJob();
+            double jobs = falling.multiple()
+                    * spec.cores()
+                    * spec.speed()
+                    * warmth(now)
+                    * falling.window()
+                    / falling.meanJob();
             double limit = (jobs + SLACK * Math.sqrt(jobs) + SLACK) * falling.meanJob();
             double since = 0, knowing = 0;
             for (Arrival a : arrivals) {
@@ -299,7 +308,7 @@
                     break;
                 }
                 if (!spec.backfill()) {
-                    break;   // the first one waits until it fits
+                    break; // the first one waits until it fits
                 }
             }
         }
@@ -417,7 +426,7 @@
     /** The process starts again, cold. */
     public void restart() {
         if (fallen) {
-            return;   // what was pushed over stays down
+            return; // what was pushed over stays down
         }
         up = true;
         hung = false;
--- a/src/main/java/barrowshore/module/Curve.java
+++ b/src/main/java/barrowshore/module/Curve.java
@@ -18,7 +18,8 @@
     double at(double x) {
         double place = Math.max(0, x) * grid;
         int k = (int) place, last = values.length - 1;
-        return k >= last ? values[last] + (place - last) / grid * slope
+        return k >= last
+                ? values[last] + (place - last) / grid * slope
                 : values[k] + (place - k) * (values[k + 1] - values[k]);
     }
 
--- a/src/main/java/barrowshore/module/DispatchApi.java
+++ b/src/main/java/barrowshore/module/DispatchApi.java
@@ -14,14 +14,29 @@
  */
 public interface DispatchApi {
     /** What a repeat of a job of a class may do. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** For keyed jobs: the workers that drop each other's repeats. */
-    enum Scope { ALL, ZONE, CELL }
+    enum Scope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** How an attempt ended. */
     enum Status {
-        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT;
+        OK,
+        ERROR,
+        FULL,
+        TIMEOUT,
+        CONNECT_FAILED,
+        RESET,
+        CANCELLED,
+        NOT_SENT;
 
         /** Whether this end proves that the job never ran. */
         public boolean neverRan() {
@@ -30,20 +45,45 @@
     }
 
     /** What the worker list says of a worker. */
-    enum Health { READY, DRAINING, GONE }
+    enum Health {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** What a list event holds: changes, the whole list, the last list held before a start, or a failed call. */
-    enum ListKind { CHANGES, WHOLE, INITIAL, FAILED }
+    enum ListKind {
+        CHANGES,
+        WHOLE,
+        INITIAL,
+        FAILED
+    }
 
     /** Where load reports come from. */
-    enum Reports { NONE, ANSWERS, PROBES }
+    enum Reports {
+        NONE,
+        ANSWERS,
+        PROBES
+    }
 
     /** What a note on an attempt tells. */
-    enum Note { STARTED, PROGRESS }
+    enum Note {
+        STARTED,
+        PROGRESS
+    }
 
     /** A class of jobs. Times in microseconds; kind -1: any; aim grows by stretch times the job's own work. */
-    record JobClass(long aim, double stretch, long deadline, double worth, double lateShare, Effect effect, Scope scope,
-                    long repeatWindow, int kind, int priority) {
+    record JobClass(
+            long aim,
+            double stretch,
+            long deadline,
+            double worth,
+            double lateShare,
+            Effect effect,
+            Scope scope,
+            long repeatWindow,
+            int kind,
+            int priority) {
         public JobClass {
             Settings.require(deadline > 0, "class deadline must be positive");
             Settings.require(aim >= 0, "class aim must not be negative");
@@ -58,27 +98,33 @@
         public int dispatchers = 1;
         /** This dispatcher's number among them, from 0. */
         public int me;
+
         public int zone;
         /** How many machine kinds there are. */
         public int kinds = 1;
+
         public long tick = 1_000;
         public JobClass[] classes = new JobClass[0];
         /** Jobs a second that each tenant may send over all dispatchers; empty: no tenants. */
         public double[] tenantQuota = new double[0];
+
         public double overShareWorth = 0.1;
         /** Whether a job is worth its class's worth for each unit of work rather than as a whole. */
         public boolean worthByWork;
+
         public int maxAttempts = 3;
         public boolean secondCopies;
         public boolean mayCancel;
         public boolean mayProbe;
         /** Whether dispatchers may send one another short messages. */
         public boolean mayTell;
+
         public long maxRetryAfter = 1_000_000;
         /** Whether a listed rating is a size divided by 1 + jobs held for each core, some time ago. */
         public boolean liveRatings;
         /** Whether the list comes only when asked for. */
         public boolean askForList;
+
         public long askEvery = 10_000_000;
         public Reports reports = Reports.NONE;
         public boolean tellsStart;
@@ -174,13 +220,13 @@
     }
 
     /** One entry of the worker list; startedAt 0: long ago. */
-    record Member(String worker, Health health, double rating, int cell, int kind, int zone, long startedAt) { }
+    record Member(String worker, Health health, double rating, int cell, int kind, int zone, long startedAt) {}
 
     /** A job to answer. hint: its expected work in microseconds at speed 1, 0 if unknown; left: time to answer. */
-    record Request(String id, int jobClass, int tenant, double slots, double hint, long left) { }
+    record Request(String id, int jobClass, int tenant, double slots, double hint, long left) {}
 
     /** A worker's load report; what it does not tell is NaN. */
-    record Load(double inFlight, double queue, double freeSlots) { }
+    record Load(double inFlight, double queue, double freeSlots) {}
 
     // Calls in.
 
@@ -205,13 +251,13 @@
     void timer(long now, String token);
 
     /** The operators' rules on halls have changed; null: there are none any more. What is out runs on. */
-    default void rules(long now, HallRules rules) { }
+    default void rules(long now, HallRules rules) {}
 
     /**
      * Other settings from now on; who it is among whom stays. Classes keep their numbers: there may be more of them, and
      * none is left out that jobs under way have; those keep the class that they came with.
      */
-    default void settings(long now, Settings next) { }
+    default void settings(long now, Settings next) {}
 
     /** Where each hall stands, by number; empty where halls are off. */
     default List<HallState> halls() {
@@ -227,7 +273,7 @@
      * Two processes may act as one dispatcher for a while: the part of what is due to it that this one may use, where
      * all dispatchers together are bound, as with cold workers.
      */
-    default void share(double part) { }
+    default void share(double part) {}
 
     /** How many ready workers it sends nothing to just now, whatever the job. */
     default int avoided(long now) {
--- a/src/main/java/barrowshore/module/Evidence.java
+++ b/src/main/java/barrowshore/module/Evidence.java
@@ -4,6 +4,7 @@
 final class Evidence {
     /** Work done at speed 1, how long it took, errors, and ends of any kind. */
     double work, took, errors, ends;
+
     private long fadedAt;
 
     void fade(long now, double halfLife) {
--- a/src/main/java/barrowshore/module/FleetLoad.java
+++ b/src/main/java/barrowshore/module/FleetLoad.java
@@ -9,7 +9,7 @@
     /** Up to so many dispatchers, each one's own jobs are a fair sample of what all have, and a fresher one than any report. */
     private static final double FEW = 20;
 
-    private FleetLoad() { }
+    private FleetLoad() {}
 
     /** The others' slots on all workers; extrapolated: as our own times the others; a report counts half after halfLife. */
     static double others(long now, Worker[] ready, double extrapolated, int dispatchers, double halfLife) {
--- a/src/main/java/barrowshore/module/HallSide.java
+++ b/src/main/java/barrowshore/module/HallSide.java
@@ -1,14 +1,14 @@
 package barrowshore.module;
 
-import java.util.List;
-import barrowshore.module.DispatchApi.Actions;
-import barrowshore.module.DispatchApi.Effect;
-import barrowshore.module.DispatchApi.Settings;
-import barrowshore.module.DispatchApi.Status;
 import barrowshore.halls.HallGate;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.Halls;
 import barrowshore.halls.Place;
+import barrowshore.module.DispatchApi.Actions;
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
+import java.util.List;
 
 /**
  * The module's side of the decisions about halls: puts what happens to attempts and workers into the words of
@@ -54,7 +54,8 @@
 
     /** What a job pays in each hall, as {@link HallGate#weigh} has it; without halls: here, and elsewhere. */
     double[] weigh(long now, Job job, int tier) {
-        return gate == HallGate.OFF ? PLAIN
+        return gate == HallGate.OFF
+                ? PLAIN
                 : gate.weigh(now, job.slots, standing(job), job.jobClass.effect() == Effect.SAFE, tier);
     }
 
@@ -98,7 +99,7 @@
 
     void probed(long now, Worker w, Status status) {
         if (status == Status.OK && gate.troubled(w.place)) {
-            w.heardAt = now;   // it answers again: one job may find out the rest
+            w.heardAt = now; // it answers again: one job may find out the rest
             w.downUntil = 0;
         }
         if (status != Status.NOT_SENT) {
--- a/src/main/java/barrowshore/module/IndexTables.java
+++ b/src/main/java/barrowshore/module/IndexTables.java
@@ -8,7 +8,7 @@
  * dispatchers of one thread may share this without knowing more of one another. Not thread-safe.
  */
 public final class IndexTables {
-    private record Shape(int slots, int bound, double load) { }
+    private record Shape(int slots, int bound, double load) {}
 
     private final Map<Shape, IndexTable> tables = new HashMap<>();
 
--- a/src/main/java/barrowshore/module/Job.java
+++ b/src/main/java/barrowshore/module/Job.java
@@ -1,8 +1,8 @@
 package barrowshore.module;
 
-import java.util.ArrayList;
 import barrowshore.module.DispatchApi.JobClass;
 import barrowshore.module.DispatchApi.Request;
+import java.util.ArrayList;
 
 /** The record of one request and its attempts; it decides nothing. */
 final class Job {
@@ -17,6 +17,7 @@
         double progress;
         /** How long it was expected to wait for its start when it was sent. */
         double wait;
+
         boolean ended;
         /** Known not to have run. */
         boolean neverRan;
@@ -49,6 +50,7 @@
     boolean mayHaveRun;
     /** Expected work at speed 1, and what it pays for each unit of work. */
     double work;
+
     double density;
 
     Job(Request r, JobClass jobClass, boolean overQuota, long now) {
--- a/src/main/java/barrowshore/module/Ledger.java
+++ b/src/main/java/barrowshore/module/Ledger.java
@@ -1,14 +1,15 @@
 package barrowshore.module;
 
+import barrowshore.module.DispatchApi.Status;
 import java.util.HashMap;
 import java.util.Map;
-import barrowshore.module.DispatchApi.Status;
 
 /** The books of what is open: requests by id, attempts, and our slots in flight. It decides nothing. */
 final class Ledger {
     private final Map<String, Job> jobs = new HashMap<>();
     /** Slots of ours in flight, and those of jobs that only one kind of machine can run, by kind. */
     double slots;
+
     final double[] named;
 
     Ledger(int kinds) {
@@ -59,7 +60,7 @@
     }
 
     /** Slots that what was given up may still take, and until when. */
-    record Left(double slots, long until) { }
+    record Left(double slots, long until) {}
 
     /** What was given up has ended by now. */
     void settle(long now, Worker w) {
--- a/src/main/java/barrowshore/module/LoadReader.java
+++ b/src/main/java/barrowshore/module/LoadReader.java
@@ -12,7 +12,7 @@
     /** The same for room that a report shows by itself: few reports come where there are many schedulers. */
     private static final double FREE = 0.5;
 
-    private LoadReader() { }
+    private LoadReader() {}
 
     /** A kind's slots from what one report shows; fall: the weight where it shows fewer. */
     private static void learn(Kind k, double seen, double fall) {
@@ -31,7 +31,8 @@
             held = load.inFlight() * slotsOfAJob - w.ownUsual;
             double running = load.inFlight() - queue;
             if (free && (load.queue() >= 0 || load.freeSlots() >= 0.5) || free && queue >= 1) {
-                // Where no queue is told, it shows as in flight: only with a slot free is there none to speak of, but for
+                // Where no queue is told, it shows as in flight: only with a slot free is there none to speak of, but
+                // for
                 // what waits behind a wide job. So each counts for the one slot that it takes at least.
                 learn(k, running + load.freeSlots(), LEARN);
             } else if (queue >= 1) {
@@ -45,8 +46,10 @@
             for (Job.Attempt a : w.out) {
                 running += a.startedAt > 0 ? a.job.slots : 0;
             }
-            // A full one shows no more than what we run there: where the first report is such a one's, the kind has a usual
-            // worker's slots until it has shown more. What is free by itself is there, but for the reports' noise; what we run
+            // A full one shows no more than what we run there: where the first report is such a one's, the kind has a
+            // usual
+            // worker's slots until it has shown more. What is free by itself is there, but for the reports' noise; what
+            // we run
             // may have been counted as free when that was reported.
             k.slots = k.slots > 0 ? k.slots : load.queue() >= 1 ? w.slots : load.freeSlots() + running;
             k.slots += Math.max(0, load.freeSlots() - k.slots) * FREE;
--- a/src/main/java/barrowshore/module/Peers.java
+++ b/src/main/java/barrowshore/module/Peers.java
@@ -16,6 +16,7 @@
 final class Peers {
     /** Bytes of a message at most; of its head; of a worker in it. */
     private static final int MOST = 256, HEAD = 5, ENTRY = 5;
+
     private static final int CHANGE = 1, WHOLE = 2;
 
     /** One other dispatcher: which of its lives and messages was heard last, when, and its slots by worker. */
@@ -40,7 +41,9 @@
     byte[] message(Collection<Worker> workers, boolean whole) {
         int most = Math.min(workers.size(), (MOST - HEAD) / ENTRY);
         ByteBuffer out = ByteBuffer.allocate(HEAD + most * ENTRY);
-        out.put((byte) (whole && most == workers.size() ? WHOLE : CHANGE)).putShort((short) life).putShort((short) ++number);
+        out.put((byte) (whole && most == workers.size() ? WHOLE : CHANGE))
+                .putShort((short) life)
+                .putShort((short) ++number);
         for (Worker w : workers) {
             if (out.remaining() >= ENTRY) {
                 out.putInt(w.id.hashCode()).put((byte) Math.min(255, Math.ceil(w.own + w.left)));
@@ -60,7 +63,10 @@
 
     /** Enters what a peer has told, and returns the ready workers that it is about; what cannot be read is dropped. */
     Iterable<Worker> heard(long now, int from, byte[] message, Roster roster) {
-        if (from < 0 || from >= peers.length || from == me || message.length < HEAD
+        if (from < 0
+                || from >= peers.length
+                || from == me
+                || message.length < HEAD
                 || (message.length - HEAD) % ENTRY != 0) {
             return List.of();
         }
@@ -69,7 +75,7 @@
         Peer peer = peers[from] == null ? peers[from] = new Peer() : peers[from];
         boolean whole = kind == WHOLE || peer.life != life;
         if (peer.life != life) {
-            peer.life = life;   // it has restarted: what it had is not its own any more
+            peer.life = life; // it has restarted: what it had is not its own any more
             peer.slots.clear();
         } else if ((short) (number - peer.number) <= 0) {
             return List.of();
--- a/src/main/java/barrowshore/module/Quotas.java
+++ b/src/main/java/barrowshore/module/Quotas.java
@@ -1,7 +1,7 @@
 package barrowshore.module;
 
-import java.util.Arrays;
 import barrowshore.module.DispatchApi.Settings;
+import java.util.Arrays;
 
 /** This dispatcher's even part of each tenant's quota, as token buckets. Traffic over it yields first. */
 final class Quotas {
--- a/src/main/java/barrowshore/module/Roster.java
+++ b/src/main/java/barrowshore/module/Roster.java
@@ -1,5 +1,8 @@
 package barrowshore.module;
 
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Member;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
@@ -9,9 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import barrowshore.module.DispatchApi.Health;
-import barrowshore.module.DispatchApi.ListKind;
-import barrowshore.module.DispatchApi.Member;
 
 /** The worker list as this dispatcher was last told, in order of first mention; it decides nothing. */
 final class Roster {
@@ -58,8 +58,9 @@
             }
         }
         byName.clear();
-        workers.values().stream().filter(w -> w.listed)
-                .forEach(w -> byName.computeIfAbsent(w.id.hashCode(), name -> new ArrayList<>(1)).add(w));
+        workers.values().stream().filter(w -> w.listed).forEach(w -> byName.computeIfAbsent(
+                        w.id.hashCode(), name -> new ArrayList<>(1))
+                .add(w));
         ready = workers.values().stream().filter(w -> w.listed).toArray(Worker[]::new);
     }
 
@@ -70,7 +71,8 @@
 
     /** How many ready workers get nothing just now, whatever the job. */
     int avoided(long now) {
-        return (int) Arrays.stream(ready).filter(w -> w.aside(now) || !halls.open(w)).count();
+        return (int)
+                Arrays.stream(ready).filter(w -> w.aside(now) || !halls.open(w)).count();
     }
 
     /** Every worker that a list has named. */
--- a/src/main/java/barrowshore/module/Traffic.java
+++ b/src/main/java/barrowshore/module/Traffic.java
@@ -1,20 +1,22 @@
 package barrowshore.module;
 
-import java.util.Arrays;
 import barrowshore.module.DispatchApi.JobClass;
 import barrowshore.module.DispatchApi.Settings;
+import java.util.Arrays;
 
 /** Averages over recent requests, each of a stated weight; it decides nothing. */
 final class Traffic {
     private final Settings set;
     /** Work at speed 1 by class. Until jobs are served: the aim, what the site holds for a usual job. */
     double[] classWork;
+
     private Guess[] guesses = new Guess[0];
     private double guessed;
     /** hinted: most jobs come with a guess at their work that is worth something. */
     boolean hinted;
     /** Work at speed 1, work times slots and its square, worth for each unit of work, aim, 1/(1+stretch). */
     double work, size, square, density, aim, running = 1, arrivals;
+
     int topPriority;
 
     Traffic(Settings set) {
--- a/src/main/java/barrowshore/net/Dialer.java
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -30,7 +30,7 @@
  */
 public final class Dialer extends SelectorManager {
     /** Marks a connection that was accepted, and so counts among the clients'. */
-    public interface Accepted { }
+    public interface Accepted {}
 
     /** Makes the connection that speaks on a fresh end point. */
     public interface Opener extends Function<EndPoint, Connection> {
@@ -40,6 +40,7 @@
 
     /** How often, and how many milliseconds apart, is looked whether those that wait for a descriptor can be taken in. */
     private static final int MOST_SWEEPS = 100;
+
     private static final long SWEEP_MILLIS = 10;
 
     private final Budget budget;
@@ -48,10 +49,16 @@
     private final long connectMillis;
     /** Clients' connections from their accept to their end, also those that no actor knows yet; the permits given out. */
     private final AtomicInteger clientsOpen = new AtomicInteger();
+
     private final AtomicReference<Runnable> whenClientsGone = new AtomicReference<>();
 
-    public Dialer(Executor pool, Scheduler scheduler, int outgoing, int clients, long connectMillis,
-           Function<EndPoint, Connection> accepted) {
+    public Dialer(
+            Executor pool,
+            Scheduler scheduler,
+            int outgoing,
+            int clients,
+            long connectMillis,
+            Function<EndPoint, Connection> accepted) {
         super(pool, scheduler, 1);
         this.budget = new Budget(outgoing);
         this.clients = new Budget(clients);
@@ -90,16 +97,23 @@
      * thread decides, after it has looked once more. Its limit on connecting, which does not look, is far longer.
      */
     private void limit(SocketChannel channel, Opener opener) {
-        getScheduler().schedule(() -> {
-            if (channel.isConnectionPending()) {
-                ManagedSelector selector = getBean(ManagedSelector.class);
-                selector.submit(keys -> selector.submit(again -> {
-                    if (channel.isConnectionPending()) {
-                        connectionFailed(channel, new SocketTimeoutException("not up in " + connectMillis + " ms"), opener);
-                    }
-                }));
-            }
-        }, connectMillis, TimeUnit.MILLISECONDS);
+        getScheduler()
+                .schedule(
+                        () -> {
+                            if (channel.isConnectionPending()) {
+                                ManagedSelector selector = getBean(ManagedSelector.class);
+                                selector.submit(keys -> selector.submit(again -> {
+                                    if (channel.isConnectionPending()) {
+                                        connectionFailed(
+                                                channel,
+                                                new SocketTimeoutException("not up in " + connectMillis + " ms"),
+                                                opener);
+                                    }
+                                }));
+                            }
+                        },
+                        connectMillis,
+                        TimeUnit.MILLISECONDS);
     }
 
     public void listen(ServerSocketChannel server) throws IOException {
@@ -129,8 +143,11 @@
                 accepted(next);
             }
             if (left > 0 && (server.isRegistered() || clients.availablePermits() <= 0)) {
-                getScheduler().schedule(() -> selector.submit(again -> sweep(selector, server, left - 1, ended)), SWEEP_MILLIS,
-                        TimeUnit.MILLISECONDS);
+                getScheduler()
+                        .schedule(
+                                () -> selector.submit(again -> sweep(selector, server, left - 1, ended)),
+                                SWEEP_MILLIS,
+                                TimeUnit.MILLISECONDS);
             } else {
                 server.close();
                 ended.run();
@@ -193,7 +210,7 @@
             ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
             accept(channel, null);
         } catch (IOException e) {
-            IO.close(channel);   // it has gone while it waited; the others that wait have not
+            IO.close(channel); // it has gone while it waited; the others that wait have not
             clientGone();
         }
     }
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -33,6 +33,7 @@
      * would reset the connection and eat the answer; so it is its time that is bounded.
      */
     private static final int FLOOD_PIECE = 64 * 1024;
+
     private static final long FLOOD_REST = 10;
 
     protected final Mailbox mailbox;
@@ -40,17 +41,21 @@
     private Scheduler.Task limit;
     /** Counts the limits set: one that ran out as the next was set must not end the connection. */
     private int limits;
+
     private final ByteBuffer in = BufferUtil.allocate(READ_BUFFER);
     /** Set by the subclass's constructor; it needs the subclass as its handler. */
     protected HttpParser parser;
     /** Whether the message read last leaves the connection to the next one. */
     protected boolean persistent;
+
     private boolean closed;
     /** Set by the writer itself, so that whoever wrote knows as the write returns. */
     private volatile boolean writeFailed;
+
     private boolean discarding;
     /** Whether more came unasked than one buffer holds: it is thrown away, so that the peer's end is still seen. */
     private boolean flooded;
+
     private int discarded;
 
     protected HttpLink(EndPoint endPoint, Mailbox mailbox, Scheduler timers) {
@@ -89,11 +94,16 @@
             limit.cancel();
         }
         int number = ++limits;
-        limit = millis > 0 && !closed ? timers.schedule(() -> mailbox.post(() -> {
-            if (number == limits) {
-                expired();
-            }
-        }), millis, TimeUnit.MILLISECONDS) : null;
+        limit = millis > 0 && !closed
+                ? timers.schedule(
+                        () -> mailbox.post(() -> {
+                            if (number == limits) {
+                                expired();
+                            }
+                        }),
+                        millis,
+                        TimeUnit.MILLISECONDS)
+                : null;
     }
 
     /** The limit has run out. */
@@ -132,14 +142,15 @@
                 } else if (filled == 0) {
                     // A full buffer that nobody wants is left unread: the peer waits, as TCP has it.
                     if ((BufferUtil.space(in) > 0 || parse) && !isFillInterested()) {
-                        fillInterested(Callback.from(Invocable.InvocationType.NON_BLOCKING, this::onFillable,
-                                this::onFillInterestedFailed));
+                        fillInterested(Callback.from(
+                                Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onFillInterestedFailed));
                     }
                     return;
                 }
             }
         } catch (IOException | RuntimeException | AssertionError e) {
-            // Whatever a peer sends costs at most its own connection. The parser, where assertions are on, has one against
+            // Whatever a peer sends costs at most its own connection. The parser, where assertions are on, has one
+            // against
             // an error within an answer that says 200.
             end(e);
         }
@@ -284,5 +295,5 @@
     }
 
     @Override
-    public void earlyEOF() { }
+    public void earlyEOF() {}
 }
--- a/src/main/java/barrowshore/net/Mailbox.java
+++ b/src/main/java/barrowshore/net/Mailbox.java
@@ -53,7 +53,7 @@
             done++;
             try {
                 message.run();
-            } catch (Throwable e) {   // guards the actor: a message that dies must not wedge the mailbox
+            } catch (Throwable e) { // guards the actor: a message that dies must not wedge the mailbox
                 LOG.log(Level.ERROR, "a message to " + name + " failed", e);
             }
         }
--- a/src/main/java/barrowshore/node/ListKeeper.java
+++ b/src/main/java/barrowshore/node/ListKeeper.java
@@ -35,30 +35,41 @@
      * file names was there before us, as far as anybody knows.
      */
     private final Map<String, Long> firstNamed = new HashMap<>();
+
     private boolean filled;
     private boolean told;
 
-    ListKeeper(Operator.Servers rules, Names names, Clock clock, Executor pool, Scheduler timers,
-               Consumer<Update> listener) {
+    ListKeeper(
+            Operator.Servers rules,
+            Names names,
+            Clock clock,
+            Executor pool,
+            Scheduler timers,
+            Consumer<Update> listener) {
         this.clock = clock;
         this.timers = timers;
         this.listener = listener;
         this.mailbox = new Mailbox("the list", pool);
         book.source(DISCOVERY, rules.filesFirst() ? 2 : 1, 0);
         book.source(FILE, rules.filesFirst() ? 1 : 2, 0);
-        this.file = new WatchedFile(rules.file(), rules.mostLost(),
-                rules.keys() == null ? null : new FileMac(rules.keys()), pool, timers, next -> {
-            try {
-                long now = filled ? clock.micros() : 0;
-                Update update = next.update(names, s -> firstNamed.computeIfAbsent(s.uid(), uid -> now));
-                filled = true;
-                firstNamed.keySet().retainAll(next.servers().keySet());
-                mailbox.post(() -> say(FILE, update, next));
-                return null;
-            } catch (RuntimeException e) {
-                return e;   // its names do not fit the configuration
-            }
-        });
+        this.file = new WatchedFile(
+                rules.file(),
+                rules.mostLost(),
+                rules.keys() == null ? null : new FileMac(rules.keys()),
+                pool,
+                timers,
+                next -> {
+                    try {
+                        long now = filled ? clock.micros() : 0;
+                        Update update = next.update(names, s -> firstNamed.computeIfAbsent(s.uid(), uid -> now));
+                        filled = true;
+                        firstNamed.keySet().retainAll(next.servers().keySet());
+                        mailbox.post(() -> say(FILE, update, next));
+                        return null;
+                    } catch (RuntimeException e) {
+                        return e; // its names do not fit the configuration
+                    }
+                });
     }
 
     /** Discovery has told a list or a change of it. */
@@ -81,8 +92,10 @@
         }
         long next = book.nextTick();
         if (next != Long.MAX_VALUE) {
-            timers.schedule(() -> mailbox.post(() -> tell(book.tick(clock.micros()))),
-                    Math.max(1, next - clock.micros()), TimeUnit.MICROSECONDS);
+            timers.schedule(
+                    () -> mailbox.post(() -> tell(book.tick(clock.micros()))),
+                    Math.max(1, next - clock.micros()),
+                    TimeUnit.MICROSECONDS);
         }
     }
 
