--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -1,5 +1,10 @@
 package barrowshore.node;
 
+import barrowshore.duty.Figures;
+import barrowshore.duty.Tally;
+import barrowshore.halls.HallRules;
+import barrowshore.list.ServerList;
+import barrowshore.module.DispatchApi;
 import barrowshore.module.DispatchApi.Health;
 import barrowshore.module.DispatchApi.ListKind;
 import barrowshore.module.DispatchApi.Load;
@@ -8,14 +13,9 @@
 import barrowshore.module.DispatchApi.Request;
 import barrowshore.module.DispatchApi.Settings;
 import barrowshore.module.DispatchApi.Status;
-import barrowshore.module.DispatchApi;
-import barrowshore.duty.Figures;
-import barrowshore.duty.Tally;
-import barrowshore.request.JobRequest;
-import barrowshore.halls.HallRules;
-import barrowshore.list.ServerList;
 import barrowshore.net.Clock;
 import barrowshore.net.Mailbox;
+import barrowshore.request.JobRequest;
 import barrowshore.servers.Server;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -62,23 +62,32 @@
     private final Set<String> listed = new HashSet<>();
     /** Ids of requests lately served, oldest first: an id is new with every request, so these are taken too. */
     private final Set<String> served = new LinkedHashSet<>();
+
     private int mostAttempts;
     private final Tally tally = new Tally();
     /** Figures as of the last change, for whoever reads them; written here alone. */
     private volatile Figures figures = Figures.NONE;
+
     private boolean publishing;
     private int openRequests;
     private int skipped;
     /** Those listed that want nothing new. */
     private final Set<String> draining = new HashSet<>();
+
     private final List<Runnable> whenReady = new ArrayList<>();
     private final List<Runnable> whenIdle = new ArrayList<>();
     private boolean told, discoveryBusy;
     private long lastNow;
 
-    ModuleActor(Clock clock, Executor pool, Scheduler timers, List<String> classes, int mostAttempts,
-                Function<String, Server> newServer, Consumer<byte[]> tell,
-                Function<DispatchApi.Actions, DispatchApi> newModule) {
+    ModuleActor(
+            Clock clock,
+            Executor pool,
+            Scheduler timers,
+            List<String> classes,
+            int mostAttempts,
+            Function<String, Server> newServer,
+            Consumer<byte[]> tell,
+            Function<DispatchApi.Actions, DispatchApi> newModule) {
         this.clock = clock;
         this.timers = timers;
         this.newServer = newServer;
@@ -112,6 +121,7 @@
         final long sentAt;
         /** When its first byte must have gone, by the window of an earlier one that may have run. */
         final long beginBy;
+
         Scheduler.Task timer;
         boolean ended;
         boolean neverRan;
@@ -302,7 +312,9 @@
 
     /** Answers every open request that is not answered by so many milliseconds from now: the process ends after that. */
     void endsIn(long millis) {
-        timers.schedule(() -> mailbox.post(() -> List.copyOf(requests.values()).forEach(this::lastWord)), millis,
+        timers.schedule(
+                () -> mailbox.post(() -> List.copyOf(requests.values()).forEach(this::lastWord)),
+                millis,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -312,7 +324,8 @@
      */
     private void lastWord(OpenRequest open) {
         if (!open.answered) {
-            boolean harmless = open.request.window() == JobRequest.ALWAYS || open.attempts.stream().allMatch(a -> a.neverRan);
+            boolean harmless = open.request.window() == JobRequest.ALWAYS
+                    || open.attempts.stream().allMatch(a -> a.neverRan);
             answer(open, harmless ? new JobRequest.Rejection(LAST_DELAY) : new JobRequest.Failed(false));
             guarded(open, () -> module.clientGone(now(), open.request.id()));
             List.copyOf(open.attempts).forEach(a -> giveUp(a, Status.TIMEOUT));
@@ -340,10 +353,19 @@
             openRequests++;
             publish();
             long now = now();
-            open.timer = timers.schedule(() -> mailbox.post(() -> expire(open)), request.deadline() - now,
-                    TimeUnit.MICROSECONDS);
-            guarded(open, () -> module.request(now, new Request(request.id(), request.jobClass(), request.tenant(),
-                    request.slots(), request.hint(), request.deadline() - now)));
+            open.timer = timers.schedule(
+                    () -> mailbox.post(() -> expire(open)), request.deadline() - now, TimeUnit.MICROSECONDS);
+            guarded(
+                    open,
+                    () -> module.request(
+                            now,
+                            new Request(
+                                    request.id(),
+                                    request.jobClass(),
+                                    request.tenant(),
+                                    request.slots(),
+                                    request.hint(),
+                                    request.deadline() - now)));
         });
     }
 
@@ -370,14 +392,22 @@
         for (ServerList.Entry e : update.entries()) {
             named.add(e.uid());
             servers.computeIfAbsent(e.uid(), newServer).update(e);
-            members.add(new Member(e.uid(), switch (e.state()) {
-                case READY -> Health.READY;
-                case TERMINATING -> Health.DRAINING;
-                case GONE -> Health.GONE;
-            }, e.hint(), e.cell(), e.kind(), e.zone(), e.bootMicros()));
+            members.add(new Member(
+                    e.uid(),
+                    switch (e.state()) {
+                        case READY -> Health.READY;
+                        case TERMINATING -> Health.DRAINING;
+                        case GONE -> Health.GONE;
+                    },
+                    e.hint(),
+                    e.cell(),
+                    e.kind(),
+                    e.zone(),
+                    e.bootMicros()));
         }
         if (kind != ListKind.CHANGES) {
-            listed.stream().filter(uid -> !named.contains(uid)).forEach(uid -> servers.get(uid).gone());
+            listed.stream().filter(uid -> !named.contains(uid)).forEach(uid -> servers.get(uid)
+                    .gone());
             listed.retainAll(named);
         }
         update.entries().forEach(e -> {
@@ -470,8 +500,11 @@
 
     private void answer(OpenRequest open, JobRequest.Answer answer) {
         if (!open.answered) {
-            tally.ended(open.request.jobClass(), answer instanceof JobRequest.Served ? Tally.End.PASSED
-                    : answer instanceof JobRequest.Rejection ? Tally.End.DROPPED : Tally.End.BAD_GATEWAY);
+            tally.ended(
+                    open.request.jobClass(),
+                    answer instanceof JobRequest.Served
+                            ? Tally.End.PASSED
+                            : answer instanceof JobRequest.Rejection ? Tally.End.DROPPED : Tally.End.BAD_GATEWAY);
             close(open);
             open.client.answer(answer);
         }
@@ -509,8 +542,8 @@
             return;
         }
         if (timeout > 0) {
-            a.timer = timers.schedule(() -> mailbox.post(() -> giveUp(a, Status.TIMEOUT)), timeout,
-                    TimeUnit.MICROSECONDS);
+            a.timer = timers.schedule(
+                    () -> mailbox.post(() -> giveUp(a, Status.TIMEOUT)), timeout, TimeUnit.MICROSECONDS);
         }
         server.send(a);
     }
@@ -547,10 +580,12 @@
         Server server = servers.get(worker);
         if (server != null) {
             long sentAt = now();
-            server.probe(PROBE_MILLIS, (status, load) -> mailbox.post(() -> {
-                long now = now();
-                guarded(null, () -> module.probed(now, worker, status, now - sentAt, load));
-            }));
+            server.probe(
+                    PROBE_MILLIS,
+                    (status, load) -> mailbox.post(() -> {
+                        long now = now();
+                        guarded(null, () -> module.probed(now, worker, status, now - sentAt, load));
+                    }));
         }
     }
 
@@ -561,8 +596,10 @@
 
     @Override
     public void timer(long delay, String token) {
-        timers.schedule(() -> mailbox.post(() -> guarded(null, () -> module.timer(now(), token))),
-                Math.max(1, delay), TimeUnit.MICROSECONDS);
+        timers.schedule(
+                () -> mailbox.post(() -> guarded(null, () -> module.timer(now(), token))),
+                Math.max(1, delay),
+                TimeUnit.MICROSECONDS);
     }
 
     @Override
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -1,7 +1,5 @@
 package barrowshore.node;
 
-import barrowshore.module.DispatchApi;
-import barrowshore.module.Dispatcher;
 import barrowshore.client.ClientSide;
 import barrowshore.config.Config;
 import barrowshore.config.ConfigException;
@@ -9,13 +7,15 @@
 import barrowshore.duty.Standing;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
+import barrowshore.module.DispatchApi;
+import barrowshore.module.Dispatcher;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
 import barrowshore.net.Mailbox;
 import barrowshore.operator.Operator;
-import barrowshore.ops.OpsDoor;
 import barrowshore.operator.Setup;
 import barrowshore.operator.SetupFiles;
+import barrowshore.ops.OpsDoor;
 import barrowshore.peer.PeerSide;
 import barrowshore.servers.Server;
 import barrowshore.servers.ServiceDiscovery;
@@ -68,6 +68,7 @@
      * at the end of that time, room to answer what cannot be done any more, and before it, room for a usual job.
      */
     private static final long LONGEST_GRACE = 3000;
+
     private static final long MORE_GRACE = 700;
     private static final long LAST_WORD = 150;
     private static final long USUAL_JOB = 800;
@@ -84,10 +85,12 @@
     private final ServiceDiscovery entry;
     /** Where discovery and a watched file come together; null: there is discovery alone. */
     private final ListKeeper keeper;
+
     private final PeerSide peers;
     private final Dialer dialer;
     /** Where clients are heard; a process that follows another opens it only when it can serve. */
     private volatile ServerSocketChannel server;
+
     private final CompletableFuture<Void> open = new CompletableFuture<>();
     /** The other process of an upgrade; null: there can be none. */
     private final Succession succession;
@@ -95,6 +98,7 @@
     private volatile boolean followed;
     /** Descriptors that go to servers, and to clients, while there is one process; and a part of them, if two. */
     private final int outgoing;
+
     private final int incoming;
     private boolean halved;
     /** The operators' door; null: none. */
@@ -121,18 +125,34 @@
         int usable = config.sockets() - RESERVED - (config.ops() == null ? 0 : OpsDoor.DESCRIPTORS);
         outgoing = (int) (usable * OUTGOING);
         incoming = usable - outgoing;
-        dialer = new Dialer(pool, timers, outgoing, incoming, config.settings().connectTimeout / 1000,
-                this::accepted);
-        module = new ModuleActor(clock, pool, timers, config.classes(), config.settings().maxAttempts,
+        dialer = new Dialer(pool, timers, outgoing, incoming, config.settings().connectTimeout / 1000, this::accepted);
+        module = new ModuleActor(
+                clock,
+                pool,
+                timers,
+                config.classes(),
+                config.settings().maxAttempts,
                 uid -> new Server(uid, pool, this.dialer, timers, config.keepAlive(), outgoing / 2),
-                this::tell, newModule);
+                this::tell,
+                newModule);
         clients = new ClientSide(config, clock, pool, timers, module, standing::get, mostClients(incoming));
-        keeper = setup.operator().servers() == null ? null : new ListKeeper(setup.operator().servers(), config.names(),
-                clock, pool, timers, module::update);
-        entry = new ServiceDiscovery(config.discovery(), config.names(), pool, dialer, timers,
-                keeper == null ? module::update : keeper::discovered, module::discoveryBusy,
-                () -> module.discoverySilent(config.known()), config.known(), config.grace());
-        peers = config.peers() == null ? null : new PeerSide(config.peers(), config.ops() != null, pool, clock, module::peer);
+        keeper = setup.operator().servers() == null
+                ? null
+                : new ListKeeper(setup.operator().servers(), config.names(), clock, pool, timers, module::update);
+        entry = new ServiceDiscovery(
+                config.discovery(),
+                config.names(),
+                pool,
+                dialer,
+                timers,
+                keeper == null ? module::update : keeper::discovered,
+                module::discoveryBusy,
+                () -> module.discoverySilent(config.known()),
+                config.known(),
+                config.grace());
+        peers = config.peers() == null
+                ? null
+                : new PeerSide(config.peers(), config.ops() != null, pool, clock, module::peer);
         dialer.start();
         module.start();
         entry.open();
@@ -155,7 +175,12 @@
             module.startPublishing();
             ops = new OpsDoor(listen(config.ops(), "ops", false), timers, new Door());
         }
-        LOG.log(Level.INFO, config.summary() + (rules == null && servers == null ? "" : "; " + setup.operator().summary()));
+        LOG.log(
+                Level.INFO,
+                config.summary()
+                        + (rules == null && servers == null
+                                ? ""
+                                : "; " + setup.operator().summary()));
         // Once ready, since a start is short of processor time.
         module.whenReady(() -> {
             List<String> unknown = config.unknownSettings();
@@ -164,7 +189,9 @@
             }
         });
         if (!config.known().unknown().isEmpty()) {
-            LOG.log(Level.WARNING, "known servers of an unknown model, left out: {0}",
+            LOG.log(
+                    Level.WARNING,
+                    "known servers of an unknown model, left out: {0}",
                     String.join(", ", config.known().unknown()));
         }
     }
@@ -287,7 +314,8 @@
         }
     }
 
-    private static ServerSocketChannel listen(InetSocketAddress address, String field, boolean shared) throws IOException {
+    private static ServerSocketChannel listen(InetSocketAddress address, String field, boolean shared)
+            throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -313,8 +341,13 @@
         Runtime.getRuntime().addShutdownHook(new Thread(end(started, Runtime.getRuntime()::halt), "drain"));
         Node node;
         try {
-            node = new Node(setup, Clock.system(), timers, config.ops() == null || folder == null || folder.isEmpty()
-                    ? null : Path.of(folder, "barrowshore-" + config.name() + ".sock"),
+            node = new Node(
+                    setup,
+                    Clock.system(),
+                    timers,
+                    config.ops() == null || folder == null || folder.isEmpty()
+                            ? null
+                            : Path.of(folder, "barrowshore-" + config.name() + ".sock"),
                     actions -> new Dispatcher(config.settings(), actions));
         } catch (Exception | Error e) {
             started.completeExceptionally(e);
@@ -322,7 +355,9 @@
         }
         started.complete(node);
         if (!signalled) {
-            LOG.log(Level.WARNING, "SIGHUP is ignored, as under nohup: the configuration is looked at now and then instead");
+            LOG.log(
+                    Level.WARNING,
+                    "SIGHUP is ignored, as under nohup: the configuration is looked at now and then instead");
             node.keepLooking(files);
         }
         try {
@@ -339,7 +374,7 @@
             try {
                 Node node = started.get();
                 node.drain().await();
-                halt.accept(node.open.isCompletedExceptionally() ? 2 : 0);   // no orderly end, if it never opened
+                halt.accept(node.open.isCompletedExceptionally() ? 2 : 0); // no orderly end, if it never opened
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } catch (ExecutionException e) {
@@ -352,7 +387,12 @@
     public static Node start(Setup setup) throws Exception {
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
-        return new Node(setup, Clock.system(), timers, null, actions -> new Dispatcher(setup.config().settings(), actions));
+        return new Node(
+                setup,
+                Clock.system(),
+                timers,
+                null,
+                actions -> new Dispatcher(setup.config().settings(), actions));
     }
 
     /** Where each hall stands with it, by number; empty where halls are off. */
@@ -374,19 +414,25 @@
         Config config = setup.config();
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
-        onHangUp(() -> { });
-        Node node = new Node(setup, Clock.system(), timers, null, actions -> new Dispatcher(config.settings(), actions));
-        try (Socket client = new Socket(config.listen().getAddress(), node.address().getPort())) {
+        onHangUp(() -> {});
+        Node node =
+                new Node(setup, Clock.system(), timers, null, actions -> new Dispatcher(config.settings(), actions));
+        try (Socket client =
+                new Socket(config.listen().getAddress(), node.address().getPort())) {
             String name = config.classes().get(0);
-            client.getOutputStream().write(("POST /" + name + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\n"
-                    + "X-Priority-Class: " + name + "\r\nX-Timeout-Ms: 400\r\nContent-Length: 1\r\n"
-                    + "Connection: close\r\n\r\nx").getBytes(StandardCharsets.ISO_8859_1));
+            client.getOutputStream()
+                    .write(("POST /" + name + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\n"
+                                    + "X-Priority-Class: " + name + "\r\nX-Timeout-Ms: 400\r\nContent-Length: 1\r\n"
+                                    + "Connection: close\r\n\r\nx")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             client.getInputStream().readAllBytes();
-            for (String call : node.ops == null ? new String[0]
+            for (String call : node.ops == null
+                    ? new String[0]
                     : new String[] {"POST /v1/scheduler/drain", "POST /v1/scheduler/activate", "GET /v1/metrics"}) {
-                try (Socket operator = new Socket(config.ops().getAddress(), node.operators().getPort())) {
-                    operator.getOutputStream().write((call + " HTTP/1.1\r\nHost: x\r\n\r\n")
-                            .getBytes(StandardCharsets.ISO_8859_1));
+                try (Socket operator =
+                        new Socket(config.ops().getAddress(), node.operators().getPort())) {
+                    operator.getOutputStream()
+                            .write((call + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
                     operator.getInputStream().readAllBytes();
                 }
             }
@@ -403,15 +449,16 @@
     static boolean onHangUp(Runnable run) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal"), handler = Class.forName("sun.misc.SignalHandler");
-            Object proxy = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (self, method, args) -> {
-                if (method.getName().equals("handle")) {
-                    run.run();
-                    return null;
-                }
-                return method.invoke(run, args);   // what every object can be asked
-            });
-            Object former = signal.getMethod("handle", signal, handler).invoke(null,
-                    signal.getConstructor(String.class).newInstance("HUP"), proxy);
+            Object proxy =
+                    Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (self, method, args) -> {
+                        if (method.getName().equals("handle")) {
+                            run.run();
+                            return null;
+                        }
+                        return method.invoke(run, args); // what every object can be asked
+                    });
+            Object former = signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
             return former != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             LOG.log(Level.WARNING, "SIGHUP cannot be handled and will end the process", e);
@@ -429,10 +476,13 @@
     }
 
     private void keepLooking(SetupFiles files) {
-        timers.schedule(() -> {
-            lookAgain(files);
-            keepLooking(files);
-        }, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        timers.schedule(
+                () -> {
+                    lookAgain(files);
+                    keepLooking(files);
+                },
+                LOOK_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Reads the configuration again and takes over what may change while requests are open; a bad one changes nothing. */
@@ -460,7 +510,10 @@
             if (!Objects.equals(rules, setup.rules())) {
                 rules = setup.rules();
                 module.rules(rules);
-                LOG.log(Level.INFO, "operators' settings read again: {0}", setup.operator().summary());
+                LOG.log(
+                        Level.INFO,
+                        "operators' settings read again: {0}",
+                        setup.operator().summary());
             }
             return true;
         } catch (ConfigException e) {
@@ -479,20 +532,26 @@
             }
         };
         standing.updateAndGet(Standing::end);
-        long deadline = Arrays.stream(config.settings().classes).mapToLong(c -> c.deadline() / 1000).max().orElse(0);
+        long deadline = Arrays.stream(config.settings().classes)
+                .mapToLong(c -> c.deadline() / 1000)
+                .max()
+                .orElse(0);
         long grace = Math.min(LONGEST_GRACE, deadline) + MORE_GRACE;
         clients.endsIn(grace - LAST_WORD);
         module.endsIn(grace - LAST_WORD);
         // Guards clients against a gap: schedulers restarted one after the other were once all closed to new
         // connections for 2 s. So the first one's clients go to the others in time, and the last one's stay.
-        Consumer<Boolean> release = othersServe -> timers.schedule(() -> {
-            closeIdle(standing.updateAndGet(Standing::letGo), true);
-            clients.whenEmpty(done);
-            module.whenIdle(done);
-        }, othersServe ? SETTLE : Math.max(SETTLE, grace - USUAL_JOB), TimeUnit.MILLISECONDS);
+        Consumer<Boolean> release = othersServe -> timers.schedule(
+                () -> {
+                    closeIdle(standing.updateAndGet(Standing::letGo), true);
+                    clients.whenEmpty(done);
+                    module.whenIdle(done);
+                },
+                othersServe ? SETTLE : Math.max(SETTLE, grace - USUAL_JOB),
+                TimeUnit.MILLISECONDS);
         if (followed) {
             // The process after us has our clients and speaks to our peers; what we have taken is ours to answer.
-            dialer.endListening(server, () -> { });
+            dialer.endListening(server, () -> {});
             if (peers != null) {
                 peers.stopHearing();
             }
--- a/src/main/java/barrowshore/node/Succession.java
+++ b/src/main/java/barrowshore/node/Succession.java
@@ -80,13 +80,15 @@
                     host.followed(true);
                 }
             }
-            default -> { }   // a later version may say more
+            default -> {} // a later version may say more
         }
     }
 
     @Override
     public void left(boolean before) {
-        LOG.log(Level.INFO, before ? "the version before this one has ended" : "the new version beside this one has ended");
+        LOG.log(
+                Level.INFO,
+                before ? "the version before this one has ended" : "the new version beside this one has ended");
         beforeThere &= !before;
         afterThere &= before;
         host.shared(beforeThere || afterThere);
--- a/src/main/java/barrowshore/operator/Operator.java
+++ b/src/main/java/barrowshore/operator/Operator.java
@@ -29,7 +29,7 @@
      * take away unforced; filesFirst: whether the file wins where discovery names a server too; keys:
      * the directory of the keys that it must be signed by, null: none.
      */
-    public record Servers(Path file, double mostLost, boolean filesFirst, Path keys) { }
+    public record Servers(Path file, double mostLost, boolean filesFirst, Path keys) {}
 
     /** What holds where there is no file. */
     public static final Operator NONE = new Operator(null, null);
@@ -38,12 +38,23 @@
      * The element {@code halls}; times in microseconds. preference: for the scheduler's own hall, the tiers of halls, the
      * first choice first.
      */
-    public record Halls(Map<String, List<List<String>>> preference, boolean strict, double spill, double doubtShare,
-                        long darkAfter, long trialEvery, long settle, long holdOff, long holdMost, long flapWindow,
-                        double retryShare, double retryBurst) {
+    public record Halls(
+            Map<String, List<List<String>>> preference,
+            boolean strict,
+            double spill,
+            double doubtShare,
+            long darkAfter,
+            long trialEvery,
+            long settle,
+            long holdOff,
+            long holdMost,
+            long flapWindow,
+            double retryShare,
+            double retryBurst) {
         /** What an empty element says. */
         public static Halls usual() {
-            return Operator.parse("usual", "<operator xmlns=\"urn:barrowshore:operator:1\"><halls/></operator>").halls();
+            return Operator.parse("usual", "<operator xmlns=\"urn:barrowshore:operator:1\"><halls/></operator>")
+                    .halls();
         }
 
         /**
@@ -61,7 +72,8 @@
                     }
                 }
             }
-            List<List<String>> tiers = zone < 0 || zone >= zones.size() ? List.of()
+            List<List<String>> tiers = zone < 0 || zone >= zones.size()
+                    ? List.of()
                     : preference.getOrDefault(zones.get(zone), List.of(List.of(zones.get(zone))));
             List<Integer> tier = new ArrayList<>();
             for (String name : zones) {
@@ -72,8 +84,21 @@
                 tier.add(at);
             }
             int home = zone < zones.size() ? zone : -1;
-            return new HallRules(zones, home, tier, strict, spill, doubtShare, darkAfter, trialEvery, settle, holdOff,
-                    holdMost, flapWindow, retryShare, retryBurst);
+            return new HallRules(
+                    zones,
+                    home,
+                    tier,
+                    strict,
+                    spill,
+                    doubtShare,
+                    darkAfter,
+                    trialEvery,
+                    settle,
+                    holdOff,
+                    holdMost,
+                    flapWindow,
+                    retryShare,
+                    retryBurst);
         }
     }
 
@@ -90,10 +115,15 @@
     private static Operator of(String file, Element root) {
         Element halls = root.one("halls");
         Element servers = root.one("servers");
-        return new Operator(halls == null ? null : halls(file, halls), servers == null ? null
-                : new Servers(Path.of(servers.get("file")), servers.number("most-lost"),
-                "file".equals(servers.get("first")), servers.get("keys") == null ? null
-                : Path.of(servers.get("keys"))));
+        return new Operator(
+                halls == null ? null : halls(file, halls),
+                servers == null
+                        ? null
+                        : new Servers(
+                                Path.of(servers.get("file")),
+                                servers.number("most-lost"),
+                                "file".equals(servers.get("first")),
+                                servers.get("keys") == null ? null : Path.of(servers.get("keys"))));
     }
 
     private static Halls halls(String file, Element e) {
@@ -118,15 +148,27 @@
         if (e.micros("hold-most") < e.micros("hold-off")) {
             throw e.wrong(file, "hold-most must not be under hold-off");
         }
-        return new Halls(preference, "strict".equals(e.get("tiers")), e.number("spill"), e.number("doubt-share"),
-                e.micros("dark-after"), e.micros("trial-every"), e.micros("settle"), e.micros("hold-off"),
-                e.micros("hold-most"), e.micros("flap-window"), e.number("retry-share"), e.number("retry-burst"));
+        return new Halls(
+                preference,
+                "strict".equals(e.get("tiers")),
+                e.number("spill"),
+                e.number("doubt-share"),
+                e.micros("dark-after"),
+                e.micros("trial-every"),
+                e.micros("settle"),
+                e.micros("hold-off"),
+                e.micros("hold-most"),
+                e.micros("flap-window"),
+                e.number("retry-share"),
+                e.number("retry-burst"));
     }
 
     /** One line for a person. */
     public String summary() {
-        return (halls == null ? "halls off" : "halls on, spill " + halls.spill() + ", tiers "
-                + (halls.strict() ? "strict" : "priced") + ", preferences of " + halls.preference().keySet())
+        return (halls == null
+                        ? "halls off"
+                        : "halls on, spill " + halls.spill() + ", tiers " + (halls.strict() ? "strict" : "priced")
+                                + ", preferences of " + halls.preference().keySet())
                 + (servers == null ? "" : "; servers from " + servers.file());
     }
 }
--- a/src/main/java/barrowshore/operator/Setup.java
+++ b/src/main/java/barrowshore/operator/Setup.java
@@ -16,6 +16,8 @@
     }
 
     private static HallRules rules(Config config, Operator operator) {
-        return operator.halls() == null ? null : operator.halls().rules(config.names().zones(), config.settings().zone);
+        return operator.halls() == null
+                ? null
+                : operator.halls().rules(config.names().zones(), config.settings().zone);
     }
 }
--- a/src/main/java/barrowshore/ops/OpsDoor.java
+++ b/src/main/java/barrowshore/ops/OpsDoor.java
@@ -33,13 +33,16 @@
 public final class OpsDoor {
     /** Descriptors that it may hold, its own included. */
     public static final int DESCRIPTORS = 48;
+
     private static final int THREADS = 2;
     /** Open calls; above it the oldest that is not being answered goes. */
     private static final int MOST = 32;
+
     private static final int MAX_HEADERS = 4096;
     private static final int MAX_BODY = 4096;
     /** Milliseconds in which a call must be whole, in which its answer must be read, in which the caller closes. */
     private static final long WHOLE = 2_000;
+
     private static final long UNREAD = 2_000;
     private static final long LINGER = 500;
 
@@ -93,11 +96,12 @@
 
     static Answer answer(String method, String target, Desk desk) {
         String path = target.split("\\?", 2)[0];
-        String wanted = switch (path) {
-            case "/v1/readyz", "/v1/metrics" -> "GET";
-            case "/v1/scheduler/drain", "/v1/scheduler/activate" -> "POST";
-            default -> null;
-        };
+        String wanted =
+                switch (path) {
+                    case "/v1/readyz", "/v1/metrics" -> "GET";
+                    case "/v1/scheduler/drain", "/v1/scheduler/activate" -> "POST";
+                    default -> null;
+                };
         if (wanted == null) {
             return new Answer(404, "no such call\n");
         }
@@ -194,13 +198,16 @@
             }
             answered = true;
             limit(UNREAD);
-            HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.CONTENT_TYPE, "text/plain")
+            HttpFields.Mutable fields = HttpFields.build()
+                    .add(HttpHeader.CONTENT_TYPE, "text/plain")
                     .add(HttpHeader.CONNECTION, "close");
             if (answer.allow() != null) {
                 fields.add(HttpHeader.ALLOW, answer.allow());
             }
             byte[] text = answer.text().getBytes(StandardCharsets.UTF_8);
-            write(new MetaData.Response(answer.status(), null, HttpVersion.HTTP_1_1, fields, text.length), text,
+            write(
+                    new MetaData.Response(answer.status(), null, HttpVersion.HTTP_1_1, fields, text.length),
+                    text,
                     () -> mailbox.post(() -> finish(LINGER)));
         }
 
--- a/src/main/java/barrowshore/peer/PeerSide.java
+++ b/src/main/java/barrowshore/peer/PeerSide.java
@@ -6,13 +6,11 @@
 import barrowshore.net.Mailbox;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
-import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
@@ -29,6 +27,7 @@
     private static final byte[] ENDING = {0};
     /** Milliseconds in which a peer is heard of for sure; after which one that was ending is back. */
     private static final long HEARD = 2_000;
+
     private static final long BACK = 8_000;
     /** Times that our end is told, since datagrams are lost. */
     private static final int TOLD = 3;
@@ -42,14 +41,16 @@
     private final Clock clock;
     /** When each peer was heard last, and when it said that it is ending. */
     private final Map<Integer, Long> heardAt = new HashMap<>();
+
     private final Map<Integer, Long> endingAt = new HashMap<>();
 
     /** What we tell nobody, because another process speaks for us: one not yet in service, or one that has been followed. */
     private boolean quiet;
 
     /** Hears and speaks at the address; shared: another process of ours may be there too. */
-    public PeerSide(Config.Peering addresses, boolean shared, Executor pool, Clock clock,
-            BiConsumer<Integer, byte[]> listener) throws IOException {
+    public PeerSide(
+            Config.Peering addresses, boolean shared, Executor pool, Clock clock, BiConsumer<Integer, byte[]> listener)
+            throws IOException {
         this.addresses = addresses;
         this.clock = clock;
         this.listener = listener;
@@ -99,9 +100,10 @@
         }
         mailbox.post(() -> {
             long now = clock.micros();
-            othersServe.accept(heardAt.entrySet().stream().anyMatch(peer -> peer.getKey() != addresses.me()
-                    && now - peer.getValue() <= HEARD * 1000
-                    && now - endingAt.getOrDefault(peer.getKey(), Long.MIN_VALUE / 2) > BACK * 1000));
+            othersServe.accept(heardAt.entrySet().stream()
+                    .anyMatch(peer -> peer.getKey() != addresses.me()
+                            && now - peer.getValue() <= HEARD * 1000
+                            && now - endingAt.getOrDefault(peer.getKey(), Long.MIN_VALUE / 2) > BACK * 1000));
         });
     }
 
@@ -129,7 +131,7 @@
             } catch (ClosedChannelException e) {
                 return;
             } catch (IOException e) {
-                LOG.log(Level.DEBUG, "a receive failed", e);   // a peer that is down may show here as a refusal
+                LOG.log(Level.DEBUG, "a receive failed", e); // a peer that is down may show here as a refusal
             }
         }
     }
--- a/src/main/java/barrowshore/request/JobRequest.java
+++ b/src/main/java/barrowshore/request/JobRequest.java
@@ -10,8 +10,18 @@
  * are dropped; {@link #ALWAYS}, or 0: not at all;
  * {@code key}: what servers know its repeats by, null if none.
  */
-public record JobRequest(String id, int jobClass, int tenant, double slots, double hint, long deadline, long window,
-            String method, String target, String key, byte[] body) {
+public record JobRequest(
+        String id,
+        int jobClass,
+        int tenant,
+        double slots,
+        double hint,
+        long deadline,
+        long window,
+        String method,
+        String target,
+        String key,
+        byte[] body) {
     /** A window without an end: repeats do no harm. */
     public static final long ALWAYS = Long.MAX_VALUE;
 
@@ -26,19 +36,19 @@
     }
 
     /** The final answer to a request. */
-    public sealed interface Answer permits Served, Rejection, Failed, IdInUse { }
+    public sealed interface Answer permits Served, Rejection, Failed, IdInUse {}
 
     /** A server's result. */
-    public record Served(byte[] result) implements Answer { }
+    public record Served(byte[] result) implements Answer {}
 
     /** Harmless to try again, after so long. */
-    public record Rejection(long retryAfter) implements Answer { }
+    public record Rejection(long retryAfter) implements Answer {}
 
     /** No promise; late: its time ran out. */
-    public record Failed(boolean late) implements Answer { }
+    public record Failed(boolean late) implements Answer {}
 
     /** The request never came to the module: its id is in use. */
-    public record IdInUse(String why) implements Answer { }
+    public record IdInUse(String why) implements Answer {}
 
     /** Takes the final answer; called once. */
     public interface Client {
--- a/src/main/java/barrowshore/rivals/Rival.java
+++ b/src/main/java/barrowshore/rivals/Rival.java
@@ -17,7 +17,14 @@
  */
 public final class Rival implements DispatchApi {
     /** The rules by which one is chosen. */
-    public enum Rule { RANDOM, ROUND_ROBIN, LEAST_IN_FLIGHT, TWO_CHOICES, LEAST_RESPONSE_TIME, TRUE_STATE }
+    public enum Rule {
+        RANDOM,
+        ROUND_ROBIN,
+        LEAST_IN_FLIGHT,
+        TWO_CHOICES,
+        LEAST_RESPONSE_TIME,
+        TRUE_STATE
+    }
 
     /** A cost of sending a job of so many slots to a worker, of one who sees more than a scheduler does. */
     public interface Sight {
@@ -43,7 +50,7 @@
         }
     }
 
-    private record Sent(Known worker, long at, double slots) { }
+    private record Sent(Known worker, long at, double slots) {}
 
     /** A job that is open, and where it went. */
     private static final class Open {
@@ -191,13 +198,14 @@
             if (job.neverRan.get(i)) {
                 continue;
             }
-            boolean group = s.worker.member != null && switch (job.type.scope()) {
-                case ALL -> true;
-                case ZONE -> s.worker.member.zone() == w.member.zone();
-                case CELL -> s.worker.member.cell() == w.member.cell();
-            };
-            if (job.type.effect() == Effect.UNSAFE || job.type.effect() == Effect.KEYED
-                    && (!group || now - s.at >= job.type.repeatWindow())) {
+            boolean group = s.worker.member != null
+                    && switch (job.type.scope()) {
+                        case ALL -> true;
+                        case ZONE -> s.worker.member.zone() == w.member.zone();
+                        case CELL -> s.worker.member.cell() == w.member.cell();
+                    };
+            if (job.type.effect() == Effect.UNSAFE
+                    || job.type.effect() == Effect.KEYED && (!group || now - s.at >= job.type.repeatWindow())) {
                 return false;
             }
         }
@@ -207,7 +215,8 @@
     private void answer(Open job) {
         jobs.remove(job.request.id());
         boolean harmless = job.type.effect() == Effect.SAFE
-                || job.type.effect() == Effect.KEYED && job.type.scope() == Scope.ALL || !job.neverRan.contains(false);
+                || job.type.effect() == Effect.KEYED && job.type.scope() == Scope.ALL
+                || !job.neverRan.contains(false);
         if (harmless) {
             act.refuse(job.request.id(), Math.min(set.maxRetryAfter, (long) (1e5 * (1 + chance.getAsDouble()))));
         } else {
@@ -243,13 +252,14 @@
         if (load == null) {
             return;
         }
-        double held = load.inFlight() >= 0 ? load.inFlight()
+        double held = load.inFlight() >= 0
+                ? load.inFlight()
                 : (load.freeSlots() >= 0 ? Math.max(0, SLOTS - load.freeSlots()) : 0) + Math.max(0, load.queue());
         w.taken = Double.isNaN(held) ? 0 : Math.max(0, held - w.own);
     }
 
     @Override
-    public void note(long now, String id, int attempt, Note note, double share) { }
+    public void note(long now, String id, int attempt, Note note, double share) {}
 
     @Override
     public void clientGone(long now, String id) {
@@ -269,7 +279,7 @@
     }
 
     @Override
-    public void peer(long now, int from, byte[] message) { }
+    public void peer(long now, int from, byte[] message) {}
 
     @Override
     public void timer(long now, String token) {
--- a/src/main/java/barrowshore/servers/Server.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -1,14 +1,14 @@
 package barrowshore.servers;
 
+import barrowshore.list.ServerList;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Status;
-import barrowshore.request.JobRequest;
-import barrowshore.list.ServerList;
 import barrowshore.net.Dialer;
 import barrowshore.net.HttpLink;
 import barrowshore.net.LineBuffer;
 import barrowshore.net.Mailbox;
+import barrowshore.request.JobRequest;
 import barrowshore.wire.Json;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -44,11 +44,13 @@
     private static final int ENTRY = 2;
     /** Idle connections kept: only probes and what may run twice use them. */
     private static final int MOST_IDLE = 4;
+
     private static final byte[] NO_BODY = new byte[0];
     /** How long an answer's tail may take after its last line, before the connection is given up. */
     private static final long TAIL = 1000;
     /** Lines and bytes of one answer: far more than a job tells of itself, and few enough to be read for nothing. */
     private static final int MOST_LINES = 1000;
+
     private static final int MOST_ANSWER = 1 << 20;
     /** A result of 64 KiB with every byte escaped, and what stands round it. */
     private static final int LONGEST_LINE = 400 * 1024;
@@ -167,14 +169,17 @@
     public void probe(long timeoutMillis, Probe probe) {
         mailbox.post(() -> {
             Work work = new Work(null, probe);
-            work.timer = timers.schedule(() -> mailbox.post(() -> {
-                if (!work.over) {
-                    work.end(Status.TIMEOUT, null, null);
-                    if (work.link != null) {
-                        work.link.shut();
-                    }
-                }
-            }), timeoutMillis, TimeUnit.MILLISECONDS);
+            work.timer = timers.schedule(
+                    () -> mailbox.post(() -> {
+                        if (!work.over) {
+                            work.end(Status.TIMEOUT, null, null);
+                            if (work.link != null) {
+                                work.link.shut();
+                            }
+                        }
+                    }),
+                    timeoutMillis,
+                    TimeUnit.MILLISECONDS);
             start(work);
         });
     }
@@ -195,7 +200,7 @@
             return;
         }
         if (links.size() + dialing >= most) {
-            work.end(Status.NOT_SENT, null, null);   // shed before descriptors run out; it has not been sent
+            work.end(Status.NOT_SENT, null, null); // shed before descriptors run out; it has not been sent
             return;
         }
         dialing++;
@@ -262,7 +267,8 @@
     /** A load report; what it does not tell is NaN, what is no report is null. */
     static Load load(Object json) {
         return json instanceof Map<?, ?> map && !map.isEmpty()
-                ? new Load(number(map, "inflight"), number(map, "queue"), number(map, "x0")) : null;
+                ? new Load(number(map, "inflight"), number(map, "queue"), number(map, "x0"))
+                : null;
     }
 
     /** A figure that no machine can have is none: it must not poison what is learned. */
@@ -279,6 +285,7 @@
         private boolean retired;
         /** Whether an earlier piece of work was carried here: then what comes may be a late answer to that. */
         private boolean used;
+
         private int linesRead, bytesRead;
         private int status;
         private boolean notProcessed;
@@ -297,7 +304,7 @@
             Work first = work;
             work = null;
             if (first.over) {
-                rest();   // given up while the connection came up; the next attempt can have it
+                rest(); // given up while the connection came up; the next attempt can have it
             } else {
                 carry(first);
             }
@@ -320,7 +327,7 @@
             Attempt attempt = next.attempt;
             // Guards the drain rule: connecting took time, so the state is looked at again as the first byte goes.
             if (state != ServerList.State.READY || attempt != null && !attempt.mayBegin()) {
-                next.end(Status.NOT_SENT, null, null);   // our reason: it says nothing of the server
+                next.end(Status.NOT_SENT, null, null); // our reason: it says nothing of the server
                 rest();
                 return;
             }
@@ -334,10 +341,12 @@
             persistent = true;
             linesRead = bytesRead = 0;
             limit(0);
-            HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST,
-                    address.getHostString() + ":" + address.getPort());
+            HttpFields.Mutable fields =
+                    HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":" + address.getPort());
             if (attempt == null) {
-                write(new MetaData.Request("GET", HttpURI.from("/-/load"), HttpVersion.HTTP_1_1, fields, 0), NO_BODY,
+                write(
+                        new MetaData.Request("GET", HttpURI.from("/-/load"), HttpVersion.HTTP_1_1, fields, 0),
+                        NO_BODY,
                         () -> next.written = true);
                 return;
             }
@@ -347,8 +356,15 @@
             if (request.key() != null) {
                 fields.add("Idempotency-Key", request.key());
             }
-            write(new MetaData.Request(request.method(), HttpURI.from(request.target()), HttpVersion.HTTP_1_1, fields,
-                    request.body().length), request.body(), () -> {
+            write(
+                    new MetaData.Request(
+                            request.method(),
+                            HttpURI.from(request.target()),
+                            HttpVersion.HTTP_1_1,
+                            fields,
+                            request.body().length),
+                    request.body(),
+                    () -> {
                         next.written = true;
                         attempt.written();
                     });
@@ -363,7 +379,7 @@
         @Override
         protected void read() {
             if (work == null && !isClosed() && brokenWhileIdle()) {
-                shut();   // bytes or an end where nothing was asked: notice it at once
+                shut(); // bytes or an end where nothing was asked: notice it at once
                 return;
             }
             super.read();
@@ -388,14 +404,14 @@
         @Override
         public boolean headerComplete() {
             if (status < 200) {
-                return false;   // an interim answer: the answer is still to come
+                return false; // an interim answer: the answer is still to come
             }
             if (work.attempt != null && status == 200) {
                 lines = new LineBuffer(LONGEST_LINE);
             } else {
                 body = new StringBuilder();
                 if (work.attempt != null && !neverRan()) {
-                    last(Status.ERROR, load, null);   // its body, which may never end, says nothing more
+                    last(Status.ERROR, load, null); // its body, which may never end, says nothing more
                 } else {
                     limit(TAIL);
                 }
@@ -408,7 +424,8 @@
          * second answer to the job before, which proves nothing where repeats do harm.
          */
         private boolean neverRan() {
-            return notProcessed && (status == 503 || status == 504)
+            return notProcessed
+                    && (status == 503 || status == 504)
                     && (!used || work.attempt.request().window() == JobRequest.ALWAYS);
         }
 
@@ -433,21 +450,24 @@
             if (text.isBlank() || work.over) {
                 return;
             }
-            if (!(Json.orNull(text) instanceof Map<?, ?> map) || !work.attempt.request().id().equals(map.get("id"))) {
-                // Not an answer to this request: nothing on this connection can be trusted any more. It is closed before its end
+            if (!(Json.orNull(text) instanceof Map<?, ?> map)
+                    || !work.attempt.request().id().equals(map.get("id"))) {
+                // Not an answer to this request: nothing on this connection can be trusted any more. It is closed
+                // before its end
                 // is told, as by any exception here: a repeat that overtook the close would be a second copy.
                 throw new IllegalStateException("an answer to another request");
             }
             Load told = load(map.get("load"));
             switch (String.valueOf(map.get("state"))) {
                 case "started" -> work.attempt.noted(Note.STARTED, 0);
-                case "running" -> work.attempt.noted(Note.PROGRESS,
-                        map.get("share") instanceof Number n ? n.doubleValue() : 0);
-                case "done" -> last(Status.OK, told, String.valueOf(map.get("result")).getBytes(StandardCharsets.UTF_8));
+                case "running" -> work.attempt.noted(
+                        Note.PROGRESS, map.get("share") instanceof Number n ? n.doubleValue() : 0);
+                case "done" -> last(
+                        Status.OK, told, String.valueOf(map.get("result")).getBytes(StandardCharsets.UTF_8));
                 case "failed" -> last(Status.ERROR, told, null);
                 case "returned" -> last(Status.FULL, told, null);
                 case "lost" -> last(Status.RESET, told, null);
-                default -> { }
+                default -> {}
             }
         }
 
@@ -492,7 +512,10 @@
             idle.remove(this);
             if (work != null) {
                 // Only a request whose last byte was not written is known not to have run.
-                work.end(work.written || work.partly && !hasWriteFailed() ? Status.RESET : Status.CONNECT_FAILED, null, null);
+                work.end(
+                        work.written || work.partly && !hasWriteFailed() ? Status.RESET : Status.CONNECT_FAILED,
+                        null,
+                        null);
                 work = null;
             }
         }
--- a/src/main/java/barrowshore/servers/ServiceDiscovery.java
+++ b/src/main/java/barrowshore/servers/ServiceDiscovery.java
@@ -1,8 +1,8 @@
 package barrowshore.servers;
 
+import barrowshore.list.ServerList;
 import barrowshore.list.ServerList.Names;
 import barrowshore.list.ServerList.Update;
-import barrowshore.list.ServerList;
 import barrowshore.net.Dialer;
 import barrowshore.net.HttpLink;
 import barrowshore.net.Mailbox;
@@ -65,11 +65,13 @@
     private final Mailbox mailbox;
     /** Draws each pause: processes restarted together must not ask again in step. */
     private final SplittableRandom jitter = new SplittableRandom();
+
     private InetSocketAddress address;
     /** Counts the addresses: what belongs to an earlier one is told by it. */
     private int life;
     /** Whether we have a list that this address counts from; until then its versions mean nothing to us. */
     private boolean whole;
+
     private long rev;
     /** The list that the process was started with, until a list is heard; null then. What comes first changes it. */
     private Update known;
@@ -77,6 +79,7 @@
     private long pause = FIRST_PAUSE;
     /** Whether a call at the present address is out that has had no word yet. */
     private Watch unanswered;
+
     private boolean dialing;
     /** Whether the list known from before has been said to do, so that jobs are sent by it. */
     private boolean knownInUse;
@@ -97,8 +100,17 @@
      * but with no list; it is up, so what it has to tell counts as told. silent: discovery has not answered for a while,
      * or has said nothing against the known list: that will do. Called only where no call is out that may yet be answered.
      */
-    public ServiceDiscovery(InetSocketAddress address, Names names, Executor pool, Dialer dialer, Scheduler timers,
-            Consumer<Update> listener, Runnable busy, Runnable silent, Update known, long grace) {
+    public ServiceDiscovery(
+            InetSocketAddress address,
+            Names names,
+            Executor pool,
+            Dialer dialer,
+            Scheduler timers,
+            Consumer<Update> listener,
+            Runnable busy,
+            Runnable silent,
+            Update known,
+            long grace) {
         this.known = known.entries().isEmpty() ? null : known;
         this.whole = this.known != null;
         this.rev = known.rev();
@@ -126,13 +138,16 @@
 
     public void open() {
         mailbox.post(() -> dial(life));
-        timers.schedule(() -> mailbox.post(() -> {
-            waited = true;
-            if (unanswered != null) {
-                unanswered.readUp();
-            }
-            tellIfSilent();
-        }), PATIENCE, TimeUnit.MILLISECONDS);
+        timers.schedule(
+                () -> mailbox.post(() -> {
+                    waited = true;
+                    if (unanswered != null) {
+                        unanswered.readUp();
+                    }
+                    tellIfSilent();
+                }),
+                PATIENCE,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -223,7 +238,7 @@
         @Override
         protected void begin() {
             if (of != life) {
-                shut();   // moved on while it came up
+                shut(); // moved on while it came up
                 return;
             }
             dialing = false;
@@ -279,11 +294,13 @@
             listing = !whole;
             unanswered = this;
             limit(answer);
-            HttpFields.Mutable fields = HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":"
-                    + address.getPort());
+            HttpFields.Mutable fields =
+                    HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":" + address.getPort());
             String target = listing ? "/api/targets" : "/api/targets?watch=1&after=" + rev;
-            write(new MetaData.Request("GET", HttpURI.from(target), HttpVersion.HTTP_1_1, fields, 0), new byte[0],
-                    () -> { });
+            write(
+                    new MetaData.Request("GET", HttpURI.from(target), HttpVersion.HTTP_1_1, fields, 0),
+                    new byte[0],
+                    () -> {});
         }
 
         @Override
@@ -296,7 +313,9 @@
                 timers.schedule(() -> mailbox.post(this::unchanged), answer, TimeUnit.MILLISECONDS);
             }
             if (refused) {
-                LOG.log(Level.WARNING, "discovery answered {0}: asked again; the list known from before is not used",
+                LOG.log(
+                        Level.WARNING,
+                        "discovery answered {0}: asked again; the list known from before is not used",
                         status);
                 busy.run();
             }
@@ -307,9 +326,11 @@
             super.parsedHeader(field);
             if (refused && field.getHeader() == HttpHeader.RETRY_AFTER) {
                 try {
-                    wanted = Math.min(BUSY_PAUSE, Math.max(0, Long.parseLong(field.getValue().trim()) * 1000));
+                    wanted = Math.min(
+                            BUSY_PAUSE,
+                            Math.max(0, Long.parseLong(field.getValue().trim()) * 1000));
                 } catch (NumberFormatException e) {
-                    wanted = 0;   // a date, or nothing that can be read: the back-off decides
+                    wanted = 0; // a date, or nothing that can be read: the back-off decides
                 }
             }
         }
@@ -329,7 +350,7 @@
                 sign();
             }
             if (heard == this) {
-                pause = 0;   // it has lived on: one that ends right after each first list is not opened at once
+                pause = 0; // it has lived on: one that ends right after each first list is not opened at once
             }
             try {
                 objects.add(bytes, this::take);
@@ -349,7 +370,9 @@
             try {
                 Update update = ServerList.read((Map<?, ?>) Json.parse(object), names);
                 if (!update.unknown().isEmpty()) {
-                    LOG.log(Level.WARNING, "servers of an unknown model, left out: {0}",
+                    LOG.log(
+                            Level.WARNING,
+                            "servers of an unknown model, left out: {0}",
                             String.join(", ", update.unknown()));
                 }
                 if (known != null && of == life && !update.all()) {
--- a/src/main/java/barrowshore/standin/Demo.java
+++ b/src/main/java/barrowshore/standin/Demo.java
@@ -26,6 +26,7 @@
     private static final int LOST = 10, TOLD = 15, REGAINED = 20, ENDS = 36;
     /** Jobs a second at each hall: a light load. */
     private static final int RATE = 12;
+
     private static final List<Integer> WORK_MILLIS = List.of(60, 120);
 
     private final AtomicInteger next = new AtomicInteger();
@@ -33,7 +34,7 @@
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger failed = new AtomicInteger();
 
-    private Demo() { }
+    private Demo() {}
 
     /** Plays it; hold: it goes on, with everything well again, until it is stopped. */
     public static void play(PrintStream out, boolean hold) throws Exception {
@@ -49,14 +50,17 @@
                 InetSocketAddress at = site.entrance(h);
                 out.println("  " + site.hallNames().get(h) + ": http://127.0.0.1:" + at.getPort());
             }
-            out.println("  try: curl -H 'X-Request-ID: mine-1' -H 'X-Priority-Class: menu-cteni' -H 'X-Timeout-Ms: 2000'"
-                    + " -d lunch http://127.0.0.1:" + site.entrance(0).getPort() + "/menu-cteni");
-            HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-                    .executor(Executors.newFixedThreadPool(2, Demo::daemon)).build();
+            out.println(
+                    "  try: curl -H 'X-Request-ID: mine-1' -H 'X-Priority-Class: menu-cteni' -H 'X-Timeout-Ms: 2000'"
+                            + " -d lunch http://127.0.0.1:" + site.entrance(0).getPort() + "/menu-cteni");
+            HttpClient client = HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .executor(Executors.newFixedThreadPool(2, Demo::daemon))
+                    .build();
             for (int h = 0; h < 2; h++) {
                 InetSocketAddress at = site.entrance(h);
-                clock.scheduleAtFixedRate(() -> ask(client, at), 1_000_000 + h * 40_000, 1_000_000 / RATE,
-                        TimeUnit.MICROSECONDS);
+                clock.scheduleAtFixedRate(
+                        () -> ask(client, at), 1_000_000 + h * 40_000, 1_000_000 / RATE, TimeUnit.MICROSECONDS);
             }
             int[] total = new int[3];
             for (int second = 1; hold || second <= ENDS; second++) {
@@ -74,18 +78,32 @@
                         site.regain(0);
                         out.println("-- they start again, cold");
                     }
-                    default -> { }
+                    default -> {}
                 }
                 int[] now = {served.getAndSet(0), refused.getAndSet(0), failed.getAndSet(0)};
                 for (int k = 0; k < 3; k++) {
                     total[k] += now[k];
                 }
-                out.printf(Locale.ROOT, "%3d s  served %3d  refused %2d  failed %2d  spilled %3.0f  %s%n", second, now[0],
-                        now[1], now[2], spilled(site), states(site));
+                out.printf(
+                        Locale.ROOT,
+                        "%3d s  served %3d  refused %2d  failed %2d  spilled %3.0f  %s%n",
+                        second,
+                        now[0],
+                        now[1],
+                        now[2],
+                        spilled(site),
+                        states(site));
             }
-            out.printf("served %d, refused %d, failed %d; jobs that ran twice and must not: %d; nodes pushed over: %d%n",
-                    total[0], total[1], total[2], site.counts().stream().mapToLong(c -> c.runs().entrySet().stream()
-                            .filter(e -> e.getKey().startsWith("objednavka") && e.getValue() > 1).count()).sum(),
+            out.printf(
+                    "served %d, refused %d, failed %d; jobs that ran twice and must not: %d; nodes pushed over: %d%n",
+                    total[0],
+                    total[1],
+                    total[2],
+                    site.counts().stream()
+                            .mapToLong(c -> c.runs().entrySet().stream()
+                                    .filter(e -> e.getKey().startsWith("objednavka") && e.getValue() > 1)
+                                    .count())
+                            .sum(),
                     site.counts().stream().filter(StandInNode.Count::fallen).count());
         } finally {
             clock.shutdownNow();
@@ -111,8 +129,10 @@
         StringBuilder line = new StringBuilder();
         for (int h = 0; h < 2; h++) {
             CompletableFuture<List<HallState>> states = site.schedulers().get(h).halls();
-            line.append(site.hallNames().get(h)).append(' ').append(states.get(2, TimeUnit.SECONDS).get(h).name()
-                    .toLowerCase(Locale.ROOT)).append(h == 0 ? "  " : "");
+            line.append(site.hallNames().get(h))
+                    .append(' ')
+                    .append(states.get(2, TimeUnit.SECONDS).get(h).name().toLowerCase(Locale.ROOT))
+                    .append(h == 0 ? "  " : "");
         }
         return line.toString();
     }
@@ -121,10 +141,14 @@
         int number = next.incrementAndGet();
         int type = number % 2;
         String name = StandInConfig.CLASSES.get(type);
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.getPort() + "/" + name
-                + "?work=" + WORK_MILLIS.get(type))).header("X-Request-ID", name + "-" + number)
-                .header("X-Priority-Class", name).header("X-Timeout-Ms", "3000").timeout(Duration.ofSeconds(5))
-                .POST(HttpRequest.BodyPublishers.ofString("lunch")).build();
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + at.getPort() + "/" + name + "?work=" + WORK_MILLIS.get(type)))
+                .header("X-Request-ID", name + "-" + number)
+                .header("X-Priority-Class", name)
+                .header("X-Timeout-Ms", "3000")
+                .timeout(Duration.ofSeconds(5))
+                .POST(HttpRequest.BodyPublishers.ofString("lunch"))
+                .build();
         client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).whenComplete((answer, failure) -> {
             int status = failure != null ? 0 : answer.statusCode();
             (status == 200 ? served : status == 503 ? refused : failed).incrementAndGet();
--- a/src/main/java/barrowshore/standin/StandInConfig.java
+++ b/src/main/java/barrowshore/standin/StandInConfig.java
@@ -11,15 +11,18 @@
 public final class StandInConfig {
     /** The classes, as their paths name them; the second may not run twice. */
     public static final List<String> CLASSES = List.of("menu-cteni", "objednavka");
+
     public static final List<String> HALLS = List.of("hala-a", "hala-b");
     /** Microseconds until a node is warm, and the window of the rule on cold ones. */
     public static final long COLD = 6_000_000, FALL = 2_000_000;
+
     public static final double MULTIPLE = 3, START_CAPACITY = 0.3;
     /** Work of a usual job, and the time between notes of progress, microseconds. */
     public static final double USUAL_JOB = 150_000;
+
     public static final long PROGRESS = 500_000;
 
-    private StandInConfig() { }
+    private StandInConfig() {}
 
     /** An address as configurations have it. */
     public static String text(InetSocketAddress address) {
@@ -27,20 +30,31 @@
     }
 
     /** A configuration: who it is among how many peers, where it listens, and where all that it talks to is. */
-    public static String of(String name, InetSocketAddress listen, InetSocketAddress discovery, int me, int zone,
-                            InetSocketAddress peerListen, List<String> peers, InetSocketAddress all) {
+    public static String of(
+            String name,
+            InetSocketAddress listen,
+            InetSocketAddress discovery,
+            int me,
+            int zone,
+            InetSocketAddress peerListen,
+            List<String> peers,
+            InetSocketAddress all) {
         return ("{'name':'" + name + "','listen':'" + text(listen) + "','discovery':'" + text(discovery) + "','seed':'"
-                + Integer.toHexString(me + 1) + "','limits':{'sockets':1024},'peer_listen':'" + text(peerListen) + "','peers':["
-                + peers.stream().map(peer -> "'" + peer + "'").collect(Collectors.joining(",")) + "],'peers_all':'" + text(all)
-                + "','settings':{'groupSize':" + peers.size() + ",'me':" + me + ",'zone':" + zone
-                + ",'zones':['" + String.join("','", HALLS) + "'],'kinds':['usual'],'tick':5000,'lanes':["
-                + "{'name':'menu-cteni','aim':250000,'deadline':3000000,'worth':2.0,'idempotency':'idempotent'},"
-                + "{'name':'objednavka','aim':400000,'deadline':4000000,'worth':10.0,'idempotency':'at_most_once'}],"
-                + "'policyLimits':{'sendCap':5,'secondCopies':true,'cancel':true,'probing':true,'mayTell':true,"
-                + "'dialTimeout':250000,'keepalive':60000000,'maxRetryAfter':2000000},"
-                + "'domain':{'tellsStart':true,'progress':" + PROGRESS + ",'classStretch':[2,2]},"
-                + "'telemetry':{'how':'pull','columns':['inflight','x0']},'charges':{'crossZone':0.1},"
-                + "'rules':{'cold':" + COLD + ",'fall':" + FALL + ",'fallMultiple':" + MULTIPLE + ",'startCapacity':"
-                + START_CAPACITY + ",'askEvery':10000000}}}").replace('\'', '"');
+                        + Integer.toHexString(me + 1) + "','limits':{'sockets':1024},'peer_listen':'" + text(peerListen)
+                        + "','peers':["
+                        + peers.stream().map(peer -> "'" + peer + "'").collect(Collectors.joining(","))
+                        + "],'peers_all':'" + text(all)
+                        + "','settings':{'groupSize':" + peers.size() + ",'me':" + me + ",'zone':" + zone
+                        + ",'zones':['" + String.join("','", HALLS) + "'],'kinds':['usual'],'tick':5000,'lanes':["
+                        + "{'name':'menu-cteni','aim':250000,'deadline':3000000,'worth':2.0,'idempotency':'idempotent'},"
+                        + "{'name':'objednavka','aim':400000,'deadline':4000000,'worth':10.0,'idempotency':'at_most_once'}],"
+                        + "'policyLimits':{'sendCap':5,'secondCopies':true,'cancel':true,'probing':true,'mayTell':true,"
+                        + "'dialTimeout':250000,'keepalive':60000000,'maxRetryAfter':2000000},"
+                        + "'domain':{'tellsStart':true,'progress':" + PROGRESS + ",'classStretch':[2,2]},"
+                        + "'telemetry':{'how':'pull','columns':['inflight','x0']},'charges':{'crossZone':0.1},"
+                        + "'rules':{'cold':" + COLD + ",'fall':" + FALL + ",'fallMultiple':" + MULTIPLE
+                        + ",'startCapacity':"
+                        + START_CAPACITY + ",'askEvery':10000000}}}")
+                .replace('\'', '"');
     }
 }
--- a/src/main/java/barrowshore/standin/StandInDiscovery.java
+++ b/src/main/java/barrowshore/standin/StandInDiscovery.java
@@ -1,9 +1,9 @@
 package barrowshore.standin;
 
 import barrowshore.net.Mailbox;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.io.IOException;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -40,14 +40,17 @@
     }
 
     private void beat() {
-        timers.schedule(() -> mailbox.post(() -> {
-            if (!stopped) {
-                if (!silent) {
-                    watches.forEach(w -> w.line(""));
-                }
-                beat();
-            }
-        }), EMPTY_LINE_MILLIS, TimeUnit.MILLISECONDS);
+        timers.schedule(
+                () -> mailbox.post(() -> {
+                    if (!stopped) {
+                        if (!silent) {
+                            watches.forEach(w -> w.line(""));
+                        }
+                        beat();
+                    }
+                }),
+                EMPTY_LINE_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     public InetSocketAddress address() {
@@ -55,8 +58,14 @@
     }
 
     /** Tells of a node; state: Ready, Terminating or Gone. bootMillis 0: long ago. */
-    public void tell(String uid, InetSocketAddress endpoint, String hall, String model, double capacity, String state,
-                     long bootMillis) {
+    public void tell(
+            String uid,
+            InetSocketAddress endpoint,
+            String hall,
+            String model,
+            double capacity,
+            String state,
+            long bootMillis) {
         mailbox.post(() -> {
             Map<String, Object> entry = new LinkedHashMap<>();
             entry.put("uid", uid);
@@ -115,7 +124,7 @@
         @Override
         void asked(String method, String target, Map<String, String> headers, String body) {
             if (silent) {
-                return;   // it is down: nothing is said, and the connection stays
+                return; // it is down: nothing is said, and the connection stays
             }
             if (!target.startsWith("/api/targets")) {
                 answer(404, "", "");
@@ -125,7 +134,7 @@
                 stream();
                 watches.add(this);
                 if (!target.endsWith("after=" + rev)) {
-                    line(list(true, targets.values().toArray()));   // what changed since is not kept: all of it
+                    line(list(true, targets.values().toArray())); // what changed since is not kept: all of it
                 }
             }
         }
--- a/src/main/java/barrowshore/standin/StandInFront.java
+++ b/src/main/java/barrowshore/standin/StandInFront.java
@@ -23,7 +23,7 @@
     private static final int BACKLOG = 256;
 
     /** A port that is listened on. */
-    private record Door(ServerSocketChannel channel, Function<EndPoint, Connection> opener) { }
+    private record Door(ServerSocketChannel channel, Function<EndPoint, Connection> opener) {}
 
     private final Map<Integer, Door> doors = new ConcurrentHashMap<>();
     private final Dialer dialer;
--- a/src/main/java/barrowshore/standin/StandInLink.java
+++ b/src/main/java/barrowshore/standin/StandInLink.java
@@ -80,10 +80,12 @@
             return;
         }
         writing = true;
-        write(ByteBuffer.wrap(unsent.poll()), () -> mailbox.post(() -> {
-            writing = false;
-            flush();
-        }));
+        write(
+                ByteBuffer.wrap(unsent.poll()),
+                () -> mailbox.post(() -> {
+                    writing = false;
+                    flush();
+                }));
     }
 
     @Override
--- a/src/main/java/barrowshore/standin/StandInNode.java
+++ b/src/main/java/barrowshore/standin/StandInNode.java
@@ -30,7 +30,8 @@
     private static final long AGAIN_MILLIS = 20;
 
     /** What a node counts; runs: how often each id started; late: jobs that came after {@link #nothingNewAfter}. */
-    public record Count(Map<String, Integer> runs, long served, double coldUse, boolean fallen, int connections, int late) { }
+    public record Count(
+            Map<String, Integer> runs, long served, double coldUse, boolean fallen, int connections, int late) {}
 
     private final String uid;
     private final StandInFront front;
@@ -45,23 +46,34 @@
     private int late;
 
     /** Starts a node that has been up for long, on a free port. */
-    public StandInNode(String uid, NodeModel.Spec spec, NodeModel.Falling falling, long progressEvery,
-                       StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
+    public StandInNode(
+            String uid,
+            NodeModel.Spec spec,
+            NodeModel.Falling falling,
+            long progressEvery,
+            StandInFront front,
+            ExecutorService pool,
+            Scheduler timers)
+            throws IOException {
         this.uid = uid;
         this.front = front;
         this.timers = timers;
         this.mailbox = new Mailbox("stand-in " + uid, pool);
-        this.model = new NodeModel(new Timeline() {
-            @Override
-            public long now() {
-                return clock.micros();
-            }
-
-            @Override
-            public void at(long time, Runnable run) {
-                timers.schedule(() -> mailbox.post(run), Math.max(1, time - now()), TimeUnit.MICROSECONDS);
-            }
-        }, spec, falling, progressEvery);
+        this.model = new NodeModel(
+                new Timeline() {
+                    @Override
+                    public long now() {
+                        return clock.micros();
+                    }
+
+                    @Override
+                    public void at(long time, Runnable run) {
+                        timers.schedule(() -> mailbox.post(run), Math.max(1, time - now()), TimeUnit.MICROSECONDS);
+                    }
+                },
+                spec,
+                falling,
+                progressEvery);
         port = front.open(0, Link::new);
     }
 
@@ -122,8 +134,8 @@
     /** What it has counted. */
     public CompletableFuture<Count> count() {
         CompletableFuture<Count> count = new CompletableFuture<>();
-        mailbox.post(() -> count.complete(new Count(Map.copyOf(runs), model.served(), model.coldUse(), model.fallen(),
-                links.size(), late)));
+        mailbox.post(() -> count.complete(
+                new Count(Map.copyOf(runs), model.served(), model.coldUse(), model.fallen(), links.size(), late)));
         return count;
     }
 
@@ -198,7 +210,7 @@
 
         @Override
         protected void onEnd(Throwable cause) {
-            links.remove(this);   // what runs for it runs on: nothing is cancelled
+            links.remove(this); // what runs for it runs on: nothing is cancelled
         }
     }
 
--- a/src/main/java/barrowshore/standin/StandInSite.java
+++ b/src/main/java/barrowshore/standin/StandInSite.java
@@ -51,10 +51,14 @@
         for (int h = 0; h < HALLS.size(); h++) {
             halls.add(new ArrayList<>());
             for (int n = 0; n < nodes; n++) {
-                StandInNode node = new StandInNode("s-" + "ab".charAt(h) + n, new NodeModel.Spec(CORES, 1, 40,
-                        n % 2 == 0, StandInConfig.START_CAPACITY, StandInConfig.COLD), new NodeModel.Falling(
-                        StandInConfig.MULTIPLE, StandInConfig.FALL, StandInConfig.USUAL_JOB), StandInConfig.PROGRESS,
-                        front, pool, timers);
+                StandInNode node = new StandInNode(
+                        "s-" + "ab".charAt(h) + n,
+                        new NodeModel.Spec(CORES, 1, 40, n % 2 == 0, StandInConfig.START_CAPACITY, StandInConfig.COLD),
+                        new NodeModel.Falling(StandInConfig.MULTIPLE, StandInConfig.FALL, StandInConfig.USUAL_JOB),
+                        StandInConfig.PROGRESS,
+                        front,
+                        pool,
+                        timers);
                 halls.get(h).add(node);
                 tell(h, node, "Ready");
             }
@@ -73,7 +77,14 @@
 
     private String config(int me, int[] ports) {
         List<String> peers = List.of("127.0.0.1:" + ports[0], "127.0.0.1:" + ports[1]);
-        return StandInConfig.of("scheduler-" + me, loopback(0), discovery.address(), me, me, loopback(ports[me]), peers,
+        return StandInConfig.of(
+                "scheduler-" + me,
+                loopback(0),
+                discovery.address(),
+                me,
+                me,
+                loopback(ports[me]),
+                peers,
                 loopback(ports[1 - me]));
     }
 
@@ -82,8 +93,8 @@
     }
 
     private void tell(int hall, StandInNode node, String state) {
-        discovery.tell(node.uid(), node.address(), HALLS.get(hall), "usual", CORES, state,
-                boots.getOrDefault(node.uid(), 0L));
+        discovery.tell(
+                node.uid(), node.address(), HALLS.get(hall), "usual", CORES, state, boots.getOrDefault(node.uid(), 0L));
     }
 
     /** The names of its halls. */
@@ -109,9 +120,11 @@
         for (Node scheduler : schedulers) {
             String answer = "";
             while (!answer.startsWith("HTTP/1.1 200")) {
-                try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), scheduler.address().getPort())) {
-                    socket.getOutputStream().write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-                            .getBytes(StandardCharsets.ISO_8859_1));
+                try (Socket socket = new Socket(
+                        InetAddress.getLoopbackAddress(), scheduler.address().getPort())) {
+                    socket.getOutputStream()
+                            .write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                                    .getBytes(StandardCharsets.ISO_8859_1));
                     answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
                 }
             }
@@ -120,7 +133,8 @@
 
     /** Every node of a hall dies at once. Discovery knows nothing of it yet. */
     public void lose(int hall) {
-        CompletableFuture.allOf(halls.get(hall).stream().map(StandInNode::crash).toArray(CompletableFuture[]::new)).join();
+        CompletableFuture.allOf(halls.get(hall).stream().map(StandInNode::crash).toArray(CompletableFuture[]::new))
+                .join();
     }
 
     /** The list hears at last that a hall's nodes are gone. */
@@ -138,7 +152,10 @@
 
     /** What all nodes have counted. */
     public List<StandInNode.Count> counts() {
-        return halls.stream().flatMap(List::stream).map(node -> node.count().join()).toList();
+        return halls.stream()
+                .flatMap(List::stream)
+                .map(node -> node.count().join())
+                .toList();
     }
 
     @Override
--- a/src/main/java/barrowshore/upgrade/Twin.java
+++ b/src/main/java/barrowshore/upgrade/Twin.java
@@ -64,7 +64,7 @@
             channel.connect(UnixDomainSocketAddress.of(file));
             return channel;
         } catch (IOException | RuntimeException e) {
-            close(channel);   // none there, or one that is dead, or no such sockets here
+            close(channel); // none there, or one that is dead, or no such sockets here
             return null;
         }
     }
@@ -106,8 +106,8 @@
 
     private void read(SocketChannel channel, boolean isBefore) {
         thread(isBefore ? "the process before" : "the process after", () -> {
-            try (BufferedReader in = new BufferedReader(new InputStreamReader(Channels.newInputStream(channel),
-                    StandardCharsets.UTF_8))) {
+            try (BufferedReader in = new BufferedReader(
+                    new InputStreamReader(Channels.newInputStream(channel), StandardCharsets.UTF_8))) {
                 for (String line = in.readLine(); line != null; line = in.readLine()) {
                     String told = line;
                     mailbox.post(() -> listener.told(isBefore, told));
@@ -143,7 +143,7 @@
                         to.write(bytes);
                     }
                 } catch (IOException e) {
-                    LOG.log(Level.DEBUG, "the twin is not told", e);   // its reader hears of the end
+                    LOG.log(Level.DEBUG, "the twin is not told", e); // its reader hears of the end
                 }
             }
         });
@@ -154,13 +154,15 @@
     }
 
     private static void thread(String name, Wait wait) {
-        Thread thread = new Thread(() -> {
-            try {
-                wait.run();
-            } catch (IOException e) {
-                LOG.log(Level.DEBUG, name + " is heard no more", e);
-            }
-        }, name);
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        wait.run();
+                    } catch (IOException e) {
+                        LOG.log(Level.DEBUG, name + " is heard no more", e);
+                    }
+                },
+                name);
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/main/java/barrowshore/wire/Json.java
+++ b/src/main/java/barrowshore/wire/Json.java
@@ -5,7 +5,7 @@
 
 /** Reads JSON, and the addresses written in it. It owns no meaning: what a field is for, its reader knows. */
 public final class Json {
-    private Json() { }
+    private Json() {}
 
     /** Parses JSON with lists as {@link java.util.List}; an IllegalArgumentException tells that it is none. */
     public static Object parse(String text) {
@@ -14,7 +14,8 @@
         try {
             return json.fromJSON(text);
         } catch (RuntimeException e) {
-            throw new IllegalArgumentException("not JSON: " + String.valueOf(e.getMessage()).replace('\n', ' '), e);
+            throw new IllegalArgumentException(
+                    "not JSON: " + String.valueOf(e.getMessage()).replace('\n', ' '), e);
         }
     }
 
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -1,16 +1,16 @@
 package barrowshore.wire;
 
+import barrowshore.module.DispatchApi.Effect;
+import barrowshore.module.DispatchApi.JobClass;
+import barrowshore.module.DispatchApi.Reports;
+import barrowshore.module.DispatchApi.Scope;
+import barrowshore.module.DispatchApi.Settings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import barrowshore.module.DispatchApi.Effect;
-import barrowshore.module.DispatchApi.JobClass;
-import barrowshore.module.DispatchApi.Reports;
-import barrowshore.module.DispatchApi.Scope;
-import barrowshore.module.DispatchApi.Settings;
 
 /**
  * Reads path=value pairs into settings; unknown keys are skipped, absent ones keep their defaults. The simulator sends
@@ -19,21 +19,84 @@
  */
 public final class SettingsReader {
     /** What the protocol pages name, read here or not; numbers as in {@link #unknown}. */
-    private static final Set<String> NAMED = Set.of("groupSize", "me", "zone", "zones", "kinds", "tick", "tier", "family",
-            "stages", "discovery", "weights", "worthBy", "overShareWorth", "lanes.count", "lanes.N.name", "lanes.N.aim",
-            "lanes.N.aimStretch", "lanes.N.deadline", "lanes.N.worth", "lanes.N.lateShare", "lanes.N.idempotency",
-            "lanes.N.keyScope", "lanes.N.repeatWindow", "lanes.N.streaming", "tenants", "tenants.count", "tenants.N.name",
-            "tenants.N.share", "tenants.N.quotaPerS", "clients.marksRetry", "domain.classKind", "domain.classStretch",
-            "domain.classPriority", "domain.memoryUnit", "domain.notes", "domain.progress", "domain.queueOrder",
-            "domain.reportX0", "domain.reportX1", "domain.tellsStart", "goal.whole", "goal.worstClass", "goal.worstTenant",
-            "goal.worstWindow", "policyLimits.cancel", "policyLimits.keepalive", "policyLimits.dialTimeout",
-            "policyLimits.cpuUsPerRequest", "policyLimits.cpuUsPerS", "policyLimits.sendCap", "policyLimits.openCap",
-            "policyLimits.maxRetryAfter", "policyLimits.mayTell", "policyLimits.probing", "policyLimits.retryAfter",
-            "policyLimits.secondCopies", "policyLimits.multiplex", "charges.connection", "charges.crossZone",
-            "charges.discovery", "charges.fleet", "charges.handshake", "charges.lateFail", "charges.moves",
-            "charges.origin", "charges.peer", "charges.probe", "charges.waste", "telemetry.columns", "telemetry.how",
-            "rules.answerSlack", "rules.askEvery", "rules.startCapacity", "rules.cold", "rules.stopSendingWithin",
-            "rules.fallMultiple", "rules.fall");
+    private static final Set<String> NAMED = Set.of(
+            "groupSize",
+            "me",
+            "zone",
+            "zones",
+            "kinds",
+            "tick",
+            "tier",
+            "family",
+            "stages",
+            "discovery",
+            "weights",
+            "worthBy",
+            "overShareWorth",
+            "lanes.count",
+            "lanes.N.name",
+            "lanes.N.aim",
+            "lanes.N.aimStretch",
+            "lanes.N.deadline",
+            "lanes.N.worth",
+            "lanes.N.lateShare",
+            "lanes.N.idempotency",
+            "lanes.N.keyScope",
+            "lanes.N.repeatWindow",
+            "lanes.N.streaming",
+            "tenants",
+            "tenants.count",
+            "tenants.N.name",
+            "tenants.N.share",
+            "tenants.N.quotaPerS",
+            "clients.marksRetry",
+            "domain.classKind",
+            "domain.classStretch",
+            "domain.classPriority",
+            "domain.memoryUnit",
+            "domain.notes",
+            "domain.progress",
+            "domain.queueOrder",
+            "domain.reportX0",
+            "domain.reportX1",
+            "domain.tellsStart",
+            "goal.whole",
+            "goal.worstClass",
+            "goal.worstTenant",
+            "goal.worstWindow",
+            "policyLimits.cancel",
+            "policyLimits.keepalive",
+            "policyLimits.dialTimeout",
+            "policyLimits.cpuUsPerRequest",
+            "policyLimits.cpuUsPerS",
+            "policyLimits.sendCap",
+            "policyLimits.openCap",
+            "policyLimits.maxRetryAfter",
+            "policyLimits.mayTell",
+            "policyLimits.probing",
+            "policyLimits.retryAfter",
+            "policyLimits.secondCopies",
+            "policyLimits.multiplex",
+            "charges.connection",
+            "charges.crossZone",
+            "charges.discovery",
+            "charges.fleet",
+            "charges.handshake",
+            "charges.lateFail",
+            "charges.moves",
+            "charges.origin",
+            "charges.peer",
+            "charges.probe",
+            "charges.waste",
+            "telemetry.columns",
+            "telemetry.how",
+            "rules.answerSlack",
+            "rules.askEvery",
+            "rules.startCapacity",
+            "rules.cold",
+            "rules.stopSendingWithin",
+            "rules.fallMultiple",
+            "rules.fall");
 
     private final Map<String, String> pairs = new HashMap<>();
 
@@ -83,8 +146,12 @@
 
     /** The settings that no page names, in order, numbers in their paths as N: a new site's news, which nothing here heeds. */
     public List<String> unknown() {
-        return pairs.keySet().stream().map(key -> key.replaceAll("\\.[0-9]+(?=\\.|$)", ".N")).distinct()
-                .filter(key -> !NAMED.contains(key)).sorted().toList();
+        return pairs.keySet().stream()
+                .map(key -> key.replaceAll("\\.[0-9]+(?=\\.|$)", ".N"))
+                .distinct()
+                .filter(key -> !NAMED.contains(key))
+                .sorted()
+                .toList();
     }
 
     /** The items of a list of plain values. */
@@ -148,11 +215,17 @@
         String[] priority = list("domain.classPriority");
         for (int c = 0; c < s.classes.length; c++) {
             String lane = "lanes." + c + ".";
-            s.classes[c] = new JobClass((long) number(lane + "aim", 100_000), item(stretch, c, number(lane + "aimStretch", 0)),
-                    (long) number(lane + "deadline", 1_000_000), number(lane + "worth", 1), number(lane + "lateShare", 0),
+            s.classes[c] = new JobClass(
+                    (long) number(lane + "aim", 100_000),
+                    item(stretch, c, number(lane + "aimStretch", 0)),
+                    (long) number(lane + "deadline", 1_000_000),
+                    number(lane + "worth", 1),
+                    number(lane + "lateShare", 0),
                     effect(pairs.getOrDefault(lane + "idempotency", "at_most_once")),
-                    scope(pairs.getOrDefault(lane + "keyScope", "cell")), (long) number(lane + "repeatWindow", 0),
-                    (int) item(kinds, c, -1), (int) item(priority, c, 0));
+                    scope(pairs.getOrDefault(lane + "keyScope", "cell")),
+                    (long) number(lane + "repeatWindow", 0),
+                    (int) item(kinds, c, -1),
+                    (int) item(priority, c, 0));
         }
         s.tenantQuota = new double[(int) number("tenants.count", 0)];
         for (int t = 0; t < s.tenantQuota.length; t++) {
@@ -165,7 +238,7 @@
         return switch (word) {
             case "idempotent" -> Effect.SAFE;
             case "deduplicated" -> Effect.KEYED;
-            default -> Effect.UNSAFE;   // the strictest, for what is not known
+            default -> Effect.UNSAFE; // the strictest, for what is not known
         };
     }
 
--- a/src/main/java/barrowshore/wire/WireHost.java
+++ b/src/main/java/barrowshore/wire/WireHost.java
@@ -1,15 +1,5 @@
 package barrowshore.wire;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HexFormat;
-import java.util.List;
-import java.util.Map;
-import java.util.function.BiConsumer;
 import barrowshore.module.DispatchApi;
 import barrowshore.module.DispatchApi.Health;
 import barrowshore.module.DispatchApi.ListKind;
@@ -20,6 +10,16 @@
 import barrowshore.module.DispatchApi.Settings;
 import barrowshore.module.DispatchApi.Status;
 import barrowshore.module.Dispatcher;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
 
 /** Hosts many dispatchers on the wire: turns its lines into calls and their actions into lines. Decides nothing. */
 public final class WireHost {
@@ -32,7 +32,7 @@
 
     /** A host that reads batches from one stream and writes its replies to the other. */
     public WireHost(InputStream in, OutputStream out) {
-        this(in, out, (zones, settings) -> { });
+        this(in, out, (zones, settings) -> {});
     }
 
     /** The same; each instance's settings pass through the last argument, with the names of the zones. */
@@ -57,12 +57,24 @@
 
         @Override
         public void send(String id, String worker, long timeout) {
-            action("PLACE").append(' ').append(id).append(' ').append(worker).append(' ').append(timeout).append('\n');
+            action("PLACE")
+                    .append(' ')
+                    .append(id)
+                    .append(' ')
+                    .append(worker)
+                    .append(' ')
+                    .append(timeout)
+                    .append('\n');
         }
 
         @Override
         public void refuse(String id, long retryAfter) {
-            action("REJECT").append(' ').append(id).append(' ').append(retryAfter).append('\n');
+            action("REJECT")
+                    .append(' ')
+                    .append(id)
+                    .append(' ')
+                    .append(retryAfter)
+                    .append('\n');
         }
 
         @Override
@@ -82,12 +94,20 @@
 
         @Override
         public void tell(byte[] message) {
-            action("SAY").append(" -1 ").append(HexFormat.of().formatHex(message)).append('\n');
+            action("SAY")
+                    .append(" -1 ")
+                    .append(HexFormat.of().formatHex(message))
+                    .append('\n');
         }
 
         @Override
         public void timer(long delay, String token) {
-            action("TIMER").append(' ').append(Math.max(1, delay)).append(' ').append(token).append('\n');
+            action("TIMER")
+                    .append(' ')
+                    .append(Math.max(1, delay))
+                    .append(' ')
+                    .append(token)
+                    .append('\n');
         }
 
         @Override
@@ -130,8 +150,12 @@
             } catch (WireException e) {
                 throw e;
             } catch (RuntimeException e) {
-                reply.append("EXCEPTION ").append(number).append(' ').append(String.valueOf(e).replace('\n', ' '))
-                        .append(e.getStackTrace().length > 0 ? " at " + e.getStackTrace()[0] : "").append('\n');
+                reply.append("EXCEPTION ")
+                        .append(number)
+                        .append(' ')
+                        .append(String.valueOf(e).replace('\n', ' '))
+                        .append(e.getStackTrace().length > 0 ? " at " + e.getStackTrace()[0] : "")
+                        .append('\n');
             }
         }
     }
@@ -201,7 +225,7 @@
                 int from = (int) line.integer("originPeer");
                 to.peer(now, from, blob(line.text("blob")));
             }
-            case "ACCEPTED" -> { }
+            case "ACCEPTED" -> {}
             default -> throw line.wrong("unknown message " + word);
         }
     }
@@ -216,13 +240,14 @@
 
     private void members(DispatchApi to) throws IOException {
         String how = line.text("how");
-        ListKind kind = switch (how) {
-            case "D" -> ListKind.CHANGES;
-            case "F" -> ListKind.WHOLE;
-            case "C" -> ListKind.INITIAL;
-            case "X" -> ListKind.FAILED;
-            default -> throw line.wrong("unknown list kind " + how);
-        };
+        ListKind kind =
+                switch (how) {
+                    case "D" -> ListKind.CHANGES;
+                    case "F" -> ListKind.WHOLE;
+                    case "C" -> ListKind.INITIAL;
+                    case "X" -> ListKind.FAILED;
+                    default -> throw line.wrong("unknown list kind " + how);
+                };
         line.skip("seqNo");
         int count = (int) line.integer("membersList");
         List<Member> entries = new ArrayList<>();
@@ -233,12 +258,13 @@
                 throw line.wrong("expected M, found " + mark);
             }
             String word = line.text("health");
-            Health health = switch (word) {
-                case "healthy" -> Health.READY;
-                case "cordoned" -> Health.DRAINING;
-                case "deregistered" -> Health.GONE;
-                default -> throw line.wrong("unknown health " + word);
-            };
+            Health health =
+                    switch (word) {
+                        case "healthy" -> Health.READY;
+                        case "cordoned" -> Health.DRAINING;
+                        case "deregistered" -> Health.GONE;
+                        default -> throw line.wrong("unknown health " + word);
+                    };
             double rating = line.decimal("rating");
             int cell = (int) line.integer("unitGroup"), type = (int) line.integer("type");
             int zone = (int) line.integer("campus");
@@ -286,7 +312,7 @@
                 case "inflight" -> inFlight = value;
                 case "queue" -> queue = value;
                 case "x0" -> free = value;
-                default -> { }
+                default -> {}
             }
             from = stop + 1;
         }
--- a/src/test/java/barrowshore/DeployTest.java
+++ b/src/test/java/barrowshore/DeployTest.java
@@ -25,10 +25,14 @@
         String deploy = Files.readString(Path.of("deploy/balancer.toml"));
         Matcher node = Pattern.compile("node = \\[(.*)]").matcher(deploy);
         assertThat(node.find()).isTrue();
-        List<String> named = Stream.of(node.group(1).split(",")).map(n -> n.trim().replace("\"", "")).toList();
+        List<String> named = Stream.of(node.group(1).split(","))
+                .map(n -> n.trim().replace("\"", ""))
+                .toList();
         assertThat(named).allMatch(folder -> Files.isDirectory(Path.of(folder)));
-        assertThat(named).containsAll(reached("node").stream().map(p -> SOURCES.resolve("barrowshore").resolve(p).toString())
-                .toList());
+        assertThat(named)
+                .containsAll(reached("node").stream()
+                        .map(p -> SOURCES.resolve("barrowshore").resolve(p).toString())
+                        .toList());
     }
 
     /** The packages whose classes are named in this one's sources, and in theirs. */
@@ -37,7 +41,8 @@
         Queue<String> open = new ArrayDeque<>(all);
         while (!open.isEmpty()) {
             try (Stream<Path> files = Files.list(SOURCES.resolve("barrowshore").resolve(open.remove()))) {
-                for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+                for (Path file :
+                        files.filter(f -> f.toString().endsWith(".java")).toList()) {
                     Matcher used = PACKAGE.matcher(Files.readString(file));
                     while (used.find()) {
                         if (all.add(used.group(1))) {
--- a/src/test/java/barrowshore/PackageRulesTest.java
+++ b/src/test/java/barrowshore/PackageRulesTest.java
@@ -15,36 +15,93 @@
 /** The rules between packages: what decides is pure, and data requests one way. */
 class PackageRulesTest {
     private static final JavaClasses ALL = new ClassFileImporter()
-            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("barrowshore");
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("barrowshore");
 
     @ParameterizedTest
-    @ValueSource(strings = {"barrowshore.module", "barrowshore.halls", "barrowshore.model", "barrowshore.duty", "barrowshore.budget",
-        "barrowshore.rivals"})
+    @ValueSource(
+            strings = {
+                "barrowshore.module",
+                "barrowshore.halls",
+                "barrowshore.model",
+                "barrowshore.duty",
+                "barrowshore.budget",
+                "barrowshore.rivals"
+            })
     void whatDecidesTouchesNoSocketsFilesClocksOrThreads(String pure) {
-        noClasses().that().resideInAPackage(pure).should().dependOnClassesThat().resideInAnyPackage("java.net..",
-                "java.nio.file..", "java.nio.channels..", "java.util.concurrent..", "java.time..",
-                "org.eclipse.jetty..", "javax..", "sun..").check(ALL);
-        noClasses().that().resideInAPackage(pure).should().dependOnClassesThat().haveNameMatching(
-                "java\\.lang\\.(Thread|ThreadLocal|Process|ProcessBuilder|Runtime)|java\\.util\\.(Timer|Random)"
-                + "|java\\.io\\.(File.*|InputStream|OutputStream|RandomAccessFile)").check(ALL);
-        noClasses().that().resideInAPackage(pure).should().callMethod(System.class, "nanoTime").orShould()
-                .callMethod(System.class, "currentTimeMillis").orShould().callMethod(Math.class, "random").check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage(pure)
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.net..",
+                        "java.nio.file..",
+                        "java.nio.channels..",
+                        "java.util.concurrent..",
+                        "java.time..",
+                        "org.eclipse.jetty..",
+                        "javax..",
+                        "sun..")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage(pure)
+                .should()
+                .dependOnClassesThat()
+                .haveNameMatching(
+                        "java\\.lang\\.(Thread|ThreadLocal|Process|ProcessBuilder|Runtime)|java\\.util\\.(Timer|Random)"
+                                + "|java\\.io\\.(File.*|InputStream|OutputStream|RandomAccessFile)")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage(pure)
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .callMethod(Math.class, "random")
+                .check(ALL);
     }
 
     /** Addresses are values of the list; what opens, reads or waits for anything is not. */
     @Test
     void whatTheListIsTouchesNoSocketsFilesOrThreads() {
-        noClasses().that().resideInAPackage("barrowshore.list").should().dependOnClassesThat().resideInAnyPackage(
-                "java.nio..", "java.io..", "java.util.concurrent..", "java.time..", "org.eclipse.jetty..", "javax..",
-                "barrowshore.net..", "barrowshore.config..", "barrowshore.files..").check(ALL);
-        noClasses().that().resideInAPackage("barrowshore.list").should().dependOnClassesThat().haveNameMatching(
-                "java\\.net\\.(.*Socket|URL|HttpURLConnection)|java\\.lang\\.(Thread|Process.*|Runtime)").check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("barrowshore.list")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.nio..",
+                        "java.io..",
+                        "java.util.concurrent..",
+                        "java.time..",
+                        "org.eclipse.jetty..",
+                        "javax..",
+                        "barrowshore.net..",
+                        "barrowshore.config..",
+                        "barrowshore.files..")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("barrowshore.list")
+                .should()
+                .dependOnClassesThat()
+                .haveNameMatching(
+                        "java\\.net\\.(.*Socket|URL|HttpURLConnection)|java\\.lang\\.(Thread|Process.*|Runtime)")
+                .check(ALL);
     }
 
     @Test
     void hallsKnowNothingOfTheModuleThatAsksThem() {
-        noClasses().that().resideInAPackage("barrowshore.halls").should().dependOnClassesThat(
-                resideInAPackage("barrowshore..").and(resideOutsideOfPackage("barrowshore.halls"))).check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("barrowshore.halls")
+                .should()
+                .dependOnClassesThat(resideInAPackage("barrowshore..").and(resideOutsideOfPackage("barrowshore.halls")))
+                .check(ALL);
     }
 
     @Test
--- a/src/test/java/barrowshore/budget/ColdTurnsTest.java
+++ b/src/test/java/barrowshore/budget/ColdTurnsTest.java
@@ -14,9 +14,11 @@
     /** One scheduler in fourteen at a time would leave a worker that is warm after eight windows to three of them. */
     @Test
     void whereTheWholeHoldsManyJobsManySchedulersHaveATurnSoon() {
-        assertThat(IntStream.range(0, 14).mapToObj(k -> ColdTurns.Terms.of(14, k, WINDOW, 3, 180_000))
-                .filter(terms -> LongStream.range(0, 900).anyMatch(t -> terms.turn(t * 10_000, 12345)))
-                .count()).isGreaterThanOrEqualTo(7);
+        assertThat(IntStream.range(0, 14)
+                        .mapToObj(k -> ColdTurns.Terms.of(14, k, WINDOW, 3, 180_000))
+                        .filter(terms -> LongStream.range(0, 900).anyMatch(t -> terms.turn(t * 10_000, 12345)))
+                        .count())
+                .isGreaterThanOrEqualTo(7);
     }
 
     @Test
--- a/src/test/java/barrowshore/client/UnreadInvitationTest.java
+++ b/src/test/java/barrowshore/client/UnreadInvitationTest.java
@@ -4,8 +4,8 @@
 
 import barrowshore.config.Config;
 import barrowshore.duty.Standing;
-import barrowshore.request.JobRequest;
 import barrowshore.net.Clock;
+import barrowshore.request.JobRequest;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -35,13 +35,13 @@
         }
 
         @Override
-        public void clientGone(JobRequest request) { }
+        public void clientGone(JobRequest request) {}
 
         @Override
-        public void turnedAway(int jobClass) { }
+        public void turnedAway(int jobClass) {}
 
         @Override
-        public void ready(Consumer<Boolean> asker) { }
+        public void ready(Consumer<Boolean> asker) {}
     }
 
     @Test
@@ -50,15 +50,18 @@
         timers.start();
         try {
             Config config = Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
-                    .replace("$D", "127.0.0.1:9").replace("$S", "127.0.0.1:9"));
+                    .replace("$D", "127.0.0.1:9")
+                    .replace("$S", "127.0.0.1:9"));
             Desk desk = new Desk();
-            ClientSide side = new ClientSide(config, Clock.system(), Runnable::run, timers, desk, () -> Standing.SERVING, 10);
+            ClientSide side =
+                    new ClientSide(config, Clock.system(), Runnable::run, timers, desk, () -> Standing.SERVING, 10);
             ByteArrayEndPoint client = new ByteArrayEndPoint(timers, 0, new byte[0], TAKEN);
             Connection link = side.accept(client);
             client.setConnection(link);
             link.onOpen();
-            client.addInput("POST /menu HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Priority-Class: menu\r\nX-Tenant-Id: acme\r\n"
-                    + "X-Timeout-Ms: 4000\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+            client.addInput(
+                    "POST /menu HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Priority-Class: menu\r\nX-Tenant-Id: acme\r\n"
+                            + "X-Timeout-Ms: 4000\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n");
             client.addInput("x");
             while (desk.open.isEmpty()) {
                 Thread.onSpinWait();
--- a/src/test/java/barrowshore/config/ChangedConfigTest.java
+++ b/src/test/java/barrowshore/config/ChangedConfigTest.java
@@ -24,7 +24,8 @@
 
     @BeforeEach
     void read() throws IOException {
-        text = Files.readString(Path.of("src/test/resources/exchanges/config.json")).replaceAll("\\$[DS]", "127.0.0.1:9");
+        text = Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replaceAll("\\$[DS]", "127.0.0.1:9");
         now = Config.parse(text);
     }
 
@@ -51,7 +52,8 @@
         assertThat(next.settings().dispatchers).isEqualTo(1);
         assertThat(now.differing(Config.parse(text.replace("\"groupSize\":1", "\"groupSize\":7"))))
                 .containsExactly("settings.groupSize");
-        assertThat(now.differing(Config.parse(text.replace("\"sendCap\":5", "\"sendCap\":2")))).isEmpty();
+        assertThat(now.differing(Config.parse(text.replace("\"sendCap\":5", "\"sendCap\":2"))))
+                .isEmpty();
     }
 
     @Test
@@ -68,8 +70,13 @@
         List<String> keys = new ArrayList<>();
         Object whole = Json.parse(text);
         withoutEach(whole, whole, "", keys);
-        assertThat(keys).hasSizeGreaterThan(50).contains("settings.lanes.1.deadline", "settings.policyLimits.sendCap",
-                "seed", "settings.tenants.0.quotaPerS");
+        assertThat(keys)
+                .hasSizeGreaterThan(50)
+                .contains(
+                        "settings.lanes.1.deadline",
+                        "settings.policyLimits.sendCap",
+                        "seed",
+                        "settings.tenants.0.quotaPerS");
     }
 
     /** Takes each key out of the whole in turn, reads what is left, and puts it back. */
@@ -86,11 +93,12 @@
                 open.remove(each.getKey());
                 String left = new JSON().toJSON(whole);
                 if (at.equals("known")) {
-                    Config.parse(left).inPlaceOf(now);   // only a start needs it
+                    Config.parse(left).inPlaceOf(now); // only a start needs it
                 } else if (!at.startsWith("known") && !at.startsWith("nobody-knows.this.")) {
                     keys.add(at);
                     String last = String.valueOf(each.getKey());
-                    assertThatThrownBy(() -> Config.parse(left).inPlaceOf(now), at).isInstanceOf(ConfigException.class)
+                    assertThatThrownBy(() -> Config.parse(left).inPlaceOf(now), at)
+                            .isInstanceOf(ConfigException.class)
                             .hasMessageContaining(last);
                 }
                 open.put(each.getKey(), each.getValue());
@@ -100,37 +108,49 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"deadline\":5000000|\"deadline\":0|lanes.0.deadline",
-        "\"deadline\":5000000|\"deadline\":-1|deadline",
-        "\"deadline\":5000000|\"deadline\":0.4|deadline",
-        "\"deadline\":5000000|\"deadline\":NaN|deadline",
-        "\"deadline\":5000000|\"deadline\":null|deadline",
-        "\"deadline\":5000000|\"deadline\":\"5000000\"|deadline",
-        "\"deadline\":5000000|\"deadline\":[]|deadline",
-        "\"sendCap\":5|\"sendCap\":0|policyLimits.sendCap",
-        "\"sendCap\":5|\"sendCap\":-3|policyLimits.sendCap",
-        "\"sendCap\":5|\"sendCap\":true|sendCap",
-        "\"worth\":2.0|\"worth\":-1|worth",
-        "\"worth\":2.0|\"worth\":1e999|worth",
-        "\"name\":\"menu\"|\"name\":\"order\"|order",
-        "\"name\":\"menu\"|\"name\":\"\"|name",
-        "\"targets\":[{|\"targets\":[7,{|known",
-        "\"settings\":{|\"settings\":7,\"other\":{|settings"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"deadline\":5000000|\"deadline\":0|lanes.0.deadline",
+                "\"deadline\":5000000|\"deadline\":-1|deadline",
+                "\"deadline\":5000000|\"deadline\":0.4|deadline",
+                "\"deadline\":5000000|\"deadline\":NaN|deadline",
+                "\"deadline\":5000000|\"deadline\":null|deadline",
+                "\"deadline\":5000000|\"deadline\":\"5000000\"|deadline",
+                "\"deadline\":5000000|\"deadline\":[]|deadline",
+                "\"sendCap\":5|\"sendCap\":0|policyLimits.sendCap",
+                "\"sendCap\":5|\"sendCap\":-3|policyLimits.sendCap",
+                "\"sendCap\":5|\"sendCap\":true|sendCap",
+                "\"worth\":2.0|\"worth\":-1|worth",
+                "\"worth\":2.0|\"worth\":1e999|worth",
+                "\"name\":\"menu\"|\"name\":\"order\"|order",
+                "\"name\":\"menu\"|\"name\":\"\"|name",
+                "\"targets\":[{|\"targets\":[7,{|known",
+                "\"settings\":{|\"settings\":7,\"other\":{|settings"
+            })
     void whatCannotBeIsTurnedDownByName(String what, String with, String named) {
-        assertThatThrownBy(() -> next(what, with)).isInstanceOf(ConfigException.class).hasMessageContaining(named);
+        assertThatThrownBy(() -> next(what, with))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageContaining(named);
     }
 
     @Test
     void theLargestNumbersAreNumbers() {
-        assertThat(next("\"deadline\":5000000", "\"deadline\":1e300").settings().classes[0].deadline()).isPositive();
-        assertThat(next("\"sendCap\":5", "\"sendCap\":1e300").settings().maxAttempts).isPositive();
+        assertThat(next("\"deadline\":5000000", "\"deadline\":1e300")
+                        .settings()
+                        .classes[0]
+                        .deadline())
+                .isPositive();
+        assertThat(next("\"sendCap\":5", "\"sendCap\":1e300").settings().maxAttempts)
+                .isPositive();
     }
 
     @Test
     void theAddressOfTheEnvironmentCounts() {
         assertThat(now.withOps("127.0.0.1:77").ops().getPort()).isEqualTo(77);
         assertThat(now.withOps(null).ops().getPort()).isZero();
-        assertThatThrownBy(() -> now.withOps("77")).isInstanceOf(ConfigException.class).hasMessageContaining("GW_OPS");
+        assertThatThrownBy(() -> now.withOps("77"))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageContaining("GW_OPS");
     }
 }
--- a/src/test/java/barrowshore/config/ConfigTest.java
+++ b/src/test/java/barrowshore/config/ConfigTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import barrowshore.module.DispatchApi.Effect;
 import barrowshore.list.ServerList;
+import barrowshore.module.DispatchApi.Effect;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,7 +16,8 @@
 class ConfigTest {
     private static String good() throws IOException {
         return Files.readString(Path.of("src/test/resources/exchanges/config.json"))
-                .replace("$S", "127.0.0.1:7").replace("$D", "127.0.0.1:9");
+                .replace("$S", "127.0.0.1:7")
+                .replace("$D", "127.0.0.1:9");
     }
 
     @Test
@@ -36,7 +37,10 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', textBlock = """
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
             "seed":"8c1f30d27a5be964" | "seed":"xyz"        | seed is not a hexadecimal number: xyz
             "listen":"127.0.0.1:0"    | "listen":"here"     | listen is not address:port: here
             "discovery":"127.0.0.1:9" | "discover":1        | discovery is missing or not a text
@@ -52,14 +56,19 @@
             """)
     void namesWhatIsWrong(String part, String instead, String message) throws IOException {
         String bad = good().replace(part, instead);
-        assertThatThrownBy(() -> Config.parse(bad)).isInstanceOf(ConfigException.class)
-                .hasMessageStartingWith(message).message().doesNotContain("\n");
+        assertThatThrownBy(() -> Config.parse(bad))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageStartingWith(message)
+                .message()
+                .doesNotContain("\n");
     }
 
     @Test
     void tellsWhatOnlyAStartTakesOver() throws IOException {
-        Config other = Config.parse(good().replace("127.0.0.1:9", "127.0.0.1:10").replace("8c1f", "9c1f")
-                .replace("\"rev\":5", "\"rev\":6").replace("\"sockets\":1024", "\"sockets\":512"));
+        Config other = Config.parse(good().replace("127.0.0.1:9", "127.0.0.1:10")
+                .replace("8c1f", "9c1f")
+                .replace("\"rev\":5", "\"rev\":6")
+                .replace("\"sockets\":1024", "\"sockets\":512"));
         assertThat(other.discovery().getPort()).isEqualTo(10);
         assertThat(Config.parse(good()).differing(other)).containsExactly("limits");
     }
--- a/src/test/java/barrowshore/emulate/EmulatorPropertyTest.java
+++ b/src/test/java/barrowshore/emulate/EmulatorPropertyTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.emulate.Scenario.Happening;
 import barrowshore.emulate.Scenario.HallSpec;
+import barrowshore.emulate.Scenario.Happening;
 import barrowshore.emulate.Scenario.What;
 import barrowshore.operator.Operator;
 import java.nio.file.Path;
@@ -18,8 +18,19 @@
 class EmulatorPropertyTest {
     private static final long S = 1_000_000;
     private static final Operator ON = Operator.read(Path.of("deploy/operator.xml"));
-    private static final What[] KINDS = {What.VANISH, What.CRASH, What.RENEW, What.CUT, What.DRAIN, What.UNLIST,
-        What.HANG, What.SLOW, What.BURST, What.RESTART, What.TROUBLES};
+    private static final What[] KINDS = {
+        What.VANISH,
+        What.CRASH,
+        What.RENEW,
+        What.CUT,
+        What.DRAIN,
+        What.UNLIST,
+        What.HANG,
+        What.SLOW,
+        What.BURST,
+        What.RESTART,
+        What.TROUBLES
+    };
 
     private static Scenario day(Random chance, int misfortunes) {
         List<HallSpec> halls = new ArrayList<>();
@@ -32,12 +43,28 @@
         List<Happening> happenings = new ArrayList<>();
         for (int k = 0; k < misfortunes; k++) {
             What what = KINDS[chance.nextInt(KINDS.length)];
-            happenings.add(new Happening(what, (1 + chance.nextInt(14)) * S, (1 + chance.nextInt(10)) * S,
-                    chance.nextInt(2) * S, chance.nextInt(2), 0.25 * (1 + chance.nextInt(4)), 0.5 * chance.nextInt(3),
-                    what == What.TROUBLES ? 2 : 1.5 + chance.nextInt(5), chance.nextInt(schedulers)));
+            happenings.add(new Happening(
+                    what,
+                    (1 + chance.nextInt(14)) * S,
+                    (1 + chance.nextInt(10)) * S,
+                    chance.nextInt(2) * S,
+                    chance.nextInt(2),
+                    0.25 * (1 + chance.nextInt(4)),
+                    0.5 * chance.nextInt(3),
+                    what == What.TROUBLES ? 2 : 1.5 + chance.nextInt(5),
+                    chance.nextInt(schedulers)));
         }
-        return new Scenario("random", 20 * S, 0.3 + 0.7 * chance.nextDouble(), 5, chance.nextInt(2),
-                chance.nextInt(3) * 0.2, chance.nextInt(3) * 0.1, chance.nextBoolean(), halls, happenings);
+        return new Scenario(
+                "random",
+                20 * S,
+                0.3 + 0.7 * chance.nextDouble(),
+                5,
+                chance.nextInt(2),
+                chance.nextInt(3) * 0.2,
+                chance.nextInt(3) * 0.1,
+                chance.nextBoolean(),
+                halls,
+                happenings);
     }
 
     /** One final answer for each request inside its time, no unsafe job twice, no cold node pushed over, no late send. */
--- a/src/test/java/barrowshore/emulate/EmulatorTest.java
+++ b/src/test/java/barrowshore/emulate/EmulatorTest.java
@@ -24,14 +24,21 @@
 
     static Stream<String> scenarios() throws IOException {
         try (Stream<Path> all = Files.list(SCENARIOS)) {
-            return all.map(p -> p.getFileName().toString()).filter(n -> n.endsWith(".xml") && !n.matches("hall-large.xml|fleet-even-(60|200).xml")).sorted().toList()
+            return all
+                    .map(p -> p.getFileName().toString())
+                    .filter(n -> n.endsWith(".xml") && !n.matches("hall-large.xml|fleet-even-(60|200).xml"))
+                    .sorted()
+                    .toList()
                     .stream();
         }
     }
 
     private static List<Report> play(String file, Operator operator, int seeds) {
         Scenario scenario = Scenario.read(SCENARIOS.resolve(file));
-        return LongStream.rangeClosed(1, seeds).parallel().mapToObj(s -> Emulator.play(scenario, operator, s)).toList();
+        return LongStream.rangeClosed(1, seeds)
+                .parallel()
+                .mapToObj(s -> Emulator.play(scenario, operator, s))
+                .toList();
     }
 
     @ParameterizedTest
@@ -68,27 +75,32 @@
     void aDarkHallGetsNextToNothingAndComesBack() {
         for (Report r : play("hall-dark.xml", ON, 4)) {
             assertThat(r.toDark()).as(r.table()).isLessThan(0.03);
-            assertThat(r.moveLines()).anyMatch(l -> l.contains("hala-a dark")).anyMatch(l -> l.contains("hala-a returning"))
-                    .anyMatch(l -> l.contains("hala-a serving")).noneMatch(l -> l.contains("hala-b"));
+            assertThat(r.moveLines())
+                    .anyMatch(l -> l.contains("hala-a dark"))
+                    .anyMatch(l -> l.contains("hala-a returning"))
+                    .anyMatch(l -> l.contains("hala-a serving"))
+                    .noneMatch(l -> l.contains("hala-b"));
         }
     }
 
     @Test
     void troublesOfSingleNodesMoveNoHall() {
-        assertThat(play("single-nodes.xml", ON, 20)).allSatisfy(r -> assertThat(r.moves()).as(r.table()).isZero());
+        assertThat(play("single-nodes.xml", ON, 20))
+                .allSatisfy(r -> assertThat(r.moves()).as(r.table()).isZero());
     }
 
     @Test
     void aPlannedDrainIsNeverHeldAgainstAHall() {
-        assertThat(play("hall-planned.xml", ON, 4)).allSatisfy(r ->
-                assertThat(r.moveLines()).noneMatch(l -> l.contains("doubted") || l.contains("held")));
+        assertThat(play("hall-planned.xml", ON, 4))
+                .allSatisfy(r -> assertThat(r.moveLines()).noneMatch(l -> l.contains("doubted") || l.contains("held")));
     }
 
     @Test
     void aJumpOfTrafficIntoTheHallThatIsLeftIsBounded() {
         List<Report> on = play("hall-burst.xml", ON, 8), off = play("hall-burst.xml", Operator.NONE, 8);
         // The limit is a share of the slots that there are, and the crowd must not make them look like more.
-        assertThat(on).allSatisfy(r -> assertThat(r.mostSpillShare(1)).as(r.table()).isLessThanOrEqualTo(1));
+        assertThat(on)
+                .allSatisfy(r -> assertThat(r.mostSpillShare(1)).as(r.table()).isLessThanOrEqualTo(1));
         assertThat(on.stream().mapToDouble(r -> r.diners(1)).sum())
                 .isGreaterThan(off.stream().mapToDouble(r -> r.diners(1)).sum());
         assertThat(on.stream().mapToDouble(Report::kept).sum())
@@ -103,7 +115,10 @@
                 + "<hall name=\"hala-a\" nodes=\"2\" schedulers=\"1\" clients=\"1\"/>\n<dark "
                 + (words[0].startsWith("at") ? "" : "at=\"1s\" ") + "for=\"1s\" "
                 + (words[0].startsWith("hall") ? "" : "hall=\"hala-a\" ") + words[0] + "/>\n</scenario>";
-        assertThatThrownBy(() -> Scenario.parse(text)).isInstanceOf(ConfigException.class)
-                .hasMessageContaining("line 3").hasMessageContaining("dark").hasMessageContaining(words[1]);
+        assertThatThrownBy(() -> Scenario.parse(text))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageContaining("line 3")
+                .hasMessageContaining("dark")
+                .hasMessageContaining(words[1]);
     }
 }
--- a/src/test/java/barrowshore/emulate/EvennessTest.java
+++ b/src/test/java/barrowshore/emulate/EvennessTest.java
@@ -37,7 +37,9 @@
         second(List.of(FULL, FREE, FREE, FREE), 0, 0, 0, 0);
         assertThat(even.mostLong()).isEqualTo(4);
         assertThat(even.variationLong()).isCloseTo(Math.sqrt(3), within(1e-9));
-        assertThat(even.idleWhileOthersQueue()).as("6 slots of work wait, 12 are free, 4 nodes").isEqualTo(1.5);
+        assertThat(even.idleWhileOthersQueue())
+                .as("6 slots of work wait, 12 are free, 4 nodes")
+                .isEqualTo(1.5);
         assertThat(even.crowd()).isGreaterThanOrEqualTo(1);
     }
 
--- a/src/test/java/barrowshore/emulate/MatrixTest.java
+++ b/src/test/java/barrowshore/emulate/MatrixTest.java
@@ -3,10 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import barrowshore.config.ConfigException;
 import barrowshore.module.DispatchApi.Effect;
 import barrowshore.module.DispatchApi.JobClass;
 import barrowshore.module.DispatchApi.Settings;
-import barrowshore.config.ConfigException;
 import barrowshore.operator.Operator;
 import barrowshore.rivals.Rival;
 import barrowshore.rivals.Rival.Rule;
@@ -40,8 +40,9 @@
 
     @Test
     void noRuleIsBrokenOnAnyDeployment() {
-        assertThat(Matrix.play(150, 1, false)).allSatisfy(row ->
-                assertThat(row.module().rulesBroken()).as("seed %d: %s", row.seed(), row.drawn().deployment().features())
+        assertThat(Matrix.play(150, 1, false))
+                .allSatisfy(row -> assertThat(row.module().rulesBroken())
+                        .as("seed %d: %s", row.seed(), row.drawn().deployment().features())
                         .isEmpty());
     }
 
@@ -50,7 +51,10 @@
         List<Matrix.Row> rows = Matrix.play(40, 1, true);
         assertThat(rows).allSatisfy(row -> assertThat(row.rivals()).hasSize(Rule.values().length));
         // One that is put at 0 has broken a rule: a slow start by chance may push a cold node over now and then.
-        assertThat(rows.stream().flatMap(row -> row.rivals().values().stream()).filter(score -> score == 0).count())
+        assertThat(rows.stream()
+                        .flatMap(row -> row.rivals().values().stream())
+                        .filter(score -> score == 0)
+                        .count())
                 .isLessThan(12);
     }
 
@@ -58,7 +62,7 @@
     void whateverDecidesTheDayIsTheSame() {
         for (long seed : new long[] {3, 4, 5}) {
             double asked = play(seed, Emulator::module).asked();
-            assertThat(play(seed, misled(s -> { })).asked()).isEqualTo(asked);
+            assertThat(play(seed, misled(s -> {})).asked()).isEqualTo(asked);
             assertThat(new JSON().toJSON(play(seed, Emulator::module).json()))
                     .isEqualTo(new JSON().toJSON(play(seed, Emulator::module).json()));
         }
@@ -66,23 +70,42 @@
 
     @Test
     void aJobThatRunsTwiceIsSeen() {
-        assertThat(LongStream.range(1, 40).mapToObj(seed -> play(seed, misled(s -> s.classes = Arrays.stream(s.classes)
-                .map(c -> new JobClass(c.aim(), c.stretch(), c.deadline(), c.worth(), 0, Effect.SAFE, c.scope(), 0, -1, 0))
-                .toArray(JobClass[]::new)))).map(Report::rulesBroken)).anyMatch(rules -> rules.contains("ran twice"));
+        assertThat(LongStream.range(1, 40)
+                        .mapToObj(seed -> play(
+                                seed,
+                                misled(s -> s.classes = Arrays.stream(s.classes)
+                                        .map(c -> new JobClass(
+                                                c.aim(),
+                                                c.stretch(),
+                                                c.deadline(),
+                                                c.worth(),
+                                                0,
+                                                Effect.SAFE,
+                                                c.scope(),
+                                                0,
+                                                -1,
+                                                0))
+                                        .toArray(JobClass[]::new))))
+                        .map(Report::rulesBroken))
+                .anyMatch(rules -> rules.contains("ran twice"));
     }
 
     @Test
     void whatIsNotAllowedIsSeen() {
-        assertThat(LongStream.range(1, 40).mapToObj(seed -> play(seed, misled(s -> s.maxAttempts = 9)))
-                .map(Report::rulesBroken)).anyMatch(rules -> rules.contains("not allowed"));
+        assertThat(LongStream.range(1, 40)
+                        .mapToObj(seed -> play(seed, misled(s -> s.maxAttempts = 9)))
+                        .map(Report::rulesBroken))
+                .anyMatch(rules -> rules.contains("not allowed"));
     }
 
     @Test
     void theTableNamesWhatIsOnWorstFirst() throws Exception {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         Matrix.run(new PrintStream(out, true), 6, 1, true, null);
-        assertThat(out.toString()).contains("6 deployments from seed 1", "true state", "where this is on", "schedulers");
-        assertThatThrownBy(() -> Matrix.run(new PrintStream(out), 0, 1, true, null)).isInstanceOf(ConfigException.class)
+        assertThat(out.toString())
+                .contains("6 deployments from seed 1", "true state", "where this is on", "schedulers");
+        assertThatThrownBy(() -> Matrix.run(new PrintStream(out), 0, 1, true, null))
+                .isInstanceOf(ConfigException.class)
                 .hasMessageContaining("--deployments");
     }
 }
--- a/src/test/java/barrowshore/files/FileMacTest.java
+++ b/src/test/java/barrowshore/files/FileMacTest.java
@@ -52,8 +52,8 @@
     void theMacIsHmacSha256OverTheExactBytes() throws Exception {
         key("rfc", "0b".repeat(32), "rw-------");
         new FileMac(dir).sign(file, List.of("rfc"));
-        assertThat(Files.readString(dir.resolve("list.mac"))).isEqualTo("rfc "
-                + "c3f2649c34ea24e4d62a2c7e868bbea0233c9d4c2cc300794db76aa18d6822d8\n");
+        assertThat(Files.readString(dir.resolve("list.mac")))
+                .isEqualTo("rfc " + "c3f2649c34ea24e4d62a2c7e868bbea0233c9d4c2cc300794db76aa18d6822d8\n");
     }
 
     @Test
--- a/src/test/java/barrowshore/files/ServersFileTest.java
+++ b/src/test/java/barrowshore/files/ServersFileTest.java
@@ -20,8 +20,8 @@
 
 /** Lists of servers in files: what they say, what is wrong in them, and what they may change at once. */
 class ServersFileTest {
-    private static final ServerList.Names NAMES = new ServerList.Names(List.of("hala-a", "hala-b"),
-            List.of("plny-vykon", "usporny"));
+    private static final ServerList.Names NAMES =
+            new ServerList.Names(List.of("hala-a", "hala-b"), List.of("plny-vykon", "usporny"));
 
     private static String good() {
         try {
@@ -53,8 +53,12 @@
 
     @Example
     void aWeightOfNothingTakesNothingNew() {
-        assertThat(parse(good().replaceFirst("weight=\"5\"", "weight=\"0\"")).update(NAMES, s -> 0).entries().get(0)
-                .state()).isEqualTo(ServerList.State.TERMINATING);
+        assertThat(parse(good().replaceFirst("weight=\"5\"", "weight=\"0\""))
+                        .update(NAMES, s -> 0)
+                        .entries()
+                        .get(0)
+                        .state())
+                .isEqualTo(ServerList.State.TERMINATING);
     }
 
     @Example
@@ -62,7 +66,11 @@
         String[][] cases = {
             {"10.1.0.19", "10.2.0.19", "line 9, column 90: server: endpoint 10.2.0.19:3000 is in none of the networks"},
             {"fd00:1::21", "fd00:2::21", "endpoint [fd00:2::21]:3000 is in none of the networks"},
-            {"uid=\"s-a2\"", "uid=\"s-a1\"", "line 9, column 90: server: uid s-a1 is in line 8 already, with another weight"},
+            {
+                "uid=\"s-a2\"",
+                "uid=\"s-a1\"",
+                "line 9, column 90: server: uid s-a1 is in line 8 already, with another weight"
+            },
             {"10.1.0.19:3000", "10.1.0.18:3000", "server: endpoint 10.1.0.18:3000 is that of s-a1 in line 8"},
             {"10.1.0.19:3000", "order-node:3000", "server: endpoint order-node:3000 is not address:port"},
             {"10.1.0.19:3000", "10.1.0.19", "server: endpoint 10.1.0.19 is not address:port"},
@@ -76,8 +84,13 @@
         for (String[] c : cases) {
             String bad = good().replaceFirst(java.util.regex.Pattern.quote(c[0]), c[1]);
             assertThat(bad).isNotEqualTo(good());
-            assertThatThrownBy(() -> parse(bad)).as(c[1]).isInstanceOf(ConfigException.class)
-                    .hasMessageStartingWith("f: ").hasMessageContaining(c[2]).message().doesNotContain("\n");
+            assertThatThrownBy(() -> parse(bad))
+                    .as(c[1])
+                    .isInstanceOf(ConfigException.class)
+                    .hasMessageStartingWith("f: ")
+                    .hasMessageContaining(c[2])
+                    .message()
+                    .doesNotContain("\n");
         }
         assertThatThrownBy(() -> parse(good().replace("hala-b", "hala-z")).update(NAMES, s -> 0))
                 .hasMessageContaining("line 10: server: hall hala-z is none of the zones");
@@ -90,7 +103,8 @@
         assertThat(Guard.judge(inUse, parse(less), 0.5).outcome()).isEqualTo(Outcome.TAKEN);
         assertThat(Guard.judge(inUse, parse(less), 0.3).outcome()).isEqualTo(Outcome.HELD);
         assertThat(Guard.judge(inUse, parse(less.replace("revision=\"2\"", "revision=\"3\" force=\"true\"")), 0.3)
-                .outcome()).isEqualTo(Outcome.TAKEN);
+                        .outcome())
+                .isEqualTo(Outcome.TAKEN);
         String noHall = less.replaceFirst("(?m)^.*s-a2.*\\n", "");
         assertThat(Guard.judge(inUse, parse(noHall), 1)).satisfies(v -> {
             assertThat(v.outcome()).isEqualTo(Outcome.HELD);
@@ -106,7 +120,8 @@
         HandList two = parse(good().replace("revision=\"1\"", "revision=\"2\""));
         assertThat(Guard.judge(two, parse(good()), 1).outcome()).isEqualTo(Outcome.REFUSED);
         assertThat(Guard.judge(two, two, 1).outcome()).isEqualTo(Outcome.SAME);
-        HandList other = parse(good().replace("revision=\"1\"", "revision=\"2\"").replace("weight=\"5\"", "weight=\"4\""));
+        HandList other =
+                parse(good().replace("revision=\"1\"", "revision=\"2\"").replace("weight=\"5\"", "weight=\"4\""));
         assertThat(Guard.judge(two, other, 1).outcome()).isEqualTo(Outcome.REFUSED);
         assertThat(Guard.diff(two, other)).hasSize(2).allMatch(line -> line.startsWith("~ ") && line.contains("->"));
     }
--- a/src/test/java/barrowshore/fleet/FleetTest.java
+++ b/src/test/java/barrowshore/fleet/FleetTest.java
@@ -24,30 +24,40 @@
     Path folder;
 
     private static FleetScenario scenario(String attributes, String faults) {
-        return FleetScenario.parse("<fleet xmlns=\"urn:barrowshore:fleet:1\" name=\"x\" schedulers=\"5\" workers=\"6\" rate=\"40\""
-                + " length=\"8s\" " + attributes + ">\n" + faults + "\n</fleet>");
+        return FleetScenario.parse(
+                "<fleet xmlns=\"urn:barrowshore:fleet:1\" name=\"x\" schedulers=\"5\" workers=\"6\" rate=\"40\""
+                        + " length=\"8s\" " + attributes + ">\n" + faults + "\n</fleet>");
     }
 
     private static List<ProcessHandle> ours() {
-        return ProcessHandle.current().descendants().filter(p -> p.info().commandLine().orElse("").contains("serve")).toList();
+        return ProcessHandle.current()
+                .descendants()
+                .filter(p -> p.info().commandLine().orElse("").contains("serve"))
+                .toList();
     }
 
     @Test
     void fiveProcessesUnderFaultsKeepWhatMustHold() throws Exception {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        Fleet.Outcome outcome = Fleet.play(scenario("loss=\"0.2\"", """
+        Fleet.Outcome outcome = Fleet.play(
+                scenario(
+                        "loss=\"0.2\"",
+                        """
                 <kill scheduler="1" at="1s"/><start scheduler="1" at="3s"/>
                 <pause scheduler="2" at="2s" for="2s"/>
                 <term scheduler="3" at="2500ms"/>
                 <partition schedulers="0 4" at="1s" for="3s"/>
                 <silence scheduler="4" at="2s" for="3s"/>
                 <crash worker="0" at="1s" for="2s"/><hang worker="1" at="2s" for="2s"/>
-                <slow worker="2" at="1s" for="4s" factor="5"/><drain worker="3" at="3s"/>"""), folder, null,
+                <slow worker="2" at="1s" for="4s" factor="5"/><drain worker="3" at="3s"/>"""),
+                folder,
+                null,
                 new PrintStream(out, true));
         assertThat(outcome.broken()).as(out.toString()).isEmpty();
         assertThat(outcome.answers().get("served")).as(out.toString()).isPositive();
         assertThat(ours()).isEmpty();
-        assertThat(Files.readString(folder.resolve("events.jsonl"))).contains("\"kill\"", "\"ready\"", "\"whole again\"");
+        assertThat(Files.readString(folder.resolve("events.jsonl")))
+                .contains("\"kill\"", "\"ready\"", "\"whole again\"");
         assertThat(Files.readAllLines(folder.resolve("figures.csv"))).hasSize(10);
         try (Stream<Path> logs = Files.list(folder)) {
             assertThat(logs.filter(p -> p.toString().endsWith(".log"))).hasSize(5);
@@ -58,46 +68,73 @@
     void oneThatDoesNotComeUpIsAnErrorThatNamesItsLog() throws Exception {
         Path deploy = folder.resolve("deploy.toml");
         Files.writeString(deploy, "run = \"exec java -Xmx1k -jar target/x.jar serve\"\n");
-        assertThatThrownBy(() -> Fleet.play(scenario("", ""), folder, deploy, new PrintStream(new ByteArrayOutputStream())))
-                .isInstanceOf(ConfigException.class).hasMessageContaining("before it was ready")
+        assertThatThrownBy(() ->
+                        Fleet.play(scenario("", ""), folder, deploy, new PrintStream(new ByteArrayOutputStream())))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageContaining("before it was ready")
                 .hasMessageContaining("n0.log");
         assertThat(ours()).isEmpty();
         Files.writeString(deploy, "run = \"sleep 9\"\n");
-        assertThatThrownBy(() -> Fleet.play(scenario("", ""), folder, deploy, new PrintStream(new ByteArrayOutputStream())))
-                .isInstanceOf(ConfigException.class).hasMessageContaining("no line run");
+        assertThatThrownBy(() ->
+                        Fleet.play(scenario("", ""), folder, deploy, new PrintStream(new ByteArrayOutputStream())))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageContaining("no line run");
     }
 
     @Test
     void moreThanTheMemoryHoldsIsNotStarted() {
-        assertThatThrownBy(() -> Fleet.play(new FleetScenario("huge", 900_000, 1, 1, 1, 1, 0, List.of()), folder, null,
-                new PrintStream(new ByteArrayOutputStream()))).isInstanceOf(ConfigException.class)
+        assertThatThrownBy(() -> Fleet.play(
+                        new FleetScenario("huge", 900_000, 1, 1, 1, 1, 0, List.of()),
+                        folder,
+                        null,
+                        new PrintStream(new ByteArrayOutputStream())))
+                .isInstanceOf(ConfigException.class)
                 .hasMessageContaining("nothing was started");
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"<kill scheduler='5' at='1s'/>|there is no scheduler 5",
-        "<crash worker='6' at='1s' for='1s'/>|there is no worker 6", "<kill scheduler='0' at='1s' for='1s'/>|for",
-        "<partition schedulers='0 7' at='1s' for='1s'/>|there is no scheduler 7",
-        "<partition schedulers='1 1' at='1s' for='1s'/>|is there twice", "<pause scheduler='0' at='7s' for='2s'/>|not over before",
-        "<kill scheduler='0' at='soon'/>|soon", "<start scheduler='0' at='1s'/>|scheduler 0 is up",
-        "<kill scheduler='0' at='1s'/><term scheduler='0' at='2s'/>|scheduler 0 is down", "<burn worker='1'/>|burn",
-        "<slow worker='1' at='1s' for='1s'/>|factor"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "<kill scheduler='5' at='1s'/>|there is no scheduler 5",
+                "<crash worker='6' at='1s' for='1s'/>|there is no worker 6",
+                "<kill scheduler='0' at='1s' for='1s'/>|for",
+                "<partition schedulers='0 7' at='1s' for='1s'/>|there is no scheduler 7",
+                "<partition schedulers='1 1' at='1s' for='1s'/>|is there twice",
+                "<pause scheduler='0' at='7s' for='2s'/>|not over before",
+                "<kill scheduler='0' at='soon'/>|soon",
+                "<start scheduler='0' at='1s'/>|scheduler 0 is up",
+                "<kill scheduler='0' at='1s'/><term scheduler='0' at='2s'/>|scheduler 0 is down",
+                "<burn worker='1'/>|burn",
+                "<slow worker='1' at='1s' for='1s'/>|factor"
+            })
     void aWrongScenarioIsNamedByLine(String faults, String says) {
-        assertThatThrownBy(() -> scenario("", faults.replace('\'', '"'))).isInstanceOf(ConfigException.class)
-                .hasMessageContaining("line 2").hasMessageContaining(says);
+        assertThatThrownBy(() -> scenario("", faults.replace('\'', '"')))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageContaining("line 2")
+                .hasMessageContaining(says);
     }
 
     @Test
     void someoneHasToBeLeft() {
-        assertThatThrownBy(() -> FleetScenario.parse("<fleet xmlns=\"urn:barrowshore:fleet:1\" name=\"x\" schedulers=\"1\""
-                + " workers=\"1\" rate=\"1\" length=\"8s\"><kill scheduler=\"0\" at=\"1s\"/></fleet>"))
+        assertThatThrownBy(
+                        () -> FleetScenario.parse("<fleet xmlns=\"urn:barrowshore:fleet:1\" name=\"x\" schedulers=\"1\""
+                                + " workers=\"1\" rate=\"1\" length=\"8s\"><kill scheduler=\"0\" at=\"1s\"/></fleet>"))
                 .hasMessageContaining("nobody is left");
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"HTTP/1.1 200 OK~Content-Length: 2~~ab|SERVED", "HTTP/1.1 200 OK~Content-Length: 3~~ab|NONE",
-        "HTTP/1.1 503 -~content-length: 0~~|TURNED_DOWN", "HTTP/1.1 429 -~Content-Length: 0~~|TURNED_DOWN",
-        "HTTP/1.1 502 -~Content-Length: 0~~|FAILED", "HTTP/1.1 200 OK~Content-Len|NONE", "''|NONE"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HTTP/1.1 200 OK~Content-Length: 2~~ab|SERVED",
+                "HTTP/1.1 200 OK~Content-Length: 3~~ab|NONE",
+                "HTTP/1.1 503 -~content-length: 0~~|TURNED_DOWN",
+                "HTTP/1.1 429 -~Content-Length: 0~~|TURNED_DOWN",
+                "HTTP/1.1 502 -~Content-Length: 0~~|FAILED",
+                "HTTP/1.1 200 OK~Content-Len|NONE",
+                "''|NONE"
+            })
     void anAnswerIsWholeOrNone(String text, Answer answer) {
         assertThat(Clients.answer(text.replace("~", "\r\n"))).isEqualTo(answer);
     }
--- a/src/test/java/barrowshore/fleet/InvariantsTest.java
+++ b/src/test/java/barrowshore/fleet/InvariantsTest.java
@@ -21,13 +21,24 @@
     }
 
     private static List<String> broken(Asked asked, int runs, List<Outage> outages) {
-        return Invariants.broken(List.of(asked), runs == 0 ? Map.of() : Map.of("j-1", runs), outages, List.of(), List.of());
+        return Invariants.broken(
+                List.of(asked), runs == 0 ? Map.of() : Map.of("j-1", runs), outages, List.of(), List.of());
     }
 
     @ParameterizedTest
-    @CsvSource({"true, SERVED, 1, ''", "true, SERVED, 2, ran 2 times", "false, SERVED, 2, ''", "false, SERVED, 0, no worker ran it",
-        "true, TURNED_DOWN, 0, ''", "true, TURNED_DOWN, 1, turned down as harmless", "false, TURNED_DOWN, 1, ''",
-        "true, FAILED, 1, ''", "true, FAILED, 2, ran 2 times", "true, REFUSED, 0, ''", "true, NONE, 1, no answer"})
+    @CsvSource({
+        "true, SERVED, 1, ''",
+        "true, SERVED, 2, ran 2 times",
+        "false, SERVED, 2, ''",
+        "false, SERVED, 0, no worker ran it",
+        "true, TURNED_DOWN, 0, ''",
+        "true, TURNED_DOWN, 1, turned down as harmless",
+        "false, TURNED_DOWN, 1, ''",
+        "true, FAILED, 1, ''",
+        "true, FAILED, 2, ran 2 times",
+        "true, REFUSED, 0, ''",
+        "true, NONE, 1, no answer"
+    })
     void whatAJobMayComeTo(boolean unsafe, Answer answer, int runs, String says) {
         List<String> broken = broken(asked(unsafe, answer), runs, List.of());
         if (says.isEmpty()) {
@@ -41,17 +52,25 @@
     @ParameterizedTest
     @CsvSource({"2, 9, 12, true", "2, 12, 20, true", "2, 14, 20, false", "2, 3, 9, false", "1, 9, 12, false"})
     void anOutageExcusesWhatWasHeldInIt(int scheduler, long from, long to, boolean excused) {
-        assertThat(broken(asked(false, Answer.NONE), 0, List.of(new Outage(scheduler, from * S, to * S))).isEmpty())
+        assertThat(broken(asked(false, Answer.NONE), 0, List.of(new Outage(scheduler, from * S, to * S)))
+                        .isEmpty())
                 .isEqualTo(excused);
     }
 
     @Test
     void workersAndProcessesAreLookedAt() {
-        assertThat(Invariants.broken(List.of(), Map.of(), List.of(), List.of(new Worked("s-0", 0, false, 0.9)), List.of()))
+        assertThat(Invariants.broken(
+                        List.of(), Map.of(), List.of(), List.of(new Worked("s-0", 0, false, 0.9)), List.of()))
                 .isEmpty();
-        assertThat(Invariants.broken(List.of(), Map.of(), List.of(), List.of(new Worked("s-1", 3, false, 0),
-                new Worked("s-2", 0, true, 1.2)), List.of("scheduler 4, process 77")))
-                .containsExactly("3 jobs after the grace of its drain: s-1", "pushed over while cold: s-2",
+        assertThat(Invariants.broken(
+                        List.of(),
+                        Map.of(),
+                        List.of(),
+                        List.of(new Worked("s-1", 3, false, 0), new Worked("s-2", 0, true, 1.2)),
+                        List.of("scheduler 4, process 77")))
+                .containsExactly(
+                        "3 jobs after the grace of its drain: s-1",
+                        "pushed over while cold: s-2",
                         "left behind: scheduler 4, process 77");
     }
 }
--- a/src/test/java/barrowshore/halls/HallsPropertyTest.java
+++ b/src/test/java/barrowshore/halls/HallsPropertyTest.java
@@ -17,7 +17,7 @@
     private static final List<String> NAMES = List.of("a", "b", "c");
 
     /** A message on its way. */
-    private record Mail(long at, int from, int to, byte[] bytes) { }
+    private record Mail(long at, int from, int to, byte[] bytes) {}
 
     /** Schedulers of all halls and servers of three, played by one source of chance. */
     private static final class World {
@@ -36,8 +36,8 @@
             for (int s = 0; s < count; s++) {
                 int home = s % NAMES.size();
                 HallRules usual = HallRules.usual(NAMES, home);
-                HallRules rules = new HallRules(NAMES, home, usual.tier(), false, spill, 0.6, S, S / 2, 3 * S, 5 * S,
-                        20 * S, 30 * S, 0.1, 10);
+                HallRules rules = new HallRules(
+                        NAMES, home, usual.tier(), false, spill, 0.6, S, S / 2, 3 * S, 5 * S, 20 * S, 30 * S, 0.1, 10);
                 Halls halls = new Halls(rules, count, s, chance::nextDouble);
                 List<Place> mine = new ArrayList<>();
                 for (int h = 0; h < NAMES.size(); h++) {
@@ -92,7 +92,11 @@
                     assertThat(bytes.length).isLessThanOrEqualTo(256);
                     for (int to = 0; to < schedulers.size(); to++) {
                         if (to != s && chance.nextDouble() >= lossy) {
-                            mail.add(new Mail(now + chance.nextInt((int) (SpillShare.HOLD - SpillShare.VALID - 200 * MS)), s, to, bytes));
+                            mail.add(new Mail(
+                                    now + chance.nextInt((int) (SpillShare.HOLD - SpillShare.VALID - 200 * MS)),
+                                    s,
+                                    to,
+                                    bytes));
                         }
                     }
                 }
@@ -206,7 +210,7 @@
                 int home = w.homes.get(s);
                 for (int n = 0; n < servers; n++) {
                     Place p = w.places.get(s).get(home * servers + n);
-                        if (w.takes(s, p)) {
+                    if (w.takes(s, p)) {
                         halls.sent(w.now, p, 1, 0);
                         halls.ended(w.now, p, w.now, 1, true);
                     }
--- a/src/test/java/barrowshore/halls/HallsTest.java
+++ b/src/test/java/barrowshore/halls/HallsTest.java
@@ -61,7 +61,8 @@
 
         List<Place> taking(List<Place> of, double slots, double worth, boolean repeatable, int tier) {
             double[] prices = halls.weigh(now, slots, worth, repeatable, tier);
-            return of.stream().filter(p -> prices[p.hall] >= 0 ? prices[p.hall] != HallGate.CLOSED : halls.takes(p))
+            return of.stream()
+                    .filter(p -> prices[p.hall] >= 0 ? prices[p.hall] != HallGate.CLOSED : halls.takes(p))
                     .toList();
         }
 
@@ -87,9 +88,9 @@
         assertThat(s.state(1)).isEqualTo(HallState.SERVING);
         s.pass(2 * S, s.b, List.of());
         List<Place> open = s.taking(s.a, 1, 1, true);
-        assertThat(open).isNotEmpty();   // one trial is due
+        assertThat(open).isNotEmpty(); // one trial is due
         s.halls.sent(s.now, open.get(0), 1, 0);
-        assertThat(s.taking(s.a, 1, 1, true)).isEmpty();   // and only one
+        assertThat(s.taking(s.a, 1, 1, true)).isEmpty(); // and only one
         assertThat(s.taking(s.b, 1, 1, true)).hasSize(4);
     }
 
@@ -98,7 +99,8 @@
         Stage s = new Stage(4, 4, 1);
         s.pass(S, s.b, s.a);
         s.pass(2 * S, s.b, List.of());
-        assertThat(s.taking(s.a, 1, 1, false).size()).isLessThanOrEqualTo(s.taking(s.a, 1, 1, true).size());
+        assertThat(s.taking(s.a, 1, 1, false).size())
+                .isLessThanOrEqualTo(s.taking(s.a, 1, 1, true).size());
         Stage fresh = new Stage(4, 4, 1);
         fresh.pass(4 * TURN, fresh.b, fresh.a);
         assertThat(fresh.state(0)).isEqualTo(HallState.DARK);
@@ -189,7 +191,7 @@
         s.pass(S, s.b, List.of());
         Place first = s.taking(s.a, 1, 1, true).get(0);
         s.halls.sent(s.now, first, 1, 0);
-        assertThat(s.taking(s.a, 1, 1, true)).isEmpty();   // one trial, not one for each server
+        assertThat(s.taking(s.a, 1, 1, true)).isEmpty(); // one trial, not one for each server
         s.halls.ended(s.now, first, s.now, 1, true);
         assertThat(s.taking(s.a, 1, 1, true)).contains(first);
         // What it may hold grows with what it serves.
@@ -218,7 +220,7 @@
         s.halls.ended(s.now, s.a.get(0), sentAt, 1, true);
         s.pass(TURN, s.b, List.of());
         assertThat(s.state(0)).isEqualTo(HallState.RETURNING);
-        s.a.subList(1, 4).forEach(p -> s.halls.ended(s.now, p, sentAt, 1, true));   // the rest comes while it returns
+        s.a.subList(1, 4).forEach(p -> s.halls.ended(s.now, p, sentAt, 1, true)); // the rest comes while it returns
         s.pass(S, s.b, List.of());
         Place first = s.taking(s.a, 1, 1, true).get(0);
         s.halls.sent(s.now, first, 1, 0);
@@ -264,7 +266,7 @@
             long from = s.now;
             assertThat(s.taking(s.a, 1, 1, true)).isEmpty();
             while (s.state(0) == HallState.HELD && s.now - from < 60 * S) {
-                s.pass(TURN, s.a, List.of());   // it looks well all the time
+                s.pass(TURN, s.a, List.of()); // it looks well all the time
             }
             held.add(s.now - from);
         }
@@ -299,9 +301,9 @@
         Stage other = new Stage(4, 4, 2, HallRules.usual(NAMES, 0), 1);
         other.pass(S, other.b, other.a);
         Stage s = new Stage(4, 4, 2, HallRules.usual(NAMES, 1), 0);
-        s.a.forEach(p -> p.signAt = Long.MIN_VALUE / 2);   // it has never heard of any
+        s.a.forEach(p -> p.signAt = Long.MIN_VALUE / 2); // it has never heard of any
         s.now = other.now;
-        s.pass(S, s.b, List.of());   // it was not there before: nothing counts yet
+        s.pass(S, s.b, List.of()); // it was not there before: nothing counts yet
         s.hear(other.halls, 1);
         s.pass(TURN, s.b, List.of());
         assertThat(s.state(0)).isEqualTo(HallState.DARK);
@@ -324,19 +326,19 @@
 
     @Test
     void workFromOutsideStaysWithinThePartAndTheWorthiestGetsTheLastOfIt() {
-        Stage s = new Stage(4, 4, 2);   // 20 slots in b, two schedulers: 10 each
+        Stage s = new Stage(4, 4, 2); // 20 slots in b, two schedulers: 10 each
         double sent = 0;
         while (sent < 100 && !s.taking(s.b, 1, 0.2, true).isEmpty()) {
             s.halls.sent(s.now, s.b.get(0), 1, 0);
             sent++;
         }
-        assertThat(sent).isEqualTo(7);   // 0.76 of 10
+        assertThat(sent).isEqualTo(7); // 0.76 of 10
         while (sent < 100 && !s.taking(s.b, 1, 1, true).isEmpty()) {
             s.halls.sent(s.now, s.b.get(0), 1, 0);
             sent++;
         }
         assertThat(sent).isEqualTo(10);
-        assertThat(s.taking(s.a, 1, 1, true)).hasSize(4);   // at home there is no such limit
+        assertThat(s.taking(s.a, 1, 1, true)).hasSize(4); // at home there is no such limit
     }
 
     @Test
@@ -355,7 +357,7 @@
         home.pass(10 * S, home.b, List.of());
         s.now = home.now;
         s.hear(home.halls, 1);
-        assertThat(s.halls.part(s.now, 1)).isGreaterThan(before);   // and its scheduler is known not to share any more
+        assertThat(s.halls.part(s.now, 1)).isGreaterThan(before); // and its scheduler is known not to share any more
     }
 
     @Test
@@ -371,7 +373,7 @@
         }
         assertThat(poor).isBetween(1, 5);
         assertThat(poor + rich).isEqualTo(10);
-        assertThat(s.halls.mayRepeat(s.now, s.b.get(0), 0)).isTrue();   // one server's trouble in a hall that serves
+        assertThat(s.halls.mayRepeat(s.now, s.b.get(0), 0)).isTrue(); // one server's trouble in a hall that serves
     }
 
     @Test
@@ -459,9 +461,11 @@
         assertThat(s.halls.heard(s.now, 1, first)).isTrue();
         assertThat(s.halls.part(s.now, 1)).isEqualTo(part);
         for (int cut = 1; cut < second.length; cut++) {
-            assertThat(s.halls.heard(s.now, 1, java.util.Arrays.copyOf(second, cut))).isTrue();
+            assertThat(s.halls.heard(s.now, 1, java.util.Arrays.copyOf(second, cut)))
+                    .isTrue();
         }
         assertThat(s.halls.heard(s.now, 1, new byte[] {1, 2, 3})).isFalse();
-        assertThat(HallTalk.read(new byte[] {3, 0, 0, 0, 0, 0, 1, 9, 0, 0, 0, 0, 0, 0}, 3)).isNull();
+        assertThat(HallTalk.read(new byte[] {3, 0, 0, 0, 0, 0, 1, 9, 0, 0, 0, 0, 0, 0}, 3))
+                .isNull();
     }
 }
--- a/src/test/java/barrowshore/list/ServerBookTest.java
+++ b/src/test/java/barrowshore/list/ServerBookTest.java
@@ -76,12 +76,13 @@
         });
         assertThat(book.nextTick()).isEqualTo(11 * S);
         assertThat(book.tick(11 * S - 1).entries()).isEmpty();
-        assertThat(book.say(5 * S, "file", all(3, ready("a", 1), ready("b", 1))).entries()).singleElement()
+        assertThat(book.say(5 * S, "file", all(3, ready("a", 1), ready("b", 1))).entries())
+                .singleElement()
                 .satisfies(e -> assertThat(e.state()).isEqualTo(State.READY));
         assertThat(book.nextTick()).isEqualTo(Long.MAX_VALUE);
         book.say(6 * S, "file", all(4, ready("a", 1)));
-        assertThat(book.tick(16 * S).entries()).singleElement().satisfies(e ->
-                assertThat(e.state()).isEqualTo(State.GONE));
+        assertThat(book.tick(16 * S).entries()).singleElement().satisfies(e -> assertThat(e.state())
+                .isEqualTo(State.GONE));
     }
 
     @Example
@@ -89,7 +90,8 @@
         ServerBook book = book();
         book.say(0, "discovery", all(1, ready("a", 1)));
         Update gone = book.say(S, "discovery", new Update(2, false, List.of(entry("a", State.GONE, 1))));
-        assertThat(gone.entries()).singleElement().satisfies(e -> assertThat(e.state()).isEqualTo(State.GONE));
+        assertThat(gone.entries()).singleElement().satisfies(e -> assertThat(e.state())
+                .isEqualTo(State.GONE));
     }
 
     @Example
--- a/src/test/java/barrowshore/model/NodeModelTest.java
+++ b/src/test/java/barrowshore/model/NodeModelTest.java
@@ -12,10 +12,10 @@
     private static final long MS = 1_000, S = 1_000_000;
 
     private static final class Given implements Timeline {
-        private record Event(long at, long order, Runnable run) { }
+        private record Event(long at, long order, Runnable run) {}
 
-        private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
-                a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+        private final PriorityQueue<Event> events =
+                new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
         private long now = 100 * S;
         private long order;
 
@@ -44,8 +44,11 @@
     private final List<String> words = new ArrayList<>();
 
     private NodeModel node(int cores, double speed, double queue, boolean backfill) {
-        return new NodeModel(time, new NodeModel.Spec(cores, speed, queue, backfill, 0.2, 20 * S),
-                new NodeModel.Falling(3, 2 * S, 500 * MS), 2 * S);
+        return new NodeModel(
+                time,
+                new NodeModel.Spec(cores, speed, queue, backfill, 0.2, 20 * S),
+                new NodeModel.Falling(3, 2 * S, 500 * MS),
+                2 * S);
     }
 
     private NodeModel.Job job(String name, double slots, long work) {
@@ -103,8 +106,9 @@
         fifo.offer(job("b", 2, 100 * MS));
         fifo.offer(job("c", 1, 100 * MS));
         time.pass(S);
-        assertThat(words).containsExactly("a started 0", "a done 200", "b started 200", "b done 400", "c started 400",
-                "c done 600");
+        assertThat(words)
+                .containsExactly(
+                        "a started 0", "a done 200", "b started 200", "b done 400", "c started 400", "c done 600");
         words.clear();
         NodeModel backfill = node(2, 1, 10, true);
         backfill.offer(job("a", 1, 100 * MS));
@@ -120,8 +124,14 @@
         time.pass(S);
         node.slow(3);
         time.pass(20 * S);
-        assertThat(words).containsExactly("a started 0", "a at 33% 2000", "a at 50% 4000", "a at 67% 6000",
-                "a at 83% 8000", "a done 10000");
+        assertThat(words)
+                .containsExactly(
+                        "a started 0",
+                        "a at 33% 2000",
+                        "a at 50% 4000",
+                        "a at 67% 6000",
+                        "a at 83% 8000",
+                        "a done 10000");
     }
 
     @Test
@@ -148,8 +158,8 @@
         node.drain(true);
         node.offer(job("e", 1, S));
         time.pass(5 * S);
-        assertThat(words.subList(2, words.size())).containsExactly("b returned 0", "c returned 0", "e returned 0",
-                "a done 1000");
+        assertThat(words.subList(2, words.size()))
+                .containsExactly("b returned 0", "c returned 0", "e returned 0", "a done 1000");
     }
 
     @Test
--- a/src/test/java/barrowshore/module/Bench.java
+++ b/src/test/java/barrowshore/module/Bench.java
@@ -1,9 +1,5 @@
 package barrowshore.module;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import barrowshore.module.DispatchApi.Effect;
 import barrowshore.module.DispatchApi.Health;
 import barrowshore.module.DispatchApi.JobClass;
@@ -13,11 +9,15 @@
 import barrowshore.module.DispatchApi.Scope;
 import barrowshore.module.DispatchApi.Settings;
 import barrowshore.module.DispatchApi.Status;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** A dispatcher on a fake clock with its actions recorded, as an embedder would drive it. */
 final class Bench implements DispatchApi.Actions {
     /** A timer that is due at a time. */
-    record Due(long at, String token) { }
+    record Due(long at, String token) {}
 
     final Settings set;
     final Dispatcher dispatcher;
--- a/src/test/java/barrowshore/module/EmbeddingTest.java
+++ b/src/test/java/barrowshore/module/EmbeddingTest.java
@@ -4,9 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-import org.junit.jupiter.api.Test;
 import barrowshore.module.DispatchApi.Effect;
 import barrowshore.module.DispatchApi.Health;
 import barrowshore.module.DispatchApi.JobClass;
@@ -17,6 +14,9 @@
 import barrowshore.module.DispatchApi.Scope;
 import barrowshore.module.DispatchApi.Settings;
 import barrowshore.module.DispatchApi.Status;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 
 /** The README's embedding, as another program would do it. */
 class EmbeddingTest {
@@ -50,7 +50,7 @@
         }
 
         @Override
-        public void tell(byte[] message) { }
+        public void tell(byte[] message) {}
 
         @Override
         public void timer(long delay, String token) {
@@ -71,8 +71,8 @@
     @Test
     void aJobIsSentAndServed() {
         Settings settings = new Settings();
-        settings.classes = new JobClass[] {
-            new JobClass(200_000, 0, 5_000_000, 1, 0.5, Effect.SAFE, Scope.ALL, 0, -1, 0)};
+        settings.classes =
+                new JobClass[] {new JobClass(200_000, 0, 5_000_000, 1, 0.5, Effect.SAFE, Scope.ALL, 0, -1, 0)};
         Printing actions = new Printing();
         DispatchApi dispatcher = new Dispatcher(settings, actions);
         dispatcher.start(0);
@@ -80,7 +80,11 @@
         dispatcher.request(1_000, new Request("job-1", 0, 0, 1, 0, 5_000_000));
         dispatcher.outcome(90_000, "job-1", 0, true, Status.OK, 89_000, new Load(0, 0, Double.NaN));
         assertTrue(actions.done.contains("send job-1 to box-1"), actions.done.toString());
-        assertEquals(0, actions.done.stream().filter(a -> a.startsWith("refuse") || a.startsWith("fail")).count());
+        assertEquals(
+                0,
+                actions.done.stream()
+                        .filter(a -> a.startsWith("refuse") || a.startsWith("fail"))
+                        .count());
     }
 
     @Test
@@ -94,8 +98,9 @@
         DispatchApi dispatcher = new Dispatcher(settings, new Printing());
         assertNames("jobClass", () -> dispatcher.request(0, new Request("r", 3, 0, 1, 0, 1)));
         assertNames("slots", () -> dispatcher.request(0, new Request("r", 0, 0, 0, 0, 1)));
-        assertNames("kind", () -> dispatcher.list(0, ListKind.WHOLE,
-                List.of(new Member("w", Health.READY, 1, 0, 9, 0, 0))));
+        assertNames(
+                "kind",
+                () -> dispatcher.list(0, ListKind.WHOLE, List.of(new Member("w", Health.READY, 1, 0, 9, 0, 0))));
     }
 
     private static void assertNames(String field, org.junit.jupiter.api.function.Executable call) {
--- a/src/test/java/barrowshore/module/FleetLoadTest.java
+++ b/src/test/java/barrowshore/module/FleetLoadTest.java
@@ -58,7 +58,8 @@
         Settings set = Bench.settings(Effect.SAFE, Scope.ALL);
         set.dispatchers = 95;
         set.reports = Reports.ANSWERS;
-        set.classes = new JobClass[] {new JobClass(300_000, 1.5, 2_000_000, 1, 0, Effect.SAFE, Scope.ALL, 500_000, -1, 0)};
+        set.classes =
+                new JobClass[] {new JobClass(300_000, 1.5, 2_000_000, 1, 0, Effect.SAFE, Scope.ALL, 500_000, -1, 0)};
         Bench bench = new Bench(set).workers(64);
         int open = 6;
         for (int k = 0; k < 400; k++) {
@@ -68,7 +69,13 @@
             if (k >= open && bench.attempts("r" + (k - open)) > 0) {
                 // Thin traffic has few workers' reports; here one in eight has any.
                 boolean reports = bench.last("r" + (k - open)).matches("w[0-7]");
-                bench.dispatcher.outcome(bench.now, "r" + (k - open), 0, true, Status.OK, open * 25_000,
+                bench.dispatcher.outcome(
+                        bench.now,
+                        "r" + (k - open),
+                        0,
+                        true,
+                        Status.OK,
+                        open * 25_000,
                         reports ? new Load(1, 0, 3) : null);
             }
         }
--- a/src/test/java/barrowshore/module/GuessTest.java
+++ b/src/test/java/barrowshore/module/GuessTest.java
@@ -19,7 +19,7 @@
     void aGoodGuessIsTakenAsItIs() {
         for (int k = 0; k < 40; k++) {
             double work = 100_000 * spread(2);
-            guess.saw(work * spread(0.3), work * spread(0.5));   // a machine is now faster, now slower
+            guess.saw(work * spread(0.3), work * spread(0.5)); // a machine is now faster, now slower
         }
         assertThat(guess.proven()).isTrue();
         assertThat(guess.work(250_000)).isEqualTo(250_000);
@@ -27,7 +27,7 @@
 
     @Test
     void oneWithoutBearingGivesWayToWhatJobsUsuallyAre() {
-        assertThat(guess.work(250_000)).isEqualTo(250_000);   // until something is seen
+        assertThat(guess.work(250_000)).isEqualTo(250_000); // until something is seen
         for (int k = 0; k < 60; k++) {
             guess.saw(100_000 * spread(3), 100_000 * spread(0.5));
         }
@@ -56,7 +56,7 @@
             double keep = fade.keep(k * 10, 1_000);
             mean = keep * mean + (1 - keep) * 8;
         }
-        assertThat(mean).isEqualTo(8);   // 5 was before anything had been seen
+        assertThat(mean).isEqualTo(8); // 5 was before anything had been seen
         double keep = fade.keep(100_000, 1_000);
         assertThat(keep).isLessThan(1e-9);
         assertThat(fade.keep(100_500, 1_000)).isCloseTo(Math.sqrt(0.5), within(1e-9));
--- a/src/test/java/barrowshore/module/IndexTableTest.java
+++ b/src/test/java/barrowshore/module/IndexTableTest.java
@@ -20,8 +20,10 @@
                 double out = serve * Math.min(x, s);
                 double reject = ALPHA * j[x] + r;
                 double accept = x < bound ? ALPHA * j[x + 1] + 1 : Double.POSITIVE_INFINITY;
-                next[x] = x - out + arrive * Math.min(reject, accept) + ALPHA * (out * (x > 0 ? j[x - 1] : 0)
-                        + (1 - arrive - out) * j[x]);
+                next[x] = x
+                        - out
+                        + arrive * Math.min(reject, accept)
+                        + ALPHA * (out * (x > 0 ? j[x - 1] : 0) + (1 - arrive - out) * j[x]);
             }
             j = next;
         }
--- a/src/test/java/barrowshore/module/LoadReaderTest.java
+++ b/src/test/java/barrowshore/module/LoadReaderTest.java
@@ -111,8 +111,11 @@
             DispatchApi.Settings set = Bench.settings(Effect.SAFE, Scope.ALL);
             Roster roster = new Roster(new HallSide(set, null, new Rng(1), new Traffic(set)));
             for (double rating : new double[] {6, 2}) {
-                roster.enter(DispatchApi.ListKind.CHANGES, List.of(new DispatchApi.Member("w",
-                        DispatchApi.Health.READY, rating, 0, 0, 0, 0)), 1, live);
+                roster.enter(
+                        DispatchApi.ListKind.CHANGES,
+                        List.of(new DispatchApi.Member("w", DispatchApi.Health.READY, rating, 0, 0, 0, 0)),
+                        1,
+                        live);
             }
             assertThat(roster.worker("w").rating).isEqualTo(live ? 6 : 2);
         }
--- a/src/test/java/barrowshore/module/PeersTest.java
+++ b/src/test/java/barrowshore/module/PeersTest.java
@@ -44,7 +44,7 @@
     @Test
     void theWholeStateCorrectsWhatWasLost() {
         ours.heard(10, 1, first.message(worker("a", 3)), NONE);
-        first.message(worker("a", 0));   // lost
+        first.message(worker("a", 0)); // lost
         ours.heard(20, 1, first.message(List.of(worker("b", 2)), true), NONE);
         assertThat(ours.slots(worker("a", 0), 0)).isZero();
         assertThat(ours.slots(worker("b", 0), 0)).isEqualTo(2);
@@ -68,6 +68,7 @@
         ours.heard(10, 1, new byte[0], NONE);
         ours.heard(10, 1, java.util.Arrays.copyOf(good, good.length - 1), NONE);
         assertThat(ours.missing(0)).isEqualTo(1);
-        assertThat(first.message(java.util.Collections.nCopies(300, worker("a", 999)), true)).hasSizeLessThan(257);
+        assertThat(first.message(java.util.Collections.nCopies(300, worker("a", 999)), true))
+                .hasSizeLessThan(257);
     }
 }
--- a/src/test/java/barrowshore/module/PlacingTest.java
+++ b/src/test/java/barrowshore/module/PlacingTest.java
@@ -20,7 +20,8 @@
             sent++;
         }
         assertThat(bench.sends.values().stream().filter(to -> to.contains("w1")).count())
-                .as("jobs abroad before the first is turned down").isGreaterThanOrEqualTo(4);
+                .as("jobs abroad before the first is turned down")
+                .isGreaterThanOrEqualTo(4);
         assertThat(bench.last("r0")).isEqualTo("w0");
     }
 }
--- a/src/test/java/barrowshore/module/RulesTest.java
+++ b/src/test/java/barrowshore/module/RulesTest.java
@@ -6,13 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.EnumSource;
 import barrowshore.module.DispatchApi.Effect;
 import barrowshore.module.DispatchApi.Health;
 import barrowshore.module.DispatchApi.JobClass;
@@ -22,6 +15,13 @@
 import barrowshore.module.DispatchApi.Scope;
 import barrowshore.module.DispatchApi.Settings;
 import barrowshore.module.DispatchApi.Status;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** The four binding rules, each from its own text, by event sequences without the bench. */
 class RulesTest {
@@ -151,7 +151,9 @@
     @Nested
     class DrainsAreKept {
         @ParameterizedTest
-        @EnumSource(value = Health.class, names = {"DRAINING", "GONE"})
+        @EnumSource(
+                value = Health.class,
+                names = {"DRAINING", "GONE"})
         void nothingGoesToAWorkerThatDrainsOrIsGone(Health health) {
             Bench bench = new Bench(Bench.settings(Effect.SAFE, Scope.ALL)).workers(3);
             bench.dispatcher.list(bench.now, ListKind.CHANGES, List.of(Bench.member("w1", health, 1, 0, 0)));
@@ -217,8 +219,8 @@
         @Test
         void aColdWorkerHasFewerCoresAndNotSlowerOnes() {
             Bench bench = new Bench(Bench.settings(Effect.SAFE, Scope.ALL));
-            bench.dispatcher.list(bench.now, ListKind.INITIAL,
-                    List.of(new Member("cold", Health.READY, 40, 0, 0, 0, bench.now)));
+            bench.dispatcher.list(
+                    bench.now, ListKind.INITIAL, List.of(new Member("cold", Health.READY, 40, 0, 0, 0, bench.now)));
             assertEquals("cold", bench.request("r"), String.join("; ", bench.actions));
         }
 
@@ -226,8 +228,8 @@
         @Test
         void aJobThatWouldMissItsAimAtAColdWorkerIsTurnedDown() {
             Bench bench = new Bench(Bench.settings(Effect.SAFE, Scope.ALL));
-            bench.dispatcher.list(bench.now, ListKind.INITIAL,
-                    List.of(new Member("cold", Health.READY, 4, 0, 0, 0, bench.now)));
+            bench.dispatcher.list(
+                    bench.now, ListKind.INITIAL, List.of(new Member("cold", Health.READY, 4, 0, 0, 0, bench.now)));
             assertNull(bench.request("r"));
             assertEquals(1, bench.count("refuse r"));
             bench.until(bench.now + COLD + 1_000_000);
--- a/src/test/java/barrowshore/net/DialerTest.java
+++ b/src/test/java/barrowshore/net/DialerTest.java
@@ -76,7 +76,7 @@
         }
 
         @Override
-        public void onFillable() { }
+        public void onFillable() {}
     }
 
     /** The same on a client's connection. */
@@ -86,7 +86,7 @@
         }
 
         @Override
-        public void onFillable() { }
+        public void onFillable() {}
     }
 
     /** Says what became of a dial. */
@@ -147,7 +147,9 @@
                 in.take().close();
             }
             for (Socket client : waiting) {
-                assertThat(client.getInputStream().read()).as("an end, no reset").isEqualTo(-1);
+                assertThat(client.getInputStream().read())
+                        .as("an end, no reset")
+                        .isEqualTo(-1);
             }
         } finally {
             for (Socket client : waiting) {
@@ -180,7 +182,9 @@
                 }
                 next.close();
                 assertThat(first.getInputStream().read()).isEqualTo(-1);
-                assertThat(second.getInputStream().read()).as("an end, no reset").isEqualTo(-1);
+                assertThat(second.getInputStream().read())
+                        .as("an end, no reset")
+                        .isEqualTo(-1);
                 while (ended.getCount() > 0) {
                     timers.runAll();
                 }
@@ -219,8 +223,9 @@
             Asker broken = new Asker(true);
             SocketChannel channel = SocketChannel.open(server.getLocalSocketAddress());
             channel.configureBlocking(false);
-            dialer.accept(channel, broken);   // as where the connect came up within the call
-            assertThat(broken.up.handle((up, cause) -> cause.getMessage()).get()).isEqualTo("broken on purpose");
+            dialer.accept(channel, broken); // as where the connect came up within the call
+            assertThat(broken.up.handle((up, cause) -> cause.getMessage()).get())
+                    .isEqualTo("broken on purpose");
         }
     }
 
@@ -239,7 +244,8 @@
             });
             blocked.await();
             Asker asker = new Asker(false);
-            assertThat(dialer.dial((InetSocketAddress) server.getLocalSocketAddress(), 0, asker)).isTrue();
+            assertThat(dialer.dial((InetSocketAddress) server.getLocalSocketAddress(), 0, asker))
+                    .isTrue();
             try (Socket accepted = server.accept()) {
                 timers.runAll();
                 free.countDown();
@@ -265,9 +271,11 @@
                     last.connect(full.getLocalSocketAddress());
                 }
                 Asker asker = new Asker(false);
-                assertThat(dialer.dial((InetSocketAddress) full.getLocalSocketAddress(), 0, asker)).isTrue();
+                assertThat(dialer.dial((InetSocketAddress) full.getLocalSocketAddress(), 0, asker))
+                        .isTrue();
                 timers.runAll();
-                assertThat(asker.up.handle((up, cause) -> cause.getMessage()).get()).isEqualTo("not up in 250 ms");
+                assertThat(asker.up.handle((up, cause) -> cause.getMessage()).get())
+                        .isEqualTo("not up in 250 ms");
             } finally {
                 for (SocketChannel channel : queue) {
                     channel.close();
@@ -280,7 +288,7 @@
         try {
             return socket.getInputStream().read() < 0;
         } catch (IOException e) {
-            return true;   // a reset ends it too
+            return true; // a reset ends it too
         }
     }
 
--- a/src/test/java/barrowshore/node/EndTest.java
+++ b/src/test/java/barrowshore/node/EndTest.java
@@ -23,20 +23,24 @@
     void aStartToldToEndStillAnswersWhatHasCome() throws Exception {
         try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             String config = Files.readString(Path.of("src/test/resources/exchanges/config.json"))
-                    .replace("$D", "127.0.0.1:" + discovery.getLocalPort()).replace("$S", "127.0.0.1:9")
+                    .replace("$D", "127.0.0.1:" + discovery.getLocalPort())
+                    .replace("$S", "127.0.0.1:9")
                     .replace("\"deadline\":5000000", "\"deadline\":300000");
             CompletableFuture<Node> started = new CompletableFuture<>();
             CompletableFuture<Integer> halted = new CompletableFuture<>();
             Thread end = new Thread(Node.end(started, halted::complete));
             end.start();
             Node node = Node.start(new Setup(Config.parse(config), Operator.NONE));
-            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), node.address().getPort())) {
+            try (Socket client =
+                    new Socket(InetAddress.getLoopbackAddress(), node.address().getPort())) {
                 started.complete(node);
-                client.getOutputStream().write(("POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\n"
-                        + "X-Priority-Class: order\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 300\r\nContent-Length: 0\r\n\r\n")
-                        .getBytes(StandardCharsets.ISO_8859_1));
+                client.getOutputStream()
+                        .write(("POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\n"
+                                        + "X-Priority-Class: order\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 300\r\nContent-Length: 0\r\n\r\n")
+                                .getBytes(StandardCharsets.ISO_8859_1));
                 InputStream in = client.getInputStream();
-                assertThat(new String(in.readNBytes(12), StandardCharsets.ISO_8859_1)).isEqualTo("HTTP/1.1 503");
+                assertThat(new String(in.readNBytes(12), StandardCharsets.ISO_8859_1))
+                        .isEqualTo("HTTP/1.1 503");
                 in.readAllBytes();
             } finally {
                 assertThat(halted.get()).isEqualTo(0);
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import barrowshore.config.Config;
 import barrowshore.module.DispatchApi;
 import barrowshore.module.Dispatcher;
-import barrowshore.config.Config;
 import barrowshore.net.Clock;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
@@ -73,16 +73,17 @@
         CountDownLatch heard = new CountDownLatch(1);
         Node.onHangUp(heard::countDown);
         Class<?> signal = Class.forName("sun.misc.Signal");
-        signal.getMethod("raise", signal).invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
+        signal.getMethod("raise", signal)
+                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
         heard.await();
     }
 
     /** Time that moves only when told; timers run in the mover's thread. */
     private static final class GivenTime extends AbstractLifeCycle implements Scheduler {
-        private record Entry(long at, long order, Runnable run) { }
+        private record Entry(long at, long order, Runnable run) {}
 
-        private final PriorityQueue<Entry> entries = new PriorityQueue<>((a, b) ->
-                a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+        private final PriorityQueue<Entry> entries =
+                new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
         private long nanos;
         private long order;
 
@@ -128,10 +129,11 @@
         private Node node;
         /** The process that the node follows, once it does. */
         private Node former;
+
         private final Path folder = Files.createTempDirectory("twin");
         private CountDownLatch draining;
 
-        Stage() throws IOException { }
+        Stage() throws IOException {}
 
         void play(String script) throws Exception {
             for (String block : script.split("(?m)^== ")) {
@@ -145,11 +147,17 @@
                     }
                 }
                 if (words[0].startsWith("#")) {
-                    continue;   // the opening remark
+                    continue; // the opening remark
                 }
-                step(words, named(text.replace("\n", "\r\n").replace("\\\r\n", "").replace("\\n", "\n")
-                        .replace("$64K", "x".repeat(65536)).replace("$16K", "k".repeat(16384))
-                        .replace("$2000LINES", "\n".repeat(2000))), text);
+                step(
+                        words,
+                        named(text.replace("\n", "\r\n")
+                                .replace("\\\r\n", "")
+                                .replace("\\n", "\n")
+                                .replace("$64K", "x".repeat(65536))
+                                .replace("$16K", "k".repeat(16384))
+                                .replace("$2000LINES", "\n".repeat(2000))),
+                        text);
             }
         }
 
@@ -173,7 +181,7 @@
                     Files.writeString(file, config);
                     SetupFiles files = new SetupFiles(file, null, null);
                     files.read();
-                    node.lookAgain(files);   // it is as it was
+                    node.lookAgain(files); // it is as it was
                     config = config.replace(named(words[1]), named(words[2]));
                     // Put in its place whole: a look between the truncation and the bytes would find a bad file.
                     Path next = folder.resolve("config.next");
@@ -186,7 +194,9 @@
                 case "start" -> start();
                 case "follow" -> {
                     former = node;
-                    config = config.replace("127.0.0.1:0\",\"discovery", "127.0.0.1:" + node.address().getPort() + "\",\"discovery");
+                    config = config.replace(
+                            "127.0.0.1:0\",\"discovery",
+                            "127.0.0.1:" + node.address().getPort() + "\",\"discovery");
                     start();
                 }
                 case "followed" -> {
@@ -235,8 +245,7 @@
                 case "time" -> time.advance(Long.parseLong(words[1]));
                 case "no-more" -> {
                     servers.setSoTimeout(1);
-                    assertThatThrownBy(servers::accept)
-                            .isInstanceOf(SocketTimeoutException.class);
+                    assertThatThrownBy(servers::accept).isInstanceOf(SocketTimeoutException.class);
                 }
                 default -> act(words[0], words[1], words.length > 2 ? words[2] : "", bytes, text);
             }
@@ -245,7 +254,7 @@
         private void act(String who, String does, String status, String bytes, String text) throws Exception {
             Socket peer = peer(who, does.equals("reopens"));
             switch (does) {
-                case "connects", "reopens" -> { }
+                case "connects", "reopens" -> {}
                 case "ends-in-time", "gets-in-time" -> {
                     // Time moves on until there is something to read, since nothing else shows that a timer is set.
                     PushbackInputStream in = new PushbackInputStream(peer.getInputStream());
@@ -269,7 +278,8 @@
                 }
                 case "sends" -> send(peer, bytes);
                 case "sends-unheard" -> {
-                    // A socket that was closed answers the first with a reset, and then the second fails. Another's call in
+                    // A socket that was closed answers the first with a reset, and then the second fails. Another's
+                    // call in
                     // between takes the selector through its rounds, in which it closes what was given to it to close.
                     for (int k = 0; k < 2; k++) {
                         try (Socket asker = new Socket(LOOPBACK, node.address().getPort())) {
@@ -290,11 +300,15 @@
                 }
                 case "lists" -> list(who, text.strip());
                 case "ends-in-answer" -> {
-                    assertThat(message(peer.getInputStream())).as(who).startsWith("HTTP/1.1 " + status + " ")
+                    assertThat(message(peer.getInputStream()))
+                            .as(who)
+                            .startsWith("HTTP/1.1 " + status + " ")
                             .contains("Connection: close");
                     assertThat(atEnd(peer)).as(who + " ends").isTrue();
                 }
-                case "gets" -> assertThat(message(peer.getInputStream())).as(who + " gets").isEqualTo(bytes);
+                case "gets" -> assertThat(message(peer.getInputStream()))
+                        .as(who + " gets")
+                        .isEqualTo(bytes);
                 case "ends" -> assertThat(atEnd(peer)).as(who + " ends").isTrue();
                 case "closes" -> peer.close();
                 case "resets" -> {
@@ -308,17 +322,22 @@
         private void start() throws Exception {
             config = named(config);
             Config read = Config.parse(config);
-            node = new Node(new Setup(read, Operator.NONE), new Clock(1_700_000_000_000L, time::nanos), time, folder.resolve("t"), actions -> switch (module) {
-                case "silent" -> faulty(false);
-                case "broken" -> faulty(true);
-                default -> new Dispatcher(read.settings(), actions);
-            });
+            node = new Node(
+                    new Setup(read, Operator.NONE),
+                    new Clock(1_700_000_000_000L, time::nanos),
+                    time,
+                    folder.resolve("t"),
+                    actions -> switch (module) {
+                        case "silent" -> faulty(false);
+                        case "broken" -> faulty(true);
+                        default -> new Dispatcher(read.settings(), actions);
+                    });
         }
 
         /** A module that never orders anything, or throws at each request. */
         private static DispatchApi faulty(boolean throwing) {
-            return (DispatchApi) Proxy.newProxyInstance(DispatchApi.class.getClassLoader(),
-                    new Class<?>[] {DispatchApi.class}, (proxy, method, args) -> {
+            return (DispatchApi) Proxy.newProxyInstance(
+                    DispatchApi.class.getClassLoader(), new Class<?>[] {DispatchApi.class}, (proxy, method, args) -> {
                         if (throwing && method.getName().equals("request")) {
                             throw new IllegalStateException("broken on purpose");
                         }
@@ -375,8 +394,10 @@
             String json = named(line.substring(1)) + "\n";
             // In two chunks that end mid-line: boundaries may fall anywhere.
             String one = json.substring(0, json.length() / 2), two = json.substring(json.length() / 2);
-            send(watch, Integer.toHexString(one.length()) + "\r\n" + one + "\r\n"
-                    + Integer.toHexString(two.length()) + "\r\n" + two + "\r\n");
+            send(
+                    watch,
+                    Integer.toHexString(one.length()) + "\r\n" + one + "\r\n" + Integer.toHexString(two.length())
+                            + "\r\n" + two + "\r\n");
         }
 
         /** Each time by a new connection: one that is told no while clients are sent away ends with that. */
@@ -419,8 +440,11 @@
                 head.append((char) b);
             }
             List<String> lines = new ArrayList<>(List.of(head.toString().split("\r\n")));
-            int length = lines.stream().filter(l -> l.startsWith("Content-Length: "))
-                    .mapToInt(l -> Integer.parseInt(l.substring(16))).findFirst().orElse(0);
+            int length = lines.stream()
+                    .filter(l -> l.startsWith("Content-Length: "))
+                    .mapToInt(l -> Integer.parseInt(l.substring(16)))
+                    .findFirst()
+                    .orElse(0);
             String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
             return head.toString().replaceAll("Retry-After: (0\\.0*[1-9][0-9]*|[1-9][0-9.]*)", "Retry-After: ~") + body;
         }
@@ -429,7 +453,7 @@
             try {
                 return peer.getInputStream().read() < 0;
             } catch (SocketException e) {
-                return true;   // a reset ends a connection too
+                return true; // a reset ends a connection too
             }
         }
 
--- a/src/test/java/barrowshore/node/LateConnectionTest.java
+++ b/src/test/java/barrowshore/node/LateConnectionTest.java
@@ -3,11 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import barrowshore.config.Config;
-import barrowshore.request.JobRequest;
 import barrowshore.list.ServerList;
 import barrowshore.module.Dispatcher;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
+import barrowshore.request.JobRequest;
 import barrowshore.servers.Server;
 import java.io.IOException;
 import java.io.InputStream;
@@ -60,17 +60,28 @@
             listening[k].setSoTimeout(1);
         }
         Config config = Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
-                .replace("$D", "127.0.0.1:9").replace("$S", "127.0.0.1:" + listening[0].getLocalPort())
+                .replace("$D", "127.0.0.1:9")
+                .replace("$S", "127.0.0.1:" + listening[0].getLocalPort())
                 .replace("\"cancel\":true", "\"cancel\":false")
                 .replace("\"secondCopies\":true", "\"secondCopies\":false")
-                .replace("\"idempotency\":\"idempotent\",\"keyScope\":\"all\",\"repeatWindow\":5000000",
+                .replace(
+                        "\"idempotency\":\"idempotent\",\"keyScope\":\"all\",\"repeatWindow\":5000000",
                         "\"idempotency\":\"deduplicated\",\"keyScope\":\"all\",\"repeatWindow\":" + WINDOW)
-                .replace("\"all\":true,\"targets\":[", "\"all\":true,\"targets\":[{\"uid\":\"s-2\",\"endpoint\":\"127.0.0.1:"
-                        + listening[1].getLocalPort() + "\",\"az\":\"a\",\"model\":\"m\",\"state\":\"Ready\"},"));
+                .replace(
+                        "\"all\":true,\"targets\":[",
+                        "\"all\":true,\"targets\":[{\"uid\":\"s-2\",\"endpoint\":\"127.0.0.1:"
+                                + listening[1].getLocalPort()
+                                + "\",\"az\":\"a\",\"model\":\"m\",\"state\":\"Ready\"},"));
         // Messages run in the poster's stack: in the order in which the test does things.
-        module = new ModuleActor(clock, Runnable::run, timers, config.classes(), 5,
+        module = new ModuleActor(
+                clock,
+                Runnable::run,
+                timers,
+                config.classes(),
+                5,
                 uid -> new Server(uid, Runnable::run, dialers[uid.equals("s-1") ? 0 : 1], timers, 60_000_000, 1),
-                message -> { }, actions -> new Dispatcher(config.settings(), actions));
+                message -> {},
+                actions -> new Dispatcher(config.settings(), actions));
         module.start();
         module.update(config.known());
     }
@@ -112,7 +123,8 @@
     }
 
     private JobRequest keyed(String id) {
-        return new JobRequest(id, 0, 0, 1, 0, clock.micros() + 4_000_000, WINDOW, "POST", "/menu", "key", new byte[] {'a'});
+        return new JobRequest(
+                id, 0, 0, 1, 0, clock.micros() + 4_000_000, WINDOW, "POST", "/menu", "key", new byte[] {'a'});
     }
 
     private static String firstLine(InputStream in) throws Exception {
@@ -125,17 +137,17 @@
 
     @Test
     void aRequestWhoseClientHasGoneIsNotSentOnWhenItsConnectionComesUp() throws Exception {
-        module.update(new ServerList.Update(6, false, List.of(new ServerList.Entry("s-2", "", null, 0, 0, 0,
-                ServerList.State.TERMINATING, 1, 0))));
+        module.update(new ServerList.Update(
+                6, false, List.of(new ServerList.Entry("s-2", "", null, 0, 0, 0, ServerList.State.TERMINATING, 1, 0))));
         hold(dialers[0]);
         JobRequest request = keyed("gone");
-        module.open(request, answer -> { });
+        module.open(request, answer -> {});
         module.clientGone(request);
         try (Socket accepted = accept()) {
             free.countDown();
             // There is one connection at most: it carries the one that has gone, or else one of these, once it is up.
             for (int k = 0; accepted.getInputStream().available() == 0; k++) {
-                module.open(keyed("a" + k), answer -> { });
+                module.open(keyed("a" + k), answer -> {});
             }
             byte[] head = new byte[200];
             int read = accepted.getInputStream().read(head);
@@ -150,8 +162,8 @@
         try (Socket first = accept()) {
             assertThat(firstLine(first.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
             hold(dialers[first.getLocalPort() == listening[0].getLocalPort() ? 1 : 0]);
-            first.getOutputStream().write("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"
-                    .getBytes(StandardCharsets.ISO_8859_1));
+            first.getOutputStream()
+                    .write("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
             // The repeat is on its way within the window; its connection comes up after that.
             try (Socket second = accept()) {
                 nanos.addAndGet(WINDOW * 1000);
--- a/src/test/java/barrowshore/node/ReloadOperatorTest.java
+++ b/src/test/java/barrowshore/node/ReloadOperatorTest.java
@@ -18,8 +18,11 @@
 class ReloadOperatorTest {
     private static Setup setup(Operator operator) {
         try {
-            return new Setup(Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
-                    .replace("$S", "127.0.0.1:7").replace("$D", "127.0.0.1:9")), operator);
+            return new Setup(
+                    Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                            .replace("$S", "127.0.0.1:7")
+                            .replace("$D", "127.0.0.1:9")),
+                    operator);
         } catch (java.io.IOException e) {
             throw new IllegalStateException(e);
         }
@@ -42,11 +45,18 @@
         try {
             assertThat(halls(node, () -> setup(on))).isZero();
             assertThat(halls(node, () -> {
-                throw new ConfigException("operator.xml: line 3, column 7: halls: broken on purpose");
-            })).isEqualTo(2);
+                        throw new ConfigException("operator.xml: line 3, column 7: halls: broken on purpose");
+                    }))
+                    .isEqualTo(2);
             // A preference for a hall that there is not: found only when the two files are put together.
-            assertThat(halls(node, () -> setup(Operator.parse("f", "<operator xmlns=\"urn:barrowshore:operator:1\"><halls>"
-                    + "<preference of=\"nowhere\"><tier><hall name=\"a\"/></tier></preference></halls></operator>"))))
+            assertThat(
+                            halls(
+                                    node,
+                                    () -> setup(
+                                            Operator.parse(
+                                                    "f",
+                                                    "<operator xmlns=\"urn:barrowshore:operator:1\"><halls>"
+                                                            + "<preference of=\"nowhere\"><tier><hall name=\"a\"/></tier></preference></halls></operator>"))))
                     .isEqualTo(2);
             assertThat(halls(node, () -> setup(Operator.NONE))).isEqualTo(2);
             assertThat(halls(node, () -> setup(Operator.NONE))).isZero();
