--- a/src/test/java/barrowshore/operator/OperatorTest.java
+++ b/src/test/java/barrowshore/operator/OperatorTest.java
@@ -25,26 +25,34 @@
     @Test
     void theExampleIsGoodAndSaysWhatTheDefaultsSay() throws IOException {
         HallRules rules = Operator.parse("f", good()).halls().rules(ZONES, 1);
-        assertThat(rules).isEqualTo(HallRules.usual(ZONES, 1)).isEqualTo(Operator.Halls.usual().rules(ZONES, 1));
+        assertThat(rules)
+                .isEqualTo(HallRules.usual(ZONES, 1))
+                .isEqualTo(Operator.Halls.usual().rules(ZONES, 1));
     }
 
     @Test
     void whatIsLeftOutIsOff() {
-        assertThat(Operator.parse("f", "<operator xmlns=\"urn:barrowshore:operator:1\"/>")).isEqualTo(Operator.NONE);
+        assertThat(Operator.parse("f", "<operator xmlns=\"urn:barrowshore:operator:1\"/>"))
+                .isEqualTo(Operator.NONE);
     }
 
     @Test
     void hallsThatAPreferenceLeavesOutComeLast() throws IOException {
-        String three = good().replace("<tier><hall name=\"hala-b\"/></tier>\n    </preference>\n    <preference",
-                "<tier><hall name=\"hala-c\"/></tier>\n    </preference>\n    <preference");
+        String three = good().replace(
+                        "<tier><hall name=\"hala-b\"/></tier>\n    </preference>\n    <preference",
+                        "<tier><hall name=\"hala-c\"/></tier>\n    </preference>\n    <preference");
         HallRules rules = Operator.parse("f", three).halls().rules(List.of("hala-a", "hala-b", "hala-c"), 0);
         assertThat(rules.tier()).containsExactly(0, 2, 1);
         assertThatThrownBy(() -> Operator.parse("f", three).halls().rules(ZONES, 0))
-                .isInstanceOf(ConfigException.class).hasMessageContaining("hala-c");
+                .isInstanceOf(ConfigException.class)
+                .hasMessageContaining("hala-c");
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', textBlock = """
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
             spill="1"             | spill="1.5"                    | line 4, column 37: halls: Value '1.5'
             tiers="priced"        | tears="priced"                 | line 4, column 35: halls: Attribute 'tears'
             tiers="priced"        | dark-after="soon"              | line 4, column 38: halls: Value 'soon'
@@ -56,22 +64,26 @@
             <?xml version="1.0"   | <!DOCTYPE operator [<!ENTITY a "b">]><?xml version="1.0" | line 1
             """)
     void namesWhatIsWrong(String part, String instead, String message) throws IOException {
-        String bad = good().replaceFirst(java.util.regex.Pattern.quote(part),
-                java.util.regex.Matcher.quoteReplacement(instead));
+        String bad = good().replaceFirst(
+                        java.util.regex.Pattern.quote(part), java.util.regex.Matcher.quoteReplacement(instead));
         assertThat(bad).isNotEqualTo(good());
-        assertThatThrownBy(() -> Operator.parse("f", bad)).isInstanceOf(ConfigException.class)
-                .hasMessageStartingWith("f: " + message).message().doesNotContain("\n");
+        assertThatThrownBy(() -> Operator.parse("f", bad))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageStartingWith("f: " + message)
+                .message()
+                .doesNotContain("\n");
     }
 
     @Test
     void readsNoEntityAndNoHugeFile(@TempDir Path dir) throws IOException {
         Path secret = Files.writeString(dir.resolve("secret"), "hala-z");
-        String xxe = "<!DOCTYPE operator [<!ENTITY x SYSTEM \"" + secret.toUri() + "\">]>\n" + good().replaceFirst(
-                "<\\?xml[^>]*>", "").replace("of=\"hala-b\"", "of=\"&x;\"");
-        assertThatThrownBy(() -> Operator.parse("f", xxe)).isInstanceOf(ConfigException.class)
+        String xxe = "<!DOCTYPE operator [<!ENTITY x SYSTEM \"" + secret.toUri() + "\">]>\n"
+                + good().replaceFirst("<\\?xml[^>]*>", "").replace("of=\"hala-b\"", "of=\"&x;\"");
+        assertThatThrownBy(() -> Operator.parse("f", xxe))
+                .isInstanceOf(ConfigException.class)
                 .hasMessageContaining("DOCTYPE");
-        Path huge = Files.writeString(dir.resolve("huge"), good().replace("</operator>", " ".repeat(1 << 20)
-                + "</operator>"));
+        Path huge = Files.writeString(
+                dir.resolve("huge"), good().replace("</operator>", " ".repeat(1 << 20) + "</operator>"));
         assertThatThrownBy(() -> Operator.read(huge)).hasMessageContaining("is over 1048576 bytes");
         assertThatThrownBy(() -> Operator.read(dir.resolve("none"))).hasMessageContaining("cannot be read");
     }
--- a/src/test/java/barrowshore/operator/SetupFilesTest.java
+++ b/src/test/java/barrowshore/operator/SetupFilesTest.java
@@ -17,7 +17,8 @@
     @Test
     void onlyAnotherTextIsAChangeAndReadingItEndsThat() throws IOException {
         Path file = folder.resolve("config.json");
-        String text = Files.readString(Path.of("src/test/resources/exchanges/config.json")).replaceAll("\\$[DS]", "127.0.0.1:9");
+        String text = Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replaceAll("\\$[DS]", "127.0.0.1:9");
         Files.writeString(file, text);
         SetupFiles files = new SetupFiles(file, "127.0.0.1:77", null);
         assertThat(files.read().config().ops().getPort()).isEqualTo(77);
--- a/src/test/java/barrowshore/peer/PeerSideTest.java
+++ b/src/test/java/barrowshore/peer/PeerSideTest.java
@@ -33,17 +33,26 @@
     @Test
     void tellsAllAndHearsOnlyPeers() throws Exception {
         BlockingQueue<String> heard = new LinkedBlockingQueue<>();
-        try (DatagramSocket peer = new DatagramSocket(0, LOOPBACK); DatagramSocket stranger = new DatagramSocket(0, LOOPBACK);
+        try (DatagramSocket peer = new DatagramSocket(0, LOOPBACK);
+                DatagramSocket stranger = new DatagramSocket(0, LOOPBACK);
                 DatagramSocket ours = new DatagramSocket(0, LOOPBACK)) {
             InetSocketAddress at = new InetSocketAddress(LOOPBACK, peer.getLocalPort());
-            PeerSide side = new PeerSide(new Config.Peering(new InetSocketAddress(LOOPBACK, 0),
-                    List.of(new InetSocketAddress(LOOPBACK, ours.getLocalPort()), at), 0, at), false, Runnable::run, new Clock(0, time::get),
+            PeerSide side = new PeerSide(
+                    new Config.Peering(
+                            new InetSocketAddress(LOOPBACK, 0),
+                            List.of(new InetSocketAddress(LOOPBACK, ours.getLocalPort()), at),
+                            0,
+                            at),
+                    false,
+                    Runnable::run,
+                    new Clock(0, time::get),
                     (from, message) -> heard.add(from + " " + HexFormat.of().formatHex(message)));
-            side.tell(new byte[257]);   // not sent: a longer one is forbidden
+            side.tell(new byte[257]); // not sent: a longer one is forbidden
             side.tell(new byte[] {1, 2, 3});
             DatagramPacket in = new DatagramPacket(new byte[300], 300);
             peer.receive(in);
-            assertThat(HexFormat.of().formatHex(in.getData(), 0, in.getLength())).isEqualTo("010203");
+            assertThat(HexFormat.of().formatHex(in.getData(), 0, in.getLength()))
+                    .isEqualTo("010203");
             stranger.send(new DatagramPacket(new byte[] {4}, 1, in.getSocketAddress()));
             peer.send(new DatagramPacket(new byte[257], 257, in.getSocketAddress()));
             peer.send(new DatagramPacket(new byte[] {5, 6}, 2, in.getSocketAddress()));
@@ -53,7 +62,9 @@
             time.addAndGet(3_000_000_000L);
             ours.send(new DatagramPacket(new byte[] {1, 1}, 2, in.getSocketAddress()));
             assertThat(heard.take()).isEqualTo("0 0101");
-            assertThat(othersServe(side)).as("only our own come back from the address of all").isFalse();
+            assertThat(othersServe(side))
+                    .as("only our own come back from the address of all")
+                    .isFalse();
             peer.receive(in);
             peer.receive(in);
             peer.receive(in);
@@ -65,7 +76,9 @@
             peer.send(new DatagramPacket(new byte[] {0}, 1, in.getSocketAddress()));
             peer.send(new DatagramPacket(new byte[] {7, 8}, 2, in.getSocketAddress()));
             assertThat(heard.take()).isEqualTo("1 0708");
-            assertThat(othersServe(side)).as("it is ending, though it still tells").isFalse();
+            assertThat(othersServe(side))
+                    .as("it is ending, though it still tells")
+                    .isFalse();
             time.addAndGet(9_000_000_000L);
             assertThat(othersServe(side)).as("long not heard of").isFalse();
             peer.send(new DatagramPacket(new byte[] {7, 8}, 2, in.getSocketAddress()));
--- a/src/test/java/barrowshore/servers/ServerTest.java
+++ b/src/test/java/barrowshore/servers/ServerTest.java
@@ -2,12 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.request.JobRequest;
 import barrowshore.list.ServerList;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Status;
 import barrowshore.net.Dialer;
+import barrowshore.request.JobRequest;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -48,7 +48,7 @@
         private final String id;
         private volatile boolean mayBegin = true;
         /** Run as its end is told, in the server's own turn. */
-        private volatile Runnable asItEnds = () -> { };
+        private volatile Runnable asItEnds = () -> {};
 
         Attempt(String id) {
             this.id = id;
@@ -56,7 +56,8 @@
 
         @Override
         public JobRequest request() {
-            return new JobRequest(id, 0, -1, 1, 0, Long.MAX_VALUE, JobRequest.ALWAYS, "POST", "/menu", null, new byte[] {'a'});
+            return new JobRequest(
+                    id, 0, -1, 1, 0, Long.MAX_VALUE, JobRequest.ALWAYS, "POST", "/menu", null, new byte[] {'a'});
         }
 
         @Override
@@ -70,10 +71,10 @@
         }
 
         @Override
-        public void written() { }
+        public void written() {}
 
         @Override
-        public void noted(Note note, double share) { }
+        public void noted(Note note, double share) {}
 
         @Override
         public void ended(Status status, Load load, byte[] result) {
@@ -103,7 +104,8 @@
     }
 
     private void say(ServerList.State state) {
-        server.update(new ServerList.Entry("s-1", "", (InetSocketAddress) listening.getLocalSocketAddress(), 0, 0, 0, state, 1, 0));
+        server.update(new ServerList.Entry(
+                "s-1", "", (InetSocketAddress) listening.getLocalSocketAddress(), 0, 0, 0, state, 1, 0));
     }
 
     private void holdConnections() throws InterruptedException {
@@ -185,8 +187,10 @@
         try (Socket accepted = listening.accept()) {
             assertThat(firstLine(accepted.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
             server.withdraw(attempt);
-            accepted.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"
-                    + "{\"id\":\"a1\",\"state\":\"done\",\"result\":\"one\"} \n").getBytes(StandardCharsets.ISO_8859_1));
+            accepted.getOutputStream()
+                    .write(("HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"
+                                    + "{\"id\":\"a1\",\"state\":\"done\",\"result\":\"one\"} \n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             assertThat(attempt.end.get()).isEqualTo(Status.OK);
         }
     }
@@ -215,8 +219,10 @@
             in.skipNBytes(in.available());
             accepted.setSoTimeout(2_000);
             attempt.asItEnds = () -> closed.complete(ended(in));
-            accepted.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + "2b\r\n{\"id\":\"b2\",\"state\":\"done\",\"result\":\"one\"} \n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            accepted.getOutputStream()
+                    .write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    + "2b\r\n{\"id\":\"b2\",\"state\":\"done\",\"result\":\"one\"} \n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             assertThat(attempt.end.get()).isEqualTo(Status.RESET);
             assertThat(closed.get()).isTrue();
         }
@@ -233,7 +239,7 @@
         } catch (SocketTimeoutException e) {
             return false;
         } catch (IOException e) {
-            return true;   // a reset ends it too
+            return true; // a reset ends it too
         }
     }
 }
--- a/src/test/java/barrowshore/standin/HallMoveTest.java
+++ b/src/test/java/barrowshore/standin/HallMoveTest.java
@@ -32,9 +32,12 @@
     /** One job over a connection of its own, as a careless client would; the whole answer. */
     private String ask(InetSocketAddress at, String type, String id) throws Exception {
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
-            socket.getOutputStream().write(("POST /" + type + "?work=40 HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id
-                    + "\r\nX-Priority-Class: " + type + "\r\nX-Timeout-Ms: 3000\r\nContent-Length: 1\r\n"
-                    + "Connection: close\r\n\r\nx").getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream()
+                    .write(("POST /" + type + "?work=40 HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id
+                                    + "\r\nX-Priority-Class: " + type
+                                    + "\r\nX-Timeout-Ms: 3000\r\nContent-Length: 1\r\n"
+                                    + "Connection: close\r\n\r\nx")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             InputStream in = socket.getInputStream();
             return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
         }
@@ -71,10 +74,12 @@
                 jobs(site, 300);
             }
             List<StandInNode.Count> counts = site.counts();
-            assertThat(answers).hasSize(next.get()).allSatisfy((id, answer) ->
-                    assertThat(answer).as(id).matches("(?s)HTTP/1.1 (200|502|503|504) .*"));
-            assertThat(answers.values()).filteredOn(a -> a.startsWith("HTTP/1.1 503")).allMatch(a ->
-                    a.contains("Retry-After"));
+            assertThat(answers)
+                    .hasSize(next.get())
+                    .allSatisfy((id, answer) -> assertThat(answer).as(id).matches("(?s)HTTP/1.1 (200|502|503|504) .*"));
+            assertThat(answers.values())
+                    .filteredOn(a -> a.startsWith("HTTP/1.1 503"))
+                    .allMatch(a -> a.contains("Retry-After"));
             assertThat(counts).noneMatch(StandInNode.Count::fallen).allMatch(c -> c.coldUse() < 1);
             Map<String, Integer> runs = new ConcurrentHashMap<>();
             counts.forEach(c -> c.runs().forEach((id, n) -> runs.merge(id, n, Integer::sum)));
@@ -89,7 +94,9 @@
                     assertThat(runs).containsKey(id);
                 }
             });
-            assertThat(answers.values()).filteredOn(a -> a.startsWith("HTTP/1.1 200")).hasSizeGreaterThan(600);
+            assertThat(answers.values())
+                    .filteredOn(a -> a.startsWith("HTTP/1.1 200"))
+                    .hasSizeGreaterThan(600);
         }
     }
 }
--- a/src/test/java/barrowshore/standin/WatchedServersTest.java
+++ b/src/test/java/barrowshore/standin/WatchedServersTest.java
@@ -50,8 +50,14 @@
         timers.start();
         front = new StandInFront(pool, timers, 2048);
         for (int n = 0; n < 4; n++) {
-            nodes.add(new StandInNode("s" + n, new NodeModel.Spec(4, 1, 40, true, 0.3, 6_000_000),
-                    new NodeModel.Falling(3, 2_000_000, 150_000), 500_000, front, pool, timers));
+            nodes.add(new StandInNode(
+                    "s" + n,
+                    new NodeModel.Spec(4, 1, 40, true, 0.3, 6_000_000),
+                    new NodeModel.Falling(3, 2_000_000, 150_000),
+                    500_000,
+                    front,
+                    pool,
+                    timers));
         }
     }
 
@@ -68,26 +74,35 @@
         StringBuilder out = new StringBuilder("<servers xmlns=\"urn:barrowshore:servers:1\" revision=\"" + revision
                 + "\" force=\"" + force + "\" grace=\"100ms\"><networks><network block=\"127.0.0.0/8\"/></networks>\n");
         for (int n : named) {
-            out.append("<server uid=\"s").append(n).append("\" endpoint=\"127.0.0.1:").append(nodes.get(n).address()
-                    .getPort()).append("\" hall=\"a\" model=\"m\" weight=\"4\" warm=\"true\"/>\n");
+            out.append("<server uid=\"s")
+                    .append(n)
+                    .append("\" endpoint=\"127.0.0.1:")
+                    .append(nodes.get(n).address().getPort())
+                    .append("\" hall=\"a\" model=\"m\" weight=\"4\" warm=\"true\"/>\n");
         }
         return out.append("</servers>\n").toString();
     }
 
     private void serve(Path file) throws Exception {
         String config = Files.readString(Path.of("src/test/resources/exchanges/config.json"))
-                .replace("$S", "127.0.0.1:7").replace("$D", "127.0.0.1:9").replace("\"sockets\":1024", "\"sockets\":512");
-        scheduler = Node.start(new Setup(Config.parse(config), new Operator(null, new Operator.Servers(file, 0.9, true, null))));
+                .replace("$S", "127.0.0.1:7")
+                .replace("$D", "127.0.0.1:9")
+                .replace("\"sockets\":1024", "\"sockets\":512");
+        scheduler = Node.start(
+                new Setup(Config.parse(config), new Operator(null, new Operator.Servers(file, 0.9, true, null))));
     }
 
     /** One job, and its whole answer. */
     private String ask() throws Exception {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), scheduler.address().getPort())) {
+        try (Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), scheduler.address().getPort())) {
             String type = ids.get() % 2 == 0 ? "menu" : "order";
-            socket.getOutputStream().write(("POST /" + type + "?work=5 HTTP/1.1\r\nHost: x\r\nX-Request-ID: j"
-                    + ids.incrementAndGet() + "\r\nX-Priority-Class: " + type + "\r\nX-Tenant-Id: acme\r\n"
-                    + "X-Timeout-Ms: 3000\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx")
-                    .getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream()
+                    .write(("POST /" + type + "?work=5 HTTP/1.1\r\nHost: x\r\nX-Request-ID: j"
+                                    + ids.incrementAndGet() + "\r\nX-Priority-Class: " + type
+                                    + "\r\nX-Tenant-Id: acme\r\n"
+                                    + "X-Timeout-Ms: 3000\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
@@ -105,22 +120,23 @@
         Path file = dir.resolve("servers.xml"), fresh = dir.resolve("fresh.xml");
         Files.writeString(file, list(1, false, 0, 1));
         serve(file);
-        askUntilServedBy("s");   // whichever: one alone asked may keep getting all
+        askUntilServedBy("s"); // whichever: one alone asked may keep getting all
         CompletableFuture<Long> writer = CompletableFuture.supplyAsync(() -> {
             Random chance = new Random(1);
             long revision = 1;
             try {
                 for (int k = 0; k < 1500; k++) {
                     switch (chance.nextInt(4)) {
-                        case 0 -> {   // whole, by rename
+                        case 0 -> { // whole, by rename
                             Files.writeString(fresh, list(++revision, false, 0, 1, 2));
                             Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
                         }
-                        case 1 -> {   // cut off somewhere, naming a server that no whole list names
+                        case 1 -> { // cut off somewhere, naming a server that no whole list names
                             String bad = list(++revision, true, 0, 1, 3);
                             Files.writeString(file, bad.substring(0, chance.nextInt(bad.length() - 12)));
                         }
-                        case 2 -> Files.writeString(file, list(++revision, true, 0, 1, 3).replace("weight=\"4\"", "weight=\"lots\""));
+                        case 2 -> Files.writeString(
+                                file, list(++revision, true, 0, 1, 3).replace("weight=\"4\"", "weight=\"lots\""));
                         default -> Files.deleteIfExists(file);
                     }
                 }
@@ -143,14 +159,18 @@
         while (inARow < 40) {
             inARow = ask().endsWith("by s2") ? inARow + 1 : 0;
         }
-        int[] before = {nodes.get(0).count().join().runs().size(), nodes.get(1).count().join().runs().size()};
+        int[] before = {
+            nodes.get(0).count().join().runs().size(),
+            nodes.get(1).count().join().runs().size()
+        };
         for (int k = 0; k < 40; k++) {
             assertThat(ask()).matches("(?s)HTTP/1.1 200 .*by s2");
         }
         assertThat(nodes.get(0).count().join().runs()).hasSize(before[0]);
         assertThat(nodes.get(1).count().join().runs()).hasSize(before[1]);
         assertThat(nodes.get(3).count().join().runs()).isEmpty();
-        assertThat(nodes).allSatisfy(n -> assertThat(n.count().join().runs().values()).allMatch(runs -> runs == 1));
+        assertThat(nodes)
+                .allSatisfy(n -> assertThat(n.count().join().runs().values()).allMatch(runs -> runs == 1));
     }
 
     @Test
@@ -158,7 +178,7 @@
         Path file = dir.resolve("servers.xml");
         Files.writeString(file, list(1, false, 0, 1));
         serve(file);
-        askUntilServedBy("s");   // whichever: one alone asked may keep getting all
+        askUntilServedBy("s"); // whichever: one alone asked may keep getting all
         Files.writeString(file, list(2, false));
         for (int k = 0; k < 50; k++) {
             assertThat(ask()).startsWith("HTTP/1.1 200");
--- a/src/test/java/barrowshore/upgrade/TwinTest.java
+++ b/src/test/java/barrowshore/upgrade/TwinTest.java
@@ -20,6 +20,7 @@
 class TwinTest {
     @TempDir
     private Path folder;
+
     private final ExecutorService pool = Executors.newFixedThreadPool(2);
 
     @AfterEach
--- a/src/test/java/barrowshore/wire/WireHostTest.java
+++ b/src/test/java/barrowshore/wire/WireHostTest.java
@@ -17,7 +17,8 @@
     private static final String ATTACH = "ATTACH 3 42 groupSize=2 kinds=a,b lanes.count=1 lanes.0.aim=100000"
             + " lanes.0.deadline=2000000 lanes.0.idempotency=idempotent lanes.0.keyScope=all lanes.0.worth=1.0"
             + " some.new.key=1 tick=2000 zone=0\n";
-    private static final String LIST = "MEMBERS 3 C 41 2\nM healthy 1 0 0 0 10.0.0.1:1 -\nM healthy 1.5 0 1 1 10.0.0.2:1 -\n";
+    private static final String LIST =
+            "MEMBERS 3 C 41 2\nM healthy 1 0 0 0 10.0.0.1:1 -\nM healthy 1.5 0 1 1 10.0.0.2:1 -\n";
 
     private static String run(String input) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -42,10 +43,16 @@
     @Test
     void dispatchersTellOneAnotherWhatTheyHaveInFlight() throws IOException {
         String start = "FRAME 5\n" + ATTACH.replace("tick", "policyLimits.mayTell=true me=1 tick") + LIST;
-        String told = run(start + "CALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n").lines()
-                .filter(l -> l.startsWith("SAY 3 -1 ")).findFirst().orElseThrow().substring(9);
-        String taken = run(start + "CALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n").contains("10.0.0.1:1")
-                ? "10.0.0.1:1" : "10.0.0.2:1";
+        String told = run(start + "CALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n")
+                .lines()
+                .filter(l -> l.startsWith("SAY 3 -1 "))
+                .findFirst()
+                .orElseThrow()
+                .substring(9);
+        String taken =
+                run(start + "CALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n").contains("10.0.0.1:1")
+                        ? "10.0.0.1:1"
+                        : "10.0.0.2:1";
         // The other one told of 200 slots there in place of one: the next job goes elsewhere.
         String full = told.substring(0, told.length() - 2) + "c8";
         String reply = run(start + "PEER_DATA 3 0 " + full + "\nCALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n");
@@ -67,19 +74,21 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "HELLO 5 | line 1: expected FRAME",
-        "FRAME x | line 1: the field 'clock' is not a number",
-        "FRAME | line 1: the field 'clock' is missing",
-        "FRAME 5~CALL 9 rq_1 1 - 0 - 0 0 - 5 | line 2: CALL for instance 9, which was not attached",
-        "FRAME 5~ATTACH~ELAPSED 3 | line 3: the field 'handle' is missing",
-        "FRAME 5~ATTACH~NEWS 3 x | line 3: unknown message NEWS",
-        "FRAME 5~ATTACH~MEMBERS 3 F 1 1~X | line 4: expected M",
-        "FRAME 5~ATTACH~VERDICT 3 rq 0 - 0 Maybe 1 w - | line 3: unknown outcome Maybe",
-        "FRAME 5~ATTACH~PONG 3 1 Ok w inflight | line 3: the load report has no value",
-        "FRAME 5~ATTACH~PEER_DATA 3 0 xyz | line 3: the bytes are not hex",
-        "FRAME 5 | the input ends"
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HELLO 5 | line 1: expected FRAME",
+                "FRAME x | line 1: the field 'clock' is not a number",
+                "FRAME | line 1: the field 'clock' is missing",
+                "FRAME 5~CALL 9 rq_1 1 - 0 - 0 0 - 5 | line 2: CALL for instance 9, which was not attached",
+                "FRAME 5~ATTACH~ELAPSED 3 | line 3: the field 'handle' is missing",
+                "FRAME 5~ATTACH~NEWS 3 x | line 3: unknown message NEWS",
+                "FRAME 5~ATTACH~MEMBERS 3 F 1 1~X | line 4: expected M",
+                "FRAME 5~ATTACH~VERDICT 3 rq 0 - 0 Maybe 1 w - | line 3: unknown outcome Maybe",
+                "FRAME 5~ATTACH~PONG 3 1 Ok w inflight | line 3: the load report has no value",
+                "FRAME 5~ATTACH~PEER_DATA 3 0 xyz | line 3: the bytes are not hex",
+                "FRAME 5 | the input ends"
+            })
     void whatIsMalformedIsNamedByItsLine(String input, String message) {
         String text = input.replace("~", "\n").replace("ATTACH\n", ATTACH) + "\n";
         WireException e = assertThrows(WireException.class, () -> run(text));
@@ -88,6 +97,8 @@
 
     @Test
     void aLineCutOffIsNamed() {
-        assertTrue(assertThrows(WireException.class, () -> run("FRAME 5\nOVER_TO")).getMessage().contains("cut off"));
+        assertTrue(assertThrows(WireException.class, () -> run("FRAME 5\nOVER_TO"))
+                .getMessage()
+                .contains("cut off"));
     }
 }
