Count the entries that a dispatcher goes over in refreshes, datagrams and picks

Need: how upkeep grows with the fleet has to be bounded in the build by counts, which are the same on every machine; times are not. Change: Effort, kept by Dispatcher and Peers, read by Dispatcher.effort(). It changes no decision.

--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -48,12 +48,16 @@
     private final Quotas quotas;
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
     private final IndexTables tables;
+    private final Effort effort = new Effort();
     private ColdTurns.Terms turns;
     private double loadOthers, othersLoad, loadAll, missing = 1, pressure = 1;
     private final Fade load = new Fade();
     private int askFailures, probeNext, refreshes;
     private boolean high, asking;
 
+    /** What it has gone over so far. */
+    public Effort effort() { return effort; }
+
     /** A dispatcher that decides by the settings and orders through the actions; call start first. */
     public Dispatcher(Settings settings, Actions actions) { this(settings, actions, new IndexTables()); }
 
@@ -70,7 +74,7 @@
         roster = new Roster(halls);
         kinds = new Kind[set.kinds];
         Arrays.setAll(kinds, k -> new Kind(mean.work));
-        peers = new Peers(set.dispatchers, set.me, (int) (rng.next() * (1 << 16)));
+        peers = new Peers(set.dispatchers, set.me, (int) (rng.next() * (1 << 16)), effort);
         quotas = new Quotas(set);
         terms();
     }
@@ -165,6 +169,7 @@
         // to all that follow, which a table of load 0.9 does not know.
         double worth = PATIENCE * mean.aim * mean.value(job) / (pressure * pressure);
         worth *= job.overQuota ? set.overShareWorth : 1;
+        effort.picked(roster.ready.length);
         for (Worker w : roster.ready) {
             double away = prices[w.hall];
             if (away == HallGate.CLOSED || away < 0 && !halls.takes(w) || w.aside(now)
@@ -381,6 +386,7 @@
 
     /** Renews, at jittered intervals, what ages: overdue jobs, silence, the fleet's load and its parts. */
     private void refresh(long now) {
+        effort.refreshed((6L + set.dispatchers) * roster.ready.length);
         double keep = load.keep(now, LOAD_JOBS * mean.work);
         double bound = Arrays.stream(ledger.named).sum(), capacity = 0, speed = 0, aside = 0;
         List<Job> late = new ArrayList<>();
@@ -485,6 +491,7 @@
 
     /** Adds so many slots of the others to the workers of a kind (-1: any), lowest index first. */
     private void level(long now, int kind, double slots) {
+        effort.refreshVisits += 25L * roster.ready.length;
         double low = 0, high = 20 * (mean.aim + mean.work);
         for (int i = 0; i < 24; i++) {
             double mid = (low + high) / 2, sum = 0;
--- a/src/main/java/barrowshore/module/Peers.java
+++ b/src/main/java/barrowshore/module/Peers.java
@@ -29,9 +29,11 @@
     private final Peer[] peers;
     private final int me;
     private final int life;
+    private final Effort effort;
     private int number;
 
-    Peers(int count, int me, int life) {
+    Peers(int count, int me, int life, Effort effort) {
+        this.effort = effort;
         this.peers = new Peer[count];
         this.me = me;
         this.life = life & 0xffff;
@@ -80,6 +82,7 @@
         } else if ((short) (number - peer.number) <= 0) {
             return List.of();
         }
+        effort.datagrams++;
         peer.number = number;
         peer.heardAt = now;
         if (kind == WHOLE) {
@@ -93,6 +96,7 @@
                 about.addAll(roster.named(name));
             }
         }
+        effort.datagramVisits += (long) about.size() * peers.length;
         return about;
     }
 
--- a/src/test/java/barrowshore/module/PeersTest.java
+++ b/src/test/java/barrowshore/module/PeersTest.java
@@ -9,9 +9,9 @@
 class PeersTest {
     private static final Roster NONE = new Roster(null);
 
-    private final Peers ours = new Peers(3, 0, 7);
-    private final Peers first = new Peers(3, 1, 11);
-    private final Peers second = new Peers(3, 2, 12);
+    private final Peers ours = new Peers(3, 0, 7, new Effort());
+    private final Peers first = new Peers(3, 1, 11, new Effort());
+    private final Peers second = new Peers(3, 2, 12, new Effort());
 
     private static Worker worker(String id, double slots) {
         Worker w = new Worker(id);
@@ -28,7 +28,7 @@
         assertThat(ours.slots(worker("b", 0), 0)).isZero();
         assertThat(ours.missing(0)).isZero();
         assertThat(ours.missing(15)).isEqualTo(0.5);
-        assertThat(new Peers(1, 0, 7).missing(0)).isZero();
+        assertThat(new Peers(1, 0, 7, new Effort()).missing(0)).isZero();
     }
 
     @Test
@@ -54,7 +54,7 @@
     void aRestartedPeerBeginsAnew() {
         first.message(worker("a", 1));
         ours.heard(10, 1, first.message(worker("a", 3)), NONE);
-        ours.heard(20, 1, new Peers(3, 1, 99).message(worker("b", 2)), NONE);
+        ours.heard(20, 1, new Peers(3, 1, 99, new Effort()).message(worker("b", 2)), NONE);
         assertThat(ours.slots(worker("a", 0), 0)).isZero();
         assertThat(ours.slots(worker("b", 0), 0)).isEqualTo(2);
     }
