--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -1,45 +1,32 @@
 // The decisions of one dispatcher. The whole interface of this module is one small file: DispatchApi.java.
 package barrowshore.module;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.LinkedHashMap;
-import java.util.List;
 import barrowshore.budget.ColdTurns;
 import barrowshore.halls.HallGate;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
+import java.util.Arrays;
+import java.util.List;
 
 /** Picks, attempts, answers, refusals, fairness and the list. Ordinary path: the lowest current index. */
 public final class Dispatcher implements DispatchApi {
     // Shares and multiples of told or learned figures, each with its reason.
-    private static final double LOW_TABLE = 0.5, HIGH_TABLE = 0.9;   // loads of the table sets (report, 4.4)
-    private static final double SWITCH_UP = 0.7, SWITCH_DOWN = 0.5;   // loads at which to change over
-    private static final int FIRST_SLOTS = 4, MAX_SLOTS = 48;   // slots of a worker: until known; at most
-    private static final int DEPTH = 6;   // table depth in slots: none waits longer than that
-    private static final int REFRESH_TICKS = 16;   // between refreshes, before jitter: far under a job's time
-    private static final double TIE = 0.05;   // indices within this share are a tie, broken at random
-    private static final double PATIENCE = 2;   // mean aims that a job of mean worth is worth waiting: R
-    private static final double SILENT = 1.5, MAX_ASIDE = 0.4;   // due times without a sign; most silent
-    private static final double START = 2;   // connect time-outs that a free worker may take to tell a start
-    private static final double ASIDE = 4;   // connect time-outs aside, at first, for a broken worker
-    private static final double ERROR_COST = 3;   // mean aims that an error costs: the job is lost or redone
-    private static final double LOAD_JOBS = 8;   // half-life of the fleet's load, in mean jobs
-    private static final double LEARN = 0.01;   // weight of a job in a mean
-    private static final double MAX_WEIGHT = 4;   // jobs that one noted job may count for
-    private static final double RETRY_SHARE = 0.1, RETRIES_SAVED = 100;   // repeats: a request; saved at most
-    private static final double TRUST = 0.3, FORGET = 8;   // in a fresh report: it came late; until the level
-    /** Jobs that a kind's speed weighs against a worker's own: where work is known; where it is a guess. */
-    private static final double PRIOR_JOBS = 3, PRIOR_GUESSED = 9;
-    private static final double TIGHT = 0.6;   // share of the aim in running from which each bit more costs
-    private static final double CROSSING = 3;   // mean aims of delay worth a point for crossing zones
-    private static final int TELL_REFRESHES = 6;   // refreshes between two tellings of all our slots
-    private static final double PEER_FRESH = 4;   // such tellings until a silent peer is guessed at
+    private static final int REFRESH_TICKS = 16; // between refreshes, before jitter: far under a job's time
+    private static final double TIE = 0.05; // indices within this share are a tie, broken at random
+    private static final double PATIENCE = 2; // mean aims that a job of mean worth is worth waiting: R
+    static final double ASIDE = 4; // connect time-outs aside, at first, for a broken worker
+    private static final double LOAD_JOBS = 8; // half-life of the fleet's load, in mean jobs
+    private static final double LEARN = 0.01; // weight of a job in a mean
+    private static final double MAX_WEIGHT = 4; // jobs that one noted job may count for
+    private static final double RETRY_SHARE = 0.1, RETRIES_SAVED = 100; // repeats: a request; saved at most
+    private static final double TIGHT = 0.6; // share of the aim in running from which each bit more costs
+    private static final int HALLS_REFRESHES = 6; // refreshes between two tellings of the halls' states
+    private static final double CROSSING = 3; // mean aims of delay worth a point for crossing zones
 
     private final Settings set;
     private final Actions act;
     private final Rng rng;
-    private final HallSide halls;   // which halls a job may go to; off unless the operators say so
+    private final HallSide halls; // which halls a job may go to; off unless the operators say so
     private final Roster roster;
     private final Ledger ledger;
     private final Traffic mean;
@@ -47,23 +34,24 @@
     private final Peers peers;
     private final Quotas quotas;
     private final TokenBucket retries = new TokenBucket(RETRIES_SAVED, RETRIES_SAVED / 10);
-    private final IndexTables tables;
     private final Effort effort = new Effort();
     private ColdTurns.Terms turns;
-    private double loadOthers, othersLoad, loadAll, missing = 1, pressure = 1;
-    private final Fade load = new Fade();
+    private final FleetView fleet;
     private int askFailures, probeNext, refreshes;
-    private boolean high, asking;
+    private boolean asking;
 
     /** What it has gone over so far. */
-    public Effort effort() { return effort; }
+    public Effort effort() {
+        return effort;
+    }
 
     /** A dispatcher that decides by the settings and orders through the actions; call start first. */
-    public Dispatcher(Settings settings, Actions actions) { this(settings, actions, new IndexTables()); }
+    public Dispatcher(Settings settings, Actions actions) {
+        this(settings, actions, new IndexTables());
+    }
 
     /** The same, with tables that other dispatchers of this thread may have worked out. */
     public Dispatcher(Settings settings, Actions actions, IndexTables shared) {
-        tables = shared;
         settings.validate();
         set = settings.copy();
         act = actions;
@@ -74,7 +62,8 @@
         roster = new Roster(halls);
         kinds = new Kind[set.kinds];
         Arrays.setAll(kinds, k -> new Kind(mean.work));
-        peers = new Peers(set.dispatchers, set.me, (int) (rng.next() * (1 << 16)), effort);
+        peers = new Peers(set.dispatchers, set.me, roster, effort);
+        fleet = new FleetView(set, mean, kinds, ledger, roster, halls, peers, shared, rng, effort);
         quotas = new Quotas(set);
         terms();
     }
@@ -83,15 +72,20 @@
     private void terms() {
         mean.enter(kinds);
         quotas.enter();
-        double aim = Arrays.stream(set.classes).mapToLong(JobClass::aim).average().orElse(0);
+        double aim =
+                Arrays.stream(set.classes).mapToLong(JobClass::aim).average().orElse(0);
         turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, aim);
     }
 
-    @Override public void start(long now) {
+    @Override
+    public void start(long now) {
         quotas.start(now);
-        load.keep(now, 1);
+        fleet.start(now);
+        peers.start(now);
         act.timer((long) (REFRESH_TICKS * set.tick * (0.5 + rng.next())), "refresh");
-        if (set.askForList) { ask(); }
+        if (set.askForList) {
+            ask();
+        }
     }
 
     private void ask() {
@@ -99,7 +93,8 @@
         act.watch();
     }
 
-    @Override public void list(long now, ListKind how, List<Member> entries) {
+    @Override
+    public void list(long now, ListKind how, List<Member> entries) {
         if (how == ListKind.FAILED) {
             // Guards against a storm of calls at a list service that is behind: back off inside askEvery.
             double share = Math.min(1 / 3.0, (1 << Math.min(++askFailures, 6)) / 40.0);
@@ -111,12 +106,13 @@
         askFailures = asking ? askFailures : 0;
         entries.forEach(set::check);
         // Rule: a worker that drains or is gone leaves at once.
-        roster.enter(how, entries, now, set.liveRatings);
+        fleet.listed(now, roster.enter(how, entries, now, set.liveRatings));
         probeNext = (int) (rng.next() * roster.ready.length);
         refresh(now);
     }
 
-    @Override public void request(long now, Request r) {
+    @Override
+    public void request(long now, Request r) {
         set.check(r);
         Job job = new Job(r, set.classes[r.jobClass()], quotas.over(now, r.tenant()), now);
         ledger.open(job);
@@ -127,24 +123,31 @@
             // Where load is told only when asked: look at one worker a request, in turn; never at a cold one.
             probeNext = (probeNext + 1) % roster.ready.length;
             Worker w = roster.ready[probeNext];
-            if (w.warmth >= 1 && now >= w.downUntil) { act.probe(w.id); }
+            if (w.warmth >= 1 && now >= w.downUntil) {
+                act.probe(w.id);
+            }
         }
     }
 
     /** Sends the job to the lowest index, or answers it. */
     private void dispatch(long now, Job job) {
         Worker w = job.attempts.size() < set.maxAttempts && now < job.answerBy ? pick(now, job) : null;
-        if (w == null) { answer(now, job); return; }
-        double wait = queueing(w, job.slots);
+        if (w == null) {
+            answer(now, job);
+            return;
+        }
+        double wait = fleet.queueing(w, job.slots);
         Job.Attempt a = ledger.enter(job, w, now);
         a.wait = wait;
         halls.sent(now, a, mean.aim);
-        tell(w);
+        tell(now, w);
         // Departure, on kinds that a class names: there a job that could go elsewhere pays for those that
         // cannot, so the wait that it causes counts by their worth against its own.
         kinds[w.kind].worth += LEARN * job.slots * (mean.value(job) - kinds[w.kind].worth);
-        if (w.warmth < 1) { w.cold.sent(now, turns, mean.surely(job)); }
-        price(now, w);
+        if (w.warmth < 1) {
+            w.cold.sent(now, turns, mean.surely(job));
+        }
+        fleet.price(now, w);
         act.send(job.id, w.id, 0);
     }
 
@@ -167,25 +170,35 @@
         double budget = job.jobClass.aim() + job.jobClass.stretch() * job.work;
         // The paper's R for this job, by its worth for each unit of work. Above capacity a wait is passed on
         // to all that follow, which a table of load 0.9 does not know.
-        double worth = PATIENCE * mean.aim * mean.value(job) / (pressure * pressure);
+        double worth = PATIENCE * mean.aim * mean.value(job) / (fleet.pressure() * fleet.pressure());
         worth *= job.overQuota ? set.overShareWorth : 1;
         effort.picked(roster.ready.length);
         for (Worker w : roster.ready) {
             double away = prices[w.hall];
-            if (away == HallGate.CLOSED || away < 0 && !halls.takes(w) || w.aside(now)
+            if (away == HallGate.CLOSED
+                    || away < 0 && !halls.takes(w)
+                    || w.aside(now)
                     || job.jobClass.kind() >= 0 && w.kind != job.jobClass.kind()
-                    || !mayGo(now, job, w)) { continue; }
+                    || !mayGo(now, job, w)) {
+                continue;
+            }
             Kind k = kinds[w.kind];
-            double wait = job.slots > 1 ? waiting(w, job.slots - 1) : w.wait;
+            double wait = job.slots > 1 ? fleet.waiting(w, job.slots - 1) : w.wait;
             // Not only the cheapest is asked: where that one is crowded, one across a border may not be.
-            if (wait > worth) { continue; }
+            if (wait > worth) {
+                continue;
+            }
             double pace = w.pace(w.held() + job.slots), run = job.work / pace;
             // Refused at once it may be done elsewhere; sent, it would only take a slot until its time is up.
-            if (now + run > job.answerBy) { continue; }
+            if (now + run > job.answerBy) {
+                continue;
+            }
             // What misses its aim at a cold worker earns nothing; a rejection may be tried again.
-            if (w.warmth < 1 && now + queueing(w, job.slots) + run > job.arrivedAt + budget) { continue; }
+            if (w.warmth < 1 && now + fleet.queueing(w, job.slots) + run > job.arrivedAt + budget) {
+                continue;
+            }
             double cost = running / pace + wait * (k.named ? k.worth / mean.value(job) : 1);
-            cost += Math.max(0, run - TIGHT * budget);   // little of the aim is left for waiting
+            cost += Math.max(0, run - TIGHT * budget); // little of the aim is left for waiting
             cost += w.charge + crossing * HallGate.asked(away);
             cost *= 1 + TIE * rng.next();
             if (cost < lowest && (w.warmth >= 1 || w.coldMay(now, k.speed, mean.surely(job), set, turns))) {
@@ -201,15 +214,20 @@
         JobClass type = job.jobClass;
         for (int i = 0; i < job.attempts.size(); i++) {
             Job.Attempt a = job.attempts.get(i);
-            if (a.worker == w || !a.neverRan && type.effect() == Effect.UNSAFE) { return false; }
+            if (a.worker == w || !a.neverRan && type.effect() == Effect.UNSAFE) {
+                return false;
+            }
             if (!a.neverRan && type.effect() == Effect.KEYED) {
-                boolean group = switch (type.scope()) {
-                    case ALL -> true;
-                    case ZONE -> w.zone == a.worker.zone;
-                    case CELL -> w.cell == a.worker.cell;
-                };
+                boolean group =
+                        switch (type.scope()) {
+                            case ALL -> true;
+                            case ZONE -> w.zone == a.worker.zone;
+                            case CELL -> w.cell == a.worker.cell;
+                        };
                 // It has to come within the window, and its connection may take its time to come up.
-                if (!group || now + set.connectTimeout - a.sentAt >= type.repeatWindow()) { return false; }
+                if (!group || now + set.connectTimeout - a.sentAt >= type.repeatWindow()) {
+                    return false;
+                }
             }
         }
         return true;
@@ -217,30 +235,37 @@
 
     /** No worker for it: a refusal where known to be harmless, else a failure; none while a copy is out. */
     private void answer(long now, Job job) {
-        if (job.out > 0) { return; }
+        if (job.out > 0) {
+            return;
+        }
         ledger.answered(job);
         halls.refused(now, job);
-        if (!job.mayHaveRun || job.jobClass.effect() == Effect.SAFE
+        if (!job.mayHaveRun
+                || job.jobClass.effect() == Effect.SAFE
                 || job.jobClass.effect() == Effect.KEYED && job.jobClass.scope() == Scope.ALL) {
             long delay = (long) Math.min(set.maxRetryAfter, mean.work * (1 + rng.next()));
-            act.refuse(job.id, delay);   // told also where the site's clients may not heed it
+            act.refuse(job.id, delay); // told also where the site's clients may not heed it
         } else {
             act.fail(job.id);
         }
     }
 
-    @Override public void outcome(long now, String id, int number, boolean closed, Status status,
-            long latency, Load load) {
-        Job.Attempt a = ledger.attempt(id, number);
-        if (a == null) { return; }
+    @Override
+    public void outcome(
+            long now, String id, int attempt, boolean closed, Status status, long latencyMicros, Load load) {
+        Job.Attempt a = ledger.attempt(id, attempt);
+        if (a == null) {
+            return;
+        }
         Job job = a.job;
         ledger.leave(a, status, now);
-        tell(a.worker);
-        learn(now, a, status, latency);
+        tell(now, a.worker);
+        learn(now, a, status, latencyMicros);
         reported(now, a.worker, load);
-        price(now, a.worker);
+        fleet.price(now, a.worker);
         // The budget guards against retries that amplify an overload; what never ran may go on at once.
-        boolean again = !closed && (status.neverRan() || status != Status.CANCELLED && retries.take())
+        boolean again = !closed
+                && (status.neverRan() || status != Status.CANCELLED && retries.take())
                 && halls.mayRepeat(now, job);
         if (closed || job.answered) {
             end(job);
@@ -254,7 +279,9 @@
     /** The request has ended: nothing more is sent; attempts still out are called back and awaited. */
     private void end(Job job) {
         for (Job.Attempt a : job.attempts) {
-            if (!a.ended && !job.answered && set.mayCancel) { act.cancel(job.id, a.number); }
+            if (!a.ended && !job.answered && set.mayCancel) {
+                act.cancel(job.id, a.number);
+            }
         }
         ledger.answered(job);
     }
@@ -264,7 +291,9 @@
         // Guards against taking a job pushed out by one of higher priority for a crash of the worker.
         JobClass type = a.job.jobClass;
         boolean pushed = type.effect() == Effect.SAFE && type.priority() < mean.topPriority;
-        if (status == Status.ERROR) { w.heardAt = now; }
+        if (status == Status.ERROR) {
+            w.heardAt = now;
+        }
         halls.ended(now, a, status, pushed);
         if (status == Status.OK) {
             w.served(now);
@@ -275,7 +304,7 @@
         if (status == Status.CONNECT_FAILED) {
             w.strike(now, ASIDE * set.connectTimeout, rng);
         } else if (status == Status.TIMEOUT && w.heardAt < a.sentAt && !w.silent) {
-            w.strike(now, ASIDE * set.connectTimeout, rng);   // not a word for all that time
+            w.strike(now, ASIDE * set.connectTimeout, rng); // not a word for all that time
         } else if (status == Status.FULL) {
             w.heardAt = now;
             // A full worker frees a slot about every 1/(s mu); jittered so that dispatchers come back apart.
@@ -292,10 +321,13 @@
         if (a.startedAt == 0 && set.progressEvery > 0) {
             ran = Math.max(1, (now - a.progressAt) / Math.max(0.01, 1 - a.progress));
             // Guards against an endless speed: a note in the tick of the answer tells nothing.
-            weight = a.progressAt == 0 || a.progressAt == now ? 0
+            weight = a.progressAt == 0 || a.progressAt == now
+                    ? 0
                     : Math.min(MAX_WEIGHT, Math.max(1, set.progressEvery / ran));
         }
-        if (weight == 0 || a.worker.warmth(now, set) < 1) { return; }
+        if (weight == 0 || a.worker.warmth(now, set) < 1) {
+            return;
+        }
         Kind k = kinds[a.worker.kind];
         a.worker.ran(now, a.job.work * weight, ran * weight, set);
         mean.ran(a.job, LEARN * weight, ran * k.speed);
@@ -308,7 +340,8 @@
         }
     }
 
-    @Override public void note(long now, String id, int number, Note note, double share) {
+    @Override
+    public void note(long now, String id, int number, Note note, double share) {
         Job.Attempt a = ledger.attempt(id, number);
         if (a != null) {
             a.worker.heardAt = now;
@@ -319,197 +352,108 @@
         }
     }
 
-    @Override public void clientGone(long now, String id) {
-        if (ledger.job(id) != null) { end(ledger.job(id)); }
+    @Override
+    public void clientGone(long now, String id) {
+        if (ledger.job(id) != null) {
+            end(ledger.job(id));
+        }
     }
 
-    @Override public void probed(long now, String worker, Status status, long latency, Load load) {
+    @Override
+    public void probed(long now, String worker, Status status, long latency, Load load) {
         Worker w = roster.worker(worker);
-        if (w == null) { return; }
-        if (status == Status.OK) { reported(now, w, load); }
+        if (w == null) {
+            return;
+        }
+        if (status == Status.OK) {
+            reported(now, w, load);
+        }
         halls.probed(now, w, status);
     }
 
     /** Others are told what we have in flight, so that a full worker is not found out by waiting there. */
-    private void tell(Worker w) {
-        if (set.mayTell && set.dispatchers > 1) { act.tell(peers.message(w)); }
+    private void tell(long now, Worker w) {
+        fleet.lookAt(w, now);
+        peers.changed(w);
+        tell(now);
     }
 
-    @Override public void peer(long now, int from, byte[] message) {
-        if (halls.gate.heard(now, from, message)) { return; }
-        for (Worker w : peers.heard(now, from, message, roster)) {
-            double told = peers.slots(w, now - fresh());
-            if (told != w.told) {
-                w.told = told;
-                price(now, w);
-            }
+    private void tell(long now) {
+        byte[] message = set.mayTell && set.dispatchers > 1 ? peers.due(now, mean.work) : null;
+        if (message != null) {
+            act.tell(message);
         }
     }
 
-    private long fresh() { return (long) (PEER_FRESH * TELL_REFRESHES * REFRESH_TICKS * set.tick); }
+    @Override
+    public void peer(long now, int from, byte[] message) {
+        if (halls.gate.heard(now, from, message)) {
+            return;
+        }
+        peers.heard(now, from, message).forEach(w -> fleet.price(now, w));
+    }
 
-    @Override public void timer(long now, String token) {
+    @Override
+    public void timer(long now, String token) {
         if (token.equals("refresh")) {
             refresh(now);
-            if (set.mayTell && set.dispatchers > 1 && ++refreshes % TELL_REFRESHES == 0) {
+            if (set.dispatchers > 1 && ++refreshes % HALLS_REFRESHES == 0) {
                 halls.tell(now);
-                act.tell(peers.message(roster.ready));
             }
+            tell(now);
             act.timer((long) (REFRESH_TICKS * set.tick * (0.75 + rng.next() / 2)), "refresh");
-        } else if (token.equals("ask") && asking) { ask(); }
-    }
-
-    private IndexTable table(Worker w) {
-        // Until reports tell, the rating is taken as the number of slots: the proportions matter most.
-        double known = kinds[w.kind].slots > 0 ? kinds[w.kind].slots : w.rating > 1 ? w.rating : FIRST_SLOTS;
-        w.slots = Math.max(1, Math.min(MAX_SLOTS, (int) Math.round(known)));
-        int slots = Math.max(1, (int) (w.slots * w.warmth));
-        return tables.get(slots, slots * DEPTH, high ? HIGH_TABLE : LOW_TABLE);
-    }
-
-    /** What one more mean job waits there and makes others wait: the index above an idle worker's. */
-    private double waiting(Worker w, double more) {
-        double above = w.table.expected(w.held() - w.others + more, w.others) - w.table.idle();
-        return above * mean.work / w.pace(1);
-    }
-
-    /** How long a job of so many slots is expected to wait there for its start. */
-    private double queueing(Worker w, double slots) {
-        double over = Math.max(0, w.held() + slots - w.slots);
-        return over / (w.slots * w.warmth) * mean.work / w.speed;
-    }
-
-    private void price(long now, Worker w) {
-        w.wait = waiting(w, 0);
-        w.charge = w.errorShare(now, set) * ERROR_COST * mean.aim;
+        } else if (token.equals("ask") && asking) {
+            ask();
+        }
     }
 
-    /** Renews, at jittered intervals, what ages: overdue jobs, silence, the fleet's load and its parts. */
+    /** Renews what ages; what may run twice does not wait for an attempt without a sign. */
     private void refresh(long now) {
-        effort.refreshed((6L + set.dispatchers) * roster.ready.length);
-        double keep = load.keep(now, LOAD_JOBS * mean.work);
-        double bound = Arrays.stream(ledger.named).sum(), capacity = 0, speed = 0, aside = 0;
-        List<Job> late = new ArrayList<>();
-        double free = Math.max(0, ledger.slots - bound) * (set.dispatchers - 1), told = 0;
-        missing = set.mayTell ? peers.missing(now - fresh()) : 1;
-        for (Worker w : roster.ready) { told += w.told = peers.slots(w, now - fresh()); }
-        loadOthers = keep * loadOthers + (1 - keep) * free;
-        loadAll = keep * loadAll + (1 - keep) * (told + ledger.slots * (1 + missing * (set.dispatchers - 1)));
-        for (Worker w : roster.ready) {
-            w.warmth = w.warmth(now, set);
-            w.table = table(w);
-            w.overdue = 0;
-            ledger.settle(now, w);
-            w.ownUsual = keep * w.ownUsual + (1 - keep) * (w.own + w.left);
-            boolean due = false;
-            for (int i = 0; i < w.out.size(); i++) {
-                Job.Attempt a = w.out.get(i);
-                if (now - a.signAt() > patience(a)) { late.add(a.job); }
-                due |= now - Math.max(a.sentAt, w.heardAt) > patience(a);
-                double expected = a.job.work / (kinds[w.kind].speed * w.share(w.held()));
-                w.overdue = Math.max(w.overdue, now - (a.startedAt > 0 ? a.startedAt : a.sentAt) - expected);
+        for (Job job : fleet.refresh(now)) {
+            if (set.secondCopies
+                    && job.jobClass.effect() == Effect.SAFE
+                    && job.out == 1
+                    && !job.answered
+                    && retries.take()
+                    && halls.mayRepeat(now, job)) {
+                dispatch(now, job);
             }
-            w.speed = w.speed(kinds[w.kind].speed, mean.work, mean.hinted ? PRIOR_JOBS : PRIOR_GUESSED);
-            halls.see(now, w, kinds[w.kind].speed, due);
-            // Guards against machines that fall silent: their count would stand or drain and look cheap.
-            boolean was = w.silent;
-            w.silent = was ? w.heardAt <= w.silentAt && (!w.out.isEmpty() || now < w.downUntil)
-                    : due && aside + 0.5 < MAX_ASIDE * roster.ready.length;
-            if (w.silent && !was) {
-                w.silentAt = now;
-                w.strike(now, ASIDE * set.connectTimeout, rng);
-            }
-            aside += w.silent ? 1 : 0;
-            capacity += halls.open(w) ? w.slots * w.warmth : 0;
-            speed += kinds[w.kind].speed / roster.ready.length;
-        }
-        othersLoad = FleetLoad.others(now, roster.ready, loadOthers, set.dispatchers, 2 * mean.work);
-        double fleet = loadAll - missing * (loadOthers - othersLoad);
-        pressure = Math.max(1, fleet / Math.max(1, capacity));
-        high = fleet > (high ? SWITCH_DOWN : SWITCH_UP) * capacity;
-        // Without hints only the product of work and speed is seen: hold the mean speed at 1.
-        double scale = mean.hinted || speed <= 0 ? 1 : 1 / speed;
-        mean.rescale(scale);
-        for (Kind k : kinds) { k.rescale(scale); }
-        fill(now);
-        for (Worker w : roster.ready) { price(now, w); }
-        // What may run twice does not wait for an attempt without a sign: its connection may be gone.
-        for (Job job : late) {
-            if (set.secondCopies && job.jobClass.effect() == Effect.SAFE && job.out == 1 && !job.answered
-                    && retries.take() && halls.mayRepeat(now, job)) { dispatch(now, job); }
         }
         halls.turn(now);
     }
 
-    @Override public void rules(long now, HallRules rules) {
+    @Override
+    public void rules(long now, HallRules rules) {
         halls.rules(now, rules);
         roster.all().forEach(w -> halls.enter(now, w));
+        fleet.visitAll();
     }
 
-    @Override public List<HallState> halls() { return halls.gate.states(); }
+    @Override
+    public List<HallState> halls() {
+        return halls.gate.states();
+    }
 
-    @Override public void settings(long now, Settings next) {
+    @Override
+    public void settings(long now, Settings next) {
         set.take(next);
         terms();
+        fleet.visitAll();
         refresh(now);
     }
 
-    @Override public void share(double part) { set.share = part; }
-
-    @Override public int avoided(long now) { return roster.avoided(now); }
-
-    @Override public double spilled(int hall) { return halls.gate.spilled(hall); }
-
-    /** How long an attempt may go without a sign, where notes come at a start and then at intervals. */
-    private double patience(Job.Attempt a) {
-        double expected = a.job.work / (kinds[a.worker.kind].speed * a.worker.share(a.worker.held()));
-        if (!set.tellsStart || set.progressEvery == 0) { return 4 * (a.wait + expected + set.progressEvery); }
-        return SILENT * (a.startedAt > 0 ? set.progressEvery : a.wait + START * set.connectTimeout
-                + (a.wait > 0 ? set.progressEvery : 0));
+    @Override
+    public void share(double part) {
+        set.share = part;
     }
 
-    /**
-     * Spreads the others' load (own slots in flight times the other dispatchers) over the fleet as they do,
-     * by the same tables: the level at which all indices are equal. Guards against herding: own counts near
-     * zero look alike.
-     */
-    private void fill(long now) {
-        for (Worker w : roster.ready) { w.others = 0; }
-        for (int k = 0; k < kinds.length; k++) {
-            if (ledger.named[k] > 0) { level(now, k, missing * ledger.named[k] * (set.dispatchers - 1)); }
-        }
-        level(now, -1, missing * othersLoad);
-        for (Worker w : roster.ready) {
-            if (w.reportedAt == 0 || missing == 0) { continue; }
-            // Others need not spread as we would: what they usually hold there counts above the level, and
-            // the last report counts a little, for about the time that a job takes.
-            double age = now - w.reportedAt, last = TRUST * Math.pow(0.5, age / (2 * mean.work));
-            double held = w.usual + last * (w.reported - w.usual);
-            w.others += Math.pow(0.5, age / (FORGET * LOAD_JOBS * mean.work)) * (held - w.others);
-        }
-    }
-
-    /** Adds so many slots of the others to the workers of a kind (-1: any), lowest index first. */
-    private void level(long now, int kind, double slots) {
-        effort.refreshVisits += 25L * roster.ready.length;
-        double low = 0, high = 20 * (mean.aim + mean.work);
-        for (int i = 0; i < 24; i++) {
-            double mid = (low + high) / 2, sum = 0;
-            for (Worker w : roster.ready) {
-                sum += kind < 0 || w.kind == kind ? Math.max(0, filled(now, w, mid) - w.others) : 0;
-            }
-            low = sum > slots ? low : mid;
-            high = sum > slots ? mid : high;
-        }
-        for (Worker w : roster.ready) {
-            w.others = kind < 0 || w.kind == kind ? Math.max(w.others, filled(now, w, low)) : w.others;
-        }
+    @Override
+    public int avoided(long now) {
+        return roster.avoided(now);
     }
 
-    /** The others' view of a worker is the usual one: our own evidence of its speed is not theirs. */
-    private double filled(long now, Worker w, double level) {
-        double rate = kinds[w.kind].speed / mean.work;
-        boolean out = w.silent || now < w.downUntil || !halls.open(w) || w.warmth < 1;   // cold: in turns
-        return out ? 0 : w.table.inverse(level * rate + (1 - mean.running) * w.table.idle());
+    @Override
+    public double spilled(int hall) {
+        return halls.gate.spilled(hall);
     }
 }
--- a/src/main/java/barrowshore/module/Effort.java
+++ b/src/main/java/barrowshore/module/Effort.java
@@ -1,16 +1,19 @@
 package barrowshore.module;
 
 /**
- * Counts of the entries that one dispatcher has gone over: workers, peers' figures, groups of workers. Unlike times they
+ * Counts of the entries that one dispatcher has gone over: workers, peers' figures, shapes of workers. Unlike times they
  * are the same on every machine, so that tests can bound how upkeep grows with the fleet. It decides nothing.
  */
 public final class Effort {
-    long refreshes;
-    long refreshVisits;
-    long datagrams;
-    long datagramVisits;
-    long picks;
-    long pickVisits;
+    private long refreshes;
+    private long refreshVisits;
+    private long datagrams;
+    private long datagramVisits;
+    private long malformedDatagrams;
+    private long unknownWorkers;
+    private long picks;
+    private long pickVisits;
+    private long listVisits;
 
     Effort() {}
 
@@ -24,6 +27,18 @@
         pickVisits += visits;
     }
 
+    void listed(long visits) {
+        listVisits += visits;
+    }
+
+    /** A datagram has come; malformed and unknown: how many of either so far. */
+    void heard(boolean entered, long visits, long malformed, long unknown) {
+        datagrams += entered ? 1 : 0;
+        datagramVisits += visits;
+        malformedDatagrams = malformed;
+        unknownWorkers = unknown;
+    }
+
     /** How many times what ages has been renewed. */
     public long refreshes() {
         return refreshes;
@@ -44,6 +59,16 @@
         return datagramVisits;
     }
 
+    /** Datagrams dropped: of no known form or version, or of no known sender. */
+    public long malformedDatagrams() {
+        return malformedDatagrams;
+    }
+
+    /** Figures in datagrams that were dropped, since no worker of that name is known. */
+    public long unknownWorkers() {
+        return unknownWorkers;
+    }
+
     /** Searches for the best worker. */
     public long picks() {
         return picks;
@@ -53,4 +78,9 @@
     public long pickVisits() {
         return pickVisits;
     }
+
+    /** Workers gone over when the list changed. */
+    public long listVisits() {
+        return listVisits;
+    }
 }
--- a/src/main/java/barrowshore/module/FleetLoad.java
+++ b/src/main/java/barrowshore/module/FleetLoad.java
@@ -3,29 +3,44 @@
 /**
  * What reports and our own jobs together say of the others' load. Each is a sample of it: our own jobs are one dispatcher's
  * share, which may be several times the usual; a report is one worker's. They weigh by the part of the fleet that each
- * has seen. It decides nothing.
+ * has seen. Samples are added and taken back one by one, so that no worker is gone over that has not changed. It decides
+ * nothing.
  */
 final class FleetLoad {
     /** Up to so many dispatchers, each one's own jobs are a fair sample of what all have, and a fresher one than any report. */
     private static final double FEW = 20;
+    /** What is left of sums when all has been taken back, but for rounding. */
+    private static final double NOTHING = 1e-9;
 
-    private FleetLoad() {}
+    /** What is known of one worker: its slots; the part of them seen, by the age of its report; what others usually hold. */
+    record Sample(double slots, double seen, double held) {
+        static final Sample NONE = new Sample(0, 0, 0);
 
-    /** The others' slots on all workers; extrapolated: as our own times the others; a report counts half after halfLife. */
-    static double others(long now, Worker[] ready, double extrapolated, int dispatchers, double halfLife) {
-        double seen = 0, held = 0, all = 0;
-        for (Worker w : ready) {
-            all += w.slots;
-            if (w.reportedAt > 0) {
-                double fresh = Math.pow(0.5, (now - w.reportedAt) / halfLife);
-                seen += fresh * w.slots;
-                held += fresh * w.usual;
+        /** A worker's, now; a report counts half after halfLife. */
+        static Sample of(long now, Worker w, double halfLife) {
+            if (w.reportedAt == 0) {
+                return new Sample(w.slots, 0, 0);
             }
+            double fresh = Math.pow(0.5, (now - w.reportedAt) / halfLife);
+            return new Sample(w.slots, fresh * w.slots, fresh * w.usual);
         }
-        if (seen == 0) {
+    }
+
+    private double slots, seen, held;
+
+    /** Puts one sample in the place of another. */
+    void replace(Sample before, Sample after) {
+        slots += after.slots - before.slots;
+        seen += after.seen - before.seen;
+        held += after.held - before.held;
+    }
+
+    /** The others' slots on all workers. extrapolated: as our own times the others. */
+    double others(double extrapolated, int dispatchers) {
+        if (seen <= NOTHING) {
             return extrapolated;
         }
-        double own = 1.0 / dispatchers, told = seen / all * Math.max(0, 1 - FEW / dispatchers);
-        return (own * extrapolated + told * held / seen * all) / (own + told);
+        double own = 1.0 / dispatchers, told = seen / slots * Math.max(0, 1 - FEW / dispatchers);
+        return (own * extrapolated + told * held / seen * slots) / (own + told);
     }
 }
--- a/src/main/java/barrowshore/module/IndexTable.java
+++ b/src/main/java/barrowshore/module/IndexTable.java
@@ -65,14 +65,16 @@
                 for (int t = theta + step; t >= 0 && t <= bound; t += step) {
                     double rise = step > 0 ? j[t] - j[t - 1] : j[t + 1] - j[t];
                     if (step * (gain - rise) < 0) {
-                        break;   // not admissible, nor is any threshold beyond
+                        break; // not admissible, nor is any threshold beyond
                     }
                     double g = -alpha * j[t] + t * (r - 1);
                     best = g > top ? t : best;
                     top = Math.max(top, g);
                 }
             }
-            if (best == theta) { break; }
+            if (best == theta) {
+                break;
+            }
         }
         return best;
     }
@@ -88,16 +90,24 @@
             up[x] = alpha * in / pivot;
             j[x] = (cost + (x == 0 ? 0 : below * j[x - 1])) / pivot;
         }
-        for (int x = bound - 1; x >= 0; x--) { j[x] += up[x] * j[x + 1]; }
+        for (int x = bound - 1; x >= 0; x--) {
+            j[x] += up[x] * j[x + 1];
+        }
         return j;
     }
 
     /** The expected index at own jobs of ours and about m of others, whose number is Poisson around m. */
-    double expected(double own, double m) { return index.poisson(own, m); }
+    double expected(double own, double m) {
+        return index.poisson(own, m);
+    }
 
     /** The m at which expected(0, m) reaches the value; 0 where it is above from the start. */
-    double inverse(double value) { return blurred.inverse(value); }
+    double inverse(double value) {
+        return blurred.inverse(value);
+    }
 
     /** The index of an idle worker: the discounted service time itself. */
-    double idle() { return index.at(0); }
+    double idle() {
+        return index.at(0);
+    }
 }
--- a/src/main/java/barrowshore/module/Job.java
+++ b/src/main/java/barrowshore/module/Job.java
@@ -27,6 +27,11 @@
             return Math.max(sentAt, Math.max(startedAt, progressAt));
         }
 
+        /** When it began to run, as far as is known. */
+        long beganAt() {
+            return startedAt > 0 ? startedAt : sentAt;
+        }
+
         Attempt(Job job, int number, Worker worker, long sentAt) {
             this.job = job;
             this.number = number;
--- a/src/main/java/barrowshore/module/Ledger.java
+++ b/src/main/java/barrowshore/module/Ledger.java
@@ -64,6 +64,9 @@
 
     /** What was given up has ended by now. */
     void settle(long now, Worker w) {
+        if (w.leftRunning.isEmpty()) {
+            return;
+        }
         w.leftRunning.removeIf(left -> left.until() <= now);
         w.left = w.leftRunning.stream().mapToDouble(Left::slots).sum();
     }
--- a/src/main/java/barrowshore/module/Peers.java
+++ b/src/main/java/barrowshore/module/Peers.java
@@ -1,120 +1,88 @@
 package barrowshore.module;
 
-import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Collection;
-import java.util.HashMap;
+import barrowshore.exchange.PeerSlots;
+import barrowshore.exchange.SnapshotSender;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 
 /**
- * What the dispatchers tell one another: the slots that each has in flight at each worker. Messages may be lost or
- * overtake one another, so each names whole figures, not changes, and a number by which older ones are dropped; the
- * whole state follows now and then. It decides nothing.
+ * What the dispatchers tell one another: the slots that each has in flight at each worker. It puts workers into the names
+ * of the exchange, and keeps in each {@link Worker#told} the sum of what the others have told. It decides nothing.
  */
-final class Peers {
-    /** Bytes of a message at most; of its head; of a worker in it. */
-    private static final int MOST = 256, HEAD = 5, ENTRY = 5;
+final class Peers implements PeerSlots.Sums {
+    /** Microseconds after which something is told though nothing has changed; and without a word, a peer is silent. */
+    private static final long HEARTBEAT = 500_000, SILENCE = 6 * HEARTBEAT;
 
-    private static final int CHANGE = 1, WHOLE = 2;
+    private final SnapshotSender sender;
+    private final PeerSlots told;
+    private final Roster roster;
+    private final Effort effort;
+    /** Workers whose sum has changed since it was asked for. */
+    private final Set<Worker> touched = new LinkedHashSet<>();
 
-    /** One other dispatcher: which of its lives and messages was heard last, when, and its slots by worker. */
-    private static final class Peer {
-        int life = -1, number;
-        long heardAt;
-        Map<Integer, Double> slots = new HashMap<>();
+    Peers(int dispatchers, int me, Roster roster, Effort effort) {
+        this.sender = new SnapshotSender(dispatchers, HEARTBEAT);
+        this.told = new PeerSlots(dispatchers, me, SILENCE, this);
+        this.roster = roster;
+        this.effort = effort;
     }
 
-    private final Peer[] peers;
-    private final int me;
-    private final int life;
-    private final Effort effort;
-    private int number;
+    void start(long now) {
+        sender.start(now);
+    }
 
-    Peers(int count, int me, int life, Effort effort) {
-        this.effort = effort;
-        this.peers = new Peer[count];
-        this.me = me;
-        this.life = life & 0xffff;
+    /** Our slots at the worker may have changed; at one that wants nothing new they concern nobody. */
+    void changed(Worker w) {
+        int held = w.listed ? (int) Math.ceil(w.own + w.left) : 0;
+        sender.add(w.name, held - w.view.published);
+        w.view.published = held;
     }
 
-    /** A message with the slots in flight at these workers; whole: there is nothing anywhere else. */
-    byte[] message(Collection<Worker> workers, boolean whole) {
-        int most = Math.min(workers.size(), (MOST - HEAD) / ENTRY);
-        ByteBuffer out = ByteBuffer.allocate(HEAD + most * ENTRY);
-        out.put((byte) (whole && most == workers.size() ? WHOLE : CHANGE))
-                .putShort((short) life)
-                .putShort((short) ++number);
-        for (Worker w : workers) {
-            if (out.remaining() >= ENTRY) {
-                out.putInt(w.id.hashCode()).put((byte) Math.min(255, Math.ceil(w.own + w.left)));
-            }
-        }
-        return out.array();
+    /** What is to be told to all others now; null if nothing is. jobMicros: how long a job usually runs. */
+    byte[] due(long now, double jobMicros) {
+        return sender.due(now, roster.ready.length, jobMicros);
     }
 
-    /** A message with the slots wherever we have any. */
-    byte[] message(Worker[] ready) {
-        return message(Arrays.stream(ready).filter(w -> w.own + w.left > 0).toList(), true);
+    /** Enters what a peer has told; what cannot be read is dropped. Returns the workers that it is about. */
+    List<Worker> heard(long now, int from, byte[] message) {
+        long before = told.visits();
+        boolean entered = told.heard(now, from, message);
+        effort.heard(entered, told.visits() - before, told.malformed(), told.unknownWorkers());
+        return takeTouched();
     }
 
-    byte[] message(Worker worker) {
-        return message(List.of(worker), false);
+    /** Takes back what silent peers have told; returns the workers that it was about. */
+    List<Worker> expire(long now) {
+        told.expire(now);
+        return takeTouched();
     }
 
-    /** Enters what a peer has told, and returns the ready workers that it is about; what cannot be read is dropped. */
-    Iterable<Worker> heard(long now, int from, byte[] message, Roster roster) {
-        if (from < 0
-                || from >= peers.length
-                || from == me
-                || message.length < HEAD
-                || (message.length - HEAD) % ENTRY != 0) {
-            return List.of();
-        }
-        ByteBuffer in = ByteBuffer.wrap(message);
-        int kind = in.get(), life = in.getShort() & 0xffff, number = in.getShort() & 0xffff;
-        Peer peer = peers[from] == null ? peers[from] = new Peer() : peers[from];
-        boolean whole = kind == WHOLE || peer.life != life;
-        if (peer.life != life) {
-            peer.life = life; // it has restarted: what it had is not its own any more
-            peer.slots.clear();
-        } else if ((short) (number - peer.number) <= 0) {
-            return List.of();
-        }
-        effort.datagrams++;
-        peer.number = number;
-        peer.heardAt = now;
-        if (kind == WHOLE) {
-            peer.slots.clear();
-        }
-        List<Worker> about = whole ? Arrays.asList(roster.ready) : new ArrayList<>(1);
-        while (in.hasRemaining()) {
-            int name = in.getInt();
-            peer.slots.put(name, (double) (in.get() & 0xff));
-            if (!whole) {
-                about.addAll(roster.named(name));
-            }
-        }
-        effort.datagramVisits += (long) about.size() * peers.length;
-        return about;
+    /** The share of the other dispatchers that is silent. */
+    double missing(long now) {
+        return told.silentShare(now);
     }
 
-    /** The slots that peers heard of since then have told for a worker. */
-    double slots(Worker w, long since) {
-        double sum = 0;
-        for (Peer peer : peers) {
-            sum += peer != null && peer.heardAt >= since ? peer.slots.getOrDefault(w.id.hashCode(), 0.0) : 0;
-        }
-        return sum;
+    /** Figures held: of peers, and our own. */
+    int figures() {
+        return told.figures() + sender.names();
     }
 
-    /** The share of the other dispatchers that has not been heard of since then. */
-    double missing(long since) {
-        int heard = 0;
-        for (Peer peer : peers) {
-            heard += peer != null && peer.heardAt >= since ? 1 : 0;
+    @Override
+    public boolean add(int from, int to, int difference) {
+        List<Worker> named = roster.named(from, to);
+        for (Worker w : named) {
+            w.told = Math.max(0, w.told + difference);
         }
-        return peers.length < 2 ? 0 : 1 - heard / (peers.length - 1.0);
+        if (difference != 0) {
+            touched.addAll(named);
+        }
+        return !named.isEmpty();
+    }
+
+    private List<Worker> takeTouched() {
+        List<Worker> workers = touched.isEmpty() ? List.of() : List.copyOf(touched);
+        touched.clear();
+        return workers;
     }
 }
--- a/src/main/java/barrowshore/module/Worker.java
+++ b/src/main/java/barrowshore/module/Worker.java
@@ -1,9 +1,9 @@
 // Part of the decision module; its whole interface is DispatchApi.java.
 package barrowshore.module;
 
-import java.util.ArrayList;
-import barrowshore.module.DispatchApi.Settings;
 import barrowshore.budget.ColdTurns;
+import barrowshore.module.DispatchApi.Settings;
+import java.util.ArrayList;
 
 /** What one dispatcher knows of one worker: speed, jobs in flight, health, and its budget while cold. */
 final class Worker {
@@ -13,22 +13,31 @@
     private static final double PRIOR_ERRORS = 0.01;
 
     final String id;
+    /** Its name in what dispatchers tell one another. */
+    final int name;
+
     int kind, zone, cell, hall, strikes, slots;
     double rating;
     boolean listed, draining, silent;
     long startedAt, heardAt, silentAt, fullUntil, downUntil, reportedAt;
     /** Our attempts that are out; their slots; others' slots: expected, told by them, reported; usual. */
     final ArrayList<Job.Attempt> out = new ArrayList<>();
+
     double own, left, others, told, reported, usual, ownUsual, overdue;
     final ArrayList<Ledger.Left> leftRunning = new ArrayList<>(0);
     final ColdTurns cold = new ColdTurns();
     /** As of the last refresh: speed, warm share, what a job waits and makes wait, cost of errors. */
     double speed = 1, warmth = 1, wait, charge;
+
     IndexTable table;
     barrowshore.halls.Place place;
     final Evidence seen = new Evidence();
+    final WorkerView view = new WorkerView();
 
-    Worker(String id) { this.id = id; }
+    Worker(String id) {
+        this.id = id;
+        this.name = barrowshore.exchange.SlotSnapshot.nameOf(id);
+    }
 
     /** What was held against a worker is void once it has restarted. */
     void restarted(long now) {
@@ -54,12 +63,19 @@
     }
 
     /** Struck and not yet heard to serve: one job at a time finds out. */
-    boolean onTrial() { return strikes > 0 && !out.isEmpty(); }
+    boolean onTrial() {
+        return strikes > 0 && !out.isEmpty();
+    }
 
     /** Whether it gets nothing just now, whatever the job. */
-    boolean aside(long now) { return silent || now < fullUntil || now < downUntil || onTrial(); }
+    boolean aside(long now) {
+        return silent || now < fullUntil || now < downUntil || onTrial();
+    }
 
-    void failed() { seen.ends++; seen.errors++; }
+    void failed() {
+        seen.ends++;
+        seen.errors++;
+    }
 
     /** The share of jobs that fail here, a decaying estimate. */
     double errorShare(long now, Settings set) {
@@ -74,14 +90,18 @@
     }
 
     /** Slots that are taken there, as far as is known or guessed. */
-    double held() { return own + left + told + others; }
+    double held() {
+        return own + left + told + others;
+    }
 
     /** The part of its speed that jobs get which fill so many slots: a cold worker has fewer cores. */
     double share(double filled) {
         return warmth >= 1 ? 1 : Math.min(1, slots * warmth / Math.max(1, Math.min(slots, filled)));
     }
 
-    double pace(double filled) { return speed * share(filled); }
+    double pace(double filled) {
+        return speed * share(filled);
+    }
 
     /** The share of its capacity that it surely has: it grows no slower than evenly. */
     double warmth(long now, Settings set) {
--- a/src/test/java/barrowshore/PackageRulesTest.java
+++ b/src/test/java/barrowshore/PackageRulesTest.java
@@ -26,6 +26,7 @@
                 "barrowshore.model",
                 "barrowshore.duty",
                 "barrowshore.budget",
+                "barrowshore.exchange",
                 "barrowshore.rivals"
             })
     void whatDecidesTouchesNoSocketsFilesClocksOrThreads(String pure) {
--- /dev/null
+++ b/src/test/java/barrowshore/exchange/SlotSnapshotTest.java
@@ -0,0 +1,97 @@
+package barrowshore.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** The datagram's form: what is written is read, what is not of this form is not, and earlier versions drop it. */
+class SlotSnapshotTest {
+
+    private static byte[] write(int width, Map<Integer, Integer> slots) {
+        SlotSnapshot.Writer writer = new SlotSnapshot.Writer(width, 0, SlotSnapshot.MAX_BYTES);
+        slots.forEach(writer::add);
+        return writer.finish(77, 5, SlotSnapshot.NAMES_END);
+    }
+
+    @Property
+    void whatIsWrittenIsRead(
+            @ForAll @Size(max = 40) List<@IntRange(min = 0, max = SlotSnapshot.NAMES_END - 1) Integer> names,
+            @ForAll @IntRange(min = 1, max = 255) int slots,
+            @ForAll @IntRange(min = SlotSnapshot.MIN_WIDTH, max = SlotSnapshot.FULL_WIDTH) int width) {
+        Map<Integer, Integer> held = new TreeMap<>();
+        for (int name : names) {
+            held.put(SlotSnapshot.shortened(name, width), held.size() % 2 == 0 ? 1 : slots);
+        }
+        byte[] message = write(width, held);
+        SlotSnapshot read = SlotSnapshot.read(message);
+        assertThat(message).hasSizeLessThanOrEqualTo(SlotSnapshot.MAX_BYTES);
+        assertThat(read).isNotNull();
+        assertThat(read.incarnation()).isEqualTo(77);
+        assertThat(read.sequence()).isEqualTo(5);
+        Map<Integer, Integer> back = new TreeMap<>();
+        read.entries().forEach(e -> back.put(e.name(), e.slots()));
+        assertThat(back).isEqualTo(held);
+    }
+
+    /** The version before read a head of 5 bytes and entries of 5, and dropped all other lengths. */
+    @Property
+    void anEarlierVersionDropsIt(@ForAll @IntRange(min = 0, max = 60) int entries) {
+        Map<Integer, Integer> held = new TreeMap<>();
+        for (int k = 0; k < entries; k++) {
+            held.put(k << 14, 1 + k % 2);
+        }
+        assertThat((write(16, held).length - 5) % 5).isNotZero();
+    }
+
+    @Test
+    void whatAnEarlierVersionSendsIsDropped() {
+        for (byte kind = 0; kind < 4; kind++) {
+            byte[] message = new byte[5 + 5 * 4];
+            message[0] = kind;
+            assertThat(SlotSnapshot.read(message)).isNull();
+        }
+    }
+
+    @Property
+    void noBytesAtAllDoHarm(@ForAll @Size(max = 300) byte[] bytes, @ForAll boolean ourFormat) {
+        byte[] message = bytes.clone();
+        if (ourFormat && message.length > 7) {
+            message[0] = (byte) (4 + message[1] % 2);
+            message[7] = (byte) (12 + Math.abs(message[7] % 19));
+        }
+        SlotSnapshot read = SlotSnapshot.read(message);
+        if (read != null) {
+            int before = read.from() - 1;
+            assertThat(read.to()).isBetween(1, SlotSnapshot.NAMES_END);
+            for (SlotSnapshot.Entry entry : read.entries()) {
+                assertThat(entry.name())
+                        .isGreaterThanOrEqualTo(Math.max(0, before))
+                        .isLessThan(read.to());
+                assertThat(entry.slots()).isBetween(1, 255);
+                before = entry.name();
+            }
+        }
+    }
+
+    @Test
+    void aCutMessageIsDropped() {
+        byte[] message = write(20, Map.of(1 << 10, 3));
+        assertThat(SlotSnapshot.read(message)).isNotNull();
+        assertThat(SlotSnapshot.read(Arrays.copyOf(message, 10))).isNull();
+        assertThat(SlotSnapshot.read(Arrays.copyOf(message, 257))).isNull();
+    }
+
+    @Test
+    void namesAreTheSameEverywhere() {
+        assertThat(SlotSnapshot.nameOf("s-5be2a07c")).isEqualTo(SlotSnapshot.nameOf("s-5be2a07c"));
+        assertThat(SlotSnapshot.nameOf("s-5be2a07c")).isBetween(0, SlotSnapshot.NAMES_END - 1);
+    }
+}
--- a/src/test/java/barrowshore/module/FleetLoadTest.java
+++ b/src/test/java/barrowshore/module/FleetLoadTest.java
@@ -27,26 +27,46 @@
         return workers;
     }
 
+    private static double others(long now, Worker[] workers, double extrapolated, int dispatchers) {
+        FleetLoad load = new FleetLoad();
+        for (Worker w : workers) {
+            load.replace(FleetLoad.Sample.NONE, FleetLoad.Sample.of(now, w, 5));
+        }
+        return load.others(extrapolated, dispatchers);
+    }
+
+    @Test
+    void whatIsTakenBackCountsNoMore() {
+        FleetLoad load = new FleetLoad();
+        Worker[] workers = workers(64, 4, 2, 10);
+        for (Worker w : workers) {
+            FleetLoad.Sample sample = FleetLoad.Sample.of(10, w, 5);
+            load.replace(FleetLoad.Sample.NONE, sample);
+            load.replace(sample, FleetLoad.Sample.of(1000, w, 5));
+        }
+        assertThat(load.others(470, 95)).isCloseTo(470, within(0.1));
+    }
+
     @Test
     void withoutReportsItIsOurOwnTimesTheOthers() {
-        assertThat(FleetLoad.others(10, workers(64, 0, 0, 0), 470, 95, 5)).isEqualTo(470);
+        assertThat(others(10, workers(64, 0, 0, 0), 470, 95)).isEqualTo(470);
     }
 
     /** One of many sees little of the fleet by itself, and what it sees may be several times the usual. */
     @Test
     void oneOfManyGoesByTheReports() {
-        assertThat(FleetLoad.others(10, workers(64, 4, 2, 10), 470, 95, 5)).isBetween(128.0, 200.0);
+        assertThat(others(10, workers(64, 4, 2, 10), 470, 95)).isBetween(128.0, 200.0);
     }
 
     /** Its own jobs are a fair sample, and fresher than any report. */
     @Test
     void oneOfFewGoesByItsOwn() {
-        assertThat(FleetLoad.others(10, workers(10, 10, 1, 10), 30, 3, 5)).isEqualTo(30);
+        assertThat(others(10, workers(10, 10, 1, 10), 30, 3)).isEqualTo(30);
     }
 
     @Test
     void anOldReportIsForgotten() {
-        assertThat(FleetLoad.others(1000, workers(64, 4, 2, 10), 470, 95, 5)).isCloseTo(470, within(0.1));
+        assertThat(others(1000, workers(64, 4, 2, 10), 470, 95)).isCloseTo(470, within(0.1));
     }
 
     /**
--- a/src/test/java/barrowshore/wire/WireHostTest.java
+++ b/src/test/java/barrowshore/wire/WireHostTest.java
@@ -53,8 +53,12 @@
                 run(start + "CALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n").contains("10.0.0.1:1")
                         ? "10.0.0.1:1"
                         : "10.0.0.2:1";
-        // The other one told of 200 slots there in place of one: the next job goes elsewhere.
-        String full = told.substring(0, told.length() - 2) + "c8";
+        // The other one told of 200 slots there in place of one: the next job goes elsewhere. The one entry is a varint
+        // of
+        // two bytes, whose lowest bit says that a byte with the slots follows (SlotSnapshot).
+        int entry = told.length() - 4;
+        int many = Integer.parseInt(told.substring(entry, entry + 2), 16) | 1;
+        String full = told.substring(0, entry) + Integer.toHexString(many) + told.substring(entry + 2) + "c8";
         String reply = run(start + "PEER_DATA 3 0 " + full + "\nCALL 3 rq_1 1 - 0 - 0 0 - 2000000\nOVER_TO_YOU\n");
         assertTrue(reply.contains("PLACE 3 rq_1 ") && !reply.contains("PLACE 3 rq_1 " + taken), reply);
         assertTrue(run(start + "PEER_DATA 3 0 -\nOVER_TO_YOU\n").endsWith("YIELD\n"), "an empty message is dropped");
