Share the held selector between tests, and send their probing requests one by one

Need: ServerTest and LateConnectionTest each had a copy of the code that holds a dialer's selector and of the one that reads a message's first line.

Cause of the second change: both tests sent requests as fast as they could until one of them reached the worker, while another thread ran the mailbox. With messages run in the poster's stack, a mailbox that is never empty runs its turns inside one another: seen once as a StackOverflowError in Mailbox.run, with a time-out after 20 s, in a test written the same way. Now each such request waits for the end of the one before, or for bytes at the worker; what is asserted is as it was.

Ruled out: a bound in Mailbox. Its pools run a turn in another thread everywhere but in these tests.

--- /dev/null
+++ b/src/test/java/barrowshore/net/HeldSelector.java
@@ -0,0 +1,33 @@
+package barrowshore.net;
+
+import java.util.concurrent.CountDownLatch;
+import org.eclipse.jetty.io.ManagedSelector;
+
+/** Holds a dialer's selector: what happens to its connections meanwhile is known to the kernel, but not to the program. */
+public final class HeldSelector implements AutoCloseable {
+    private final CountDownLatch free = new CountDownLatch(1);
+
+    /** Returns once the selector is held. */
+    public HeldSelector(Dialer dialer) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        dialer.getBean(ManagedSelector.class).submit(keys -> {
+            held.countDown();
+            try {
+                free.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+    }
+
+    /** Lets it go on; may be called again. */
+    public void release() {
+        free.countDown();
+    }
+
+    @Override
+    public void close() {
+        release();
+    }
+}
--- a/src/test/java/barrowshore/node/LateConnectionTest.java
+++ b/src/test/java/barrowshore/node/LateConnectionTest.java
@@ -7,10 +7,11 @@
 import barrowshore.module.Dispatcher;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
+import barrowshore.net.HeldSelector;
+import barrowshore.net.HttpText;
 import barrowshore.request.JobRequest;
 import barrowshore.servers.Server;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -20,11 +21,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
-import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -45,7 +44,7 @@
     private final Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
     private final AtomicLong nanos = new AtomicLong();
     private final Clock clock = new Clock(1_700_000_000_000L, nanos::get);
-    private final CountDownLatch free = new CountDownLatch(1);
+    private HeldSelector held;
     private final Dialer[] dialers = new Dialer[2];
     private final ServerSocket[] listening = new ServerSocket[2];
     private ModuleActor module;
@@ -88,7 +87,7 @@
 
     @AfterEach
     void stop() throws Exception {
-        free.countDown();
+        release();
         for (int k = 0; k < 2; k++) {
             listening[k].close();
             LifeCycle.stop(dialers[k]);
@@ -99,16 +98,13 @@
 
     /** Connections by this dialer are up for the kernel, but not for us. */
     private void hold(Dialer dialer) throws InterruptedException {
-        CountDownLatch held = new CountDownLatch(1);
-        dialer.getBean(ManagedSelector.class).submit(keys -> {
-            held.countDown();
-            try {
-                free.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        held.await();
+        held = new HeldSelector(dialer);
+    }
+
+    private void release() {
+        if (held != null) {
+            held.release();
+        }
     }
 
     /** The first connection to come, at either server; which one it is, the module chooses. */
@@ -127,14 +123,6 @@
                 id, 0, 0, 1, 0, clock.micros() + 4_000_000, WINDOW, "POST", "/menu", "key", new byte[] {'a'});
     }
 
-    private static String firstLine(InputStream in) throws Exception {
-        StringBuilder line = new StringBuilder();
-        for (int b = in.read(); b >= 0 && b != '\r'; b = in.read()) {
-            line.append((char) b);
-        }
-        return line.toString();
-    }
-
     @Test
     void aRequestWhoseClientHasGoneIsNotSentOnWhenItsConnectionComesUp() throws Exception {
         module.update(new ServerList.Update(
@@ -144,10 +132,15 @@
         module.open(request, answer -> {});
         module.clientGone(request);
         try (Socket accepted = accept()) {
-            free.countDown();
-            // There is one connection at most: it carries the one that has gone, or else one of these, once it is up.
+            held.release();
+            // There is one connection at most: it carries the one that has gone, or else one of these, once it is up. Each
+            // waits for the answer to the one before: a mailbox that is never empty would run in its own stack.
             for (int k = 0; accepted.getInputStream().available() == 0; k++) {
-                module.open(keyed("a" + k), answer -> {});
+                CompletableFuture<JobRequest.Answer> answer = new CompletableFuture<>();
+                module.open(keyed("a" + k), answer::complete);
+                while (accepted.getInputStream().available() == 0 && !answer.isDone()) {
+                    Thread.onSpinWait();
+                }
             }
             byte[] head = new byte[200];
             int read = accepted.getInputStream().read(head);
@@ -160,14 +153,14 @@
         CompletableFuture<JobRequest.Answer> answer = new CompletableFuture<>();
         module.open(keyed("a1"), answer::complete);
         try (Socket first = accept()) {
-            assertThat(firstLine(first.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
+            assertThat(HttpText.firstLine(first.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
             hold(dialers[first.getLocalPort() == listening[0].getLocalPort() ? 1 : 0]);
             first.getOutputStream()
                     .write("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
             // The repeat is on its way within the window; its connection comes up after that.
             try (Socket second = accept()) {
                 nanos.addAndGet(WINDOW * 1000);
-                free.countDown();
+                held.release();
                 assertThat(answer.get()).isInstanceOf(JobRequest.Rejection.class);
                 LifeCycle.stop(dialers[0]);
                 LifeCycle.stop(dialers[1]);
--- a/src/test/java/barrowshore/servers/ServerTest.java
+++ b/src/test/java/barrowshore/servers/ServerTest.java
@@ -7,6 +7,8 @@
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Status;
 import barrowshore.net.Dialer;
+import barrowshore.net.HeldSelector;
+import barrowshore.net.HttpText;
 import barrowshore.request.JobRequest;
 import java.io.IOException;
 import java.io.InputStream;
@@ -17,10 +19,8 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -37,7 +37,7 @@
 class ServerTest {
     private final ExecutorService pool = Executors.newFixedThreadPool(4);
     private final Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
-    private final CountDownLatch free = new CountDownLatch(1);
+    private HeldSelector held;
     private Dialer dialer;
     private ServerSocket listening;
     private Server server;
@@ -96,7 +96,7 @@
 
     @AfterEach
     void stop() throws Exception {
-        free.countDown();
+        release();
         listening.close();
         LifeCycle.stop(dialer);
         LifeCycle.stop(timers);
@@ -109,42 +109,31 @@
     }
 
     private void holdConnections() throws InterruptedException {
-        CountDownLatch held = new CountDownLatch(1);
-        dialer.getBean(ManagedSelector.class).submit(keys -> {
-            held.countDown();
-            try {
-                free.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        held.await();
+        held = new HeldSelector(dialer);
+    }
+
+    private void release() {
+        if (held != null) {
+            held.release();
+        }
     }
 
     /** The connection comes up now; what it carries, up to its end, if nothing but the connection's own end is to come. */
     private byte[] carried() throws Exception {
         try (Socket accepted = listening.accept()) {
-            free.countDown();
+            held.release();
             LifeCycle.stop(dialer);
             return accepted.getInputStream().readAllBytes();
         }
     }
 
-    private static String firstLine(InputStream in) throws Exception {
-        StringBuilder line = new StringBuilder();
-        for (int b = in.read(); b >= 0 && b != '\r'; b = in.read()) {
-            line.append((char) b);
-        }
-        return line.toString();
-    }
-
     @Test
     void whatWaitedForItsConnectionDoesNotGoToAServerThatLeavesSince() throws Exception {
         holdConnections();
         Attempt attempt = new Attempt("a1");
         server.send(attempt);
         say(ServerList.State.TERMINATING);
-        free.countDown();
+        held.release();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
         assertThat(carried()).isEmpty();
     }
@@ -155,7 +144,7 @@
         Attempt attempt = new Attempt("a1");
         server.send(attempt);
         server.gone();
-        free.countDown();
+        held.release();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
         assertThat(carried()).isEmpty();
     }
@@ -169,10 +158,15 @@
         server.withdraw(attempt);
         assertThat(attempt.end.get()).as("at once").isEqualTo(Status.NOT_SENT);
         try (Socket accepted = listening.accept()) {
-            free.countDown();
-            // There is one connection at most: once it is up it carries the one withdrawn, or else one of these.
+            held.release();
+            // There is one connection at most: once it is up it carries the one withdrawn, or else one of these. Each waits
+            // for the end of the one before: a mailbox that is never empty would run in its own stack.
             for (int k = 0; accepted.getInputStream().available() == 0; k++) {
-                server.send(new Attempt("next" + k));
+                Attempt next = new Attempt("next" + k);
+                server.send(next);
+                while (accepted.getInputStream().available() == 0 && !next.end.isDone()) {
+                    Thread.onSpinWait();
+                }
             }
             byte[] head = new byte[200];
             int read = accepted.getInputStream().read(head);
@@ -185,7 +179,7 @@
         Attempt attempt = new Attempt("a1");
         server.send(attempt);
         try (Socket accepted = listening.accept()) {
-            assertThat(firstLine(accepted.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
+            assertThat(HttpText.firstLine(accepted.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
             server.withdraw(attempt);
             accepted.getOutputStream()
                     .write(("HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"
@@ -202,7 +196,7 @@
         Attempt attempt = new Attempt("a1");
         server.send(attempt);
         attempt.mayBegin = false;
-        free.countDown();
+        held.release();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
         assertThat(carried()).isEmpty();
     }
@@ -215,7 +209,7 @@
         server.send(attempt);
         try (Socket accepted = listening.accept()) {
             InputStream in = accepted.getInputStream();
-            assertThat(firstLine(in)).isEqualTo("POST /menu HTTP/1.1");
+            assertThat(HttpText.firstLine(in)).isEqualTo("POST /menu HTTP/1.1");
             in.skipNBytes(in.available());
             accepted.setSoTimeout(2_000);
             attempt.asItEnds = () -> closed.complete(ended(in));
