Let a client's connection say that it has gone, and look at its socket when asked

Need: whoever is about to begin an attempt has to know whether its client is still there, at that moment. Until now the one word of it was a message to the module's actor, which comes after whatever stands in that mailbox, and is only sent once the selector has looked at the connection.

Change: JobRequest.Client.isGone, set by the connection as it ends, before it tells anybody; and checkConnection, by which the connection's own actor reads its socket once more before it runs the message given. Both have a default for a client without a connection. ClientLink is the JobRequest.Client now, in place of a lambda; its own method that writes an answer is called give.

--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -248,7 +248,7 @@
     }
 
     /** One client's connection. */
-    final class ClientLink extends HttpLink implements HttpParser.RequestHandler, Dialer.Accepted {
+    final class ClientLink extends HttpLink implements HttpParser.RequestHandler, Dialer.Accepted, JobRequest.Client {
         private String method;
         private String target;
         private HttpFields.Mutable fields;
@@ -281,6 +281,8 @@
         private long firstByteAt;
         private int held;
         private JobRequest request;
+        /** Whether the connection has ended; read by whoever is about to begin an attempt. */
+        private volatile boolean gone;
 
         ClientLink(EndPoint endPoint) {
             super(endPoint, new Mailbox("a client", pool), timers);
@@ -366,7 +368,7 @@
             if (head != null) {
                 desk.turnedAway(head.jobClass());
             }
-            answer(new JobRequest.Rejection(SHED_DELAY));
+            give(new JobRequest.Rejection(SHED_DELAY));
         }
 
         @Override
@@ -511,7 +513,7 @@
                 return true;
             }
             request = head.with(body.toByteArray());
-            desk.open(request, answer -> mailbox.post(() -> answer(answer)));
+            desk.open(request, this);
             return true;
         }
 
@@ -619,7 +621,25 @@
             throw new BadRequest(400, name + " is not a positive number" + (form == DECIMAL ? " in range" : ""));
         }
 
-        private void answer(JobRequest.Answer answer) {
+        @Override
+        public void answer(JobRequest.Answer answer) {
+            mailbox.post(() -> give(answer));
+        }
+
+        @Override
+        public boolean isGone() {
+            return gone;
+        }
+
+        @Override
+        public void checkConnection(Runnable then) {
+            mailbox.post(() -> {
+                read();
+                then.run();
+            });
+        }
+
+        private void give(JobRequest.Answer answer) {
             request = null;
             known |= !(answer instanceof JobRequest.IdInUse);
             if (answer instanceof JobRequest.Served served) {
@@ -705,6 +725,7 @@
 
         @Override
         protected void onEnd(Throwable cause) {
+            gone = true;
             closed(this);
             release();
             if (request != null) {
--- a/src/main/java/barrowshore/request/JobRequest.java
+++ b/src/main/java/barrowshore/request/JobRequest.java
@@ -50,9 +50,23 @@
     /** The request never came to the module: its id is in use. */
     public record IdInUse(String why) implements Answer {}
 
-    /** Takes the final answer; called once. */
+    /** Who waits for the answer; may be called from any thread. */
     public interface Client {
+        /** Takes the final answer; called once. */
         void answer(Answer answer);
+
+        /** Whether it is known to have closed its connection or cancelled its request. */
+        default boolean isGone() {
+            return false;
+        }
+
+        /**
+         * Looks whether its connection still stands, also where an event about that is yet to come; then runs the message,
+         * which may only post. {@link #isGone} tells what was found.
+         */
+        default void checkConnection(Runnable then) {
+            then.run();
+        }
     }
 
     /** Where a client's side hands its requests in; each opened one gets its answer once, unless the client goes first. */
