Begin no attempt once its client has gone, heard of or not

Need: a client that closes its connection or cancels its request has gone; an attempt that begins later is a break.

Cause: only ModuleActor.close held this, by a message to the server. So an attempt still began after the client's end had been read where the order to begin stood before that message: a repeat or a second copy that the module's actor came to first, several requests in the module's or the server's mailbox, taken to an idle connection at once. And where the selector had yet to look at the client's socket, the connection to the server that came up in the same round began whatever had come.

Change: before each attempt, first or further, on a fresh connection or a kept one, Server.Link has the client's connection look at its socket (Link.reserve); as the first byte is about to go, Attempt.mayBegin also asks whether the client is gone, the request answered, the attempt over. An attempt that ends when its client has gone ends the request before the module hears of it (ModuleActor.conclude), so that it orders no repeat. What happens to the connection or its server during the look is heeded once more (Link.begin, Link.onEnd).

Ruled out: reading the client's socket from the server's thread, which saves two turns; a connection is read by its own actor.

Three tests in ServerTest: each seen to fail without retired in Link.begin, without the state in mayBegin, without the new attempt in Link.onEnd and without the check for another reservation.

--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -105,7 +105,8 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         Scheduler.Task timer;
         int out;
-        boolean answered;
+        /** Written by the actor alone; read by servers, as they are about to begin an attempt. */
+        volatile boolean answered;
 
         OpenRequest(JobRequest request, JobRequest.Client client) {
             this.request = request;
@@ -123,7 +124,9 @@
         final long beginBy;
 
         Scheduler.Task timer;
-        boolean ended;
+        /** Written by the actor alone; read by its server, as it is about to begin. */
+        volatile boolean ended;
+
         boolean neverRan;
 
         Attempt(OpenRequest open, int number, Server server, long sentAt) {
@@ -153,7 +156,15 @@
         @Override
         public boolean mayBegin() {
             long now = clock.micros();
-            return now < beginBy && now < open.request.deadline();
+            // What the actor knows may wait for its turn at the server: an end since counts from the moment it is
+            // known.
+            boolean awaited = !ended && !open.answered && !open.client.isGone();
+            return awaited && now < beginBy && now < open.request.deadline();
+        }
+
+        @Override
+        public void checkClient(Runnable then) {
+            open.client.checkConnection(then);
         }
 
         @Override
@@ -373,14 +384,21 @@
     public void clientGone(JobRequest request) {
         mailbox.post(() -> {
             OpenRequest open = requests.get(request.id());
-            if (open != null && open.request == request && !open.answered) {
-                close(open);
-                guarded(open, () -> module.clientGone(now(), request.id()));
-                forget(open);
+            if (open != null && open.request == request) {
+                leave(open);
             }
         });
     }
 
+    /** The client waits no more: nothing that has not begun is to begin. */
+    private void leave(OpenRequest open) {
+        if (!open.answered) {
+            close(open);
+            guarded(open, () -> module.clientGone(now(), open.request.id()));
+            forget(open);
+        }
+    }
+
     private long now() {
         lastNow = Math.max(lastNow, clock.micros());
         return lastNow;
@@ -462,6 +480,9 @@
             a.timer.cancel();
         }
         OpenRequest open = a.open;
+        if (open.client.isGone()) {
+            leave(open); // before the module hears of the end, and repeats what nobody waits for
+        }
         open.out--;
         if (status == Status.OK && !open.answered) {
             answer(open, new JobRequest.Served(result));
--- a/src/main/java/barrowshore/servers/Server.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -65,9 +65,15 @@
         /** How long the scheduler will wait, in microseconds from now. */
         long left();
 
-        /** Whether its first byte may still go: its time is not up, nor that in which a repeat is harmless. */
+        /**
+         * Whether its first byte may still go: somebody waits for it, and its time is not up, nor that in which a repeat is
+         * harmless.
+         */
         boolean mayBegin();
 
+        /** Looks whether its client is still there, then runs the message, from any thread; it may only post. */
+        void checkClient(Runnable then);
+
         /** Its last byte has been written; called by the writer, so it may only post. */
         void written();
 
@@ -188,12 +194,9 @@
         Link link;
         // Guards what must not run twice: a kept connection may be reset just as it is written to, which proves nothing
         // and fails the request. A fresh one that does not come up proves that it never ran.
-        while (work.mayReuse() && (link = idle.pollLast()) != null) {
-            if (!link.brokenWhileIdle()) {
-                link.carry(work);
-                return;
-            }
-            link.shut();
+        if (work.mayReuse() && (link = idle.pollLast()) != null) {
+            link.reserve(work);
+            return;
         }
         if (address == null) {
             work.end(Status.CONNECT_FAILED, null, null);
@@ -280,6 +283,11 @@
     /** One connection: idle, or carrying one piece of work. */
     private final class Link extends HttpLink implements HttpParser.ResponseHandler {
         private Work work;
+        /** What it will carry unless something ends first, while is looked whether the client is still there. */
+        private Work reserved;
+        /** Whether it has stood idle. */
+        private boolean kept;
+
         private LineBuffer lines;
         private StringBuilder body;
         private boolean retired;
@@ -303,12 +311,43 @@
             links.add(this);
             Work first = work;
             work = null;
-            if (first.over) {
-                rest(); // given up while the connection came up; the next attempt can have it
+            reserve(first);
+        }
+
+        /** The connection is the work's, whose client is asked after once more: its turn may have been long in coming. */
+        void reserve(Work next) {
+            reserved = next;
+            limit(0);
+            if (next.attempt == null) {
+                begin(next);
             } else {
-                carry(first);
+                next.attempt.checkClient(() -> mailbox.post(() -> begin(next)));
             }
-            read();
+        }
+
+        private void begin(Work next) {
+            if (reserved != next) {
+                return; // the connection has ended meanwhile
+            }
+            reserved = null;
+            boolean fresh = !kept;
+            if (next.over || !mayBegin(next)) {
+                next.end(Status.NOT_SENT, null, null); // our reason: it says nothing of the server
+                rest(); // the next attempt can have it
+            } else if (kept && (retired || brokenWhileIdle())) {
+                shut();
+                start(next);
+            } else {
+                carry(next);
+            }
+            if (fresh) {
+                read();
+            }
+        }
+
+        /** Guards the drain rule: connecting took time, so the state is looked at again as the first byte goes. */
+        private boolean mayBegin(Work next) {
+            return state == ServerList.State.READY && (next.attempt == null || next.attempt.mayBegin());
         }
 
         private void rest() {
@@ -316,6 +355,7 @@
                 shut();
                 return;
             }
+            kept = true;
             limit(retireAfter);
             idle.addLast(this);
             if (idle.size() > MOST_IDLE) {
@@ -323,14 +363,8 @@
             }
         }
 
-        void carry(Work next) {
+        private void carry(Work next) {
             Attempt attempt = next.attempt;
-            // Guards the drain rule: connecting took time, so the state is looked at again as the first byte goes.
-            if (state != ServerList.State.READY || attempt != null && !attempt.mayBegin()) {
-                next.end(Status.NOT_SENT, null, null); // our reason: it says nothing of the server
-                rest();
-                return;
-            }
             work = next;
             next.link = this;
             notProcessed = false;
@@ -510,6 +544,15 @@
         protected void onEnd(Throwable cause) {
             links.remove(this);
             idle.remove(this);
+            if (reserved != null) {
+                Work next = reserved;
+                reserved = null;
+                if (kept && !next.over) {
+                    start(next); // nothing of it was written here
+                } else {
+                    next.end(Status.CONNECT_FAILED, null, null);
+                }
+            }
             if (work != null) {
                 // Only a request whose last byte was not written is known not to have run.
                 work.end(
--- a/src/test/java/barrowshore/servers/ServerTest.java
+++ b/src/test/java/barrowshore/servers/ServerTest.java
@@ -18,9 +18,11 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -47,6 +49,10 @@
         final CompletableFuture<Status> end = new CompletableFuture<>();
         private final String id;
         private volatile boolean mayBegin = true;
+        /** Whether it is for the test to say when it is known that its client is there. */
+        private volatile boolean checkedByTest;
+
+        private final BlockingQueue<Runnable> checks = new LinkedBlockingQueue<>();
         /** Run as its end is told, in the server's own turn. */
         private volatile Runnable asItEnds = () -> {};
 
@@ -70,6 +76,15 @@
             return mayBegin;
         }
 
+        @Override
+        public void checkClient(Runnable then) {
+            if (checkedByTest) {
+                checks.add(then);
+            } else {
+                then.run();
+            }
+        }
+
         @Override
         public void written() {}
 
@@ -104,8 +119,12 @@
     }
 
     private void say(ServerList.State state) {
-        server.update(new ServerList.Entry(
-                "s-1", "", (InetSocketAddress) listening.getLocalSocketAddress(), 0, 0, 0, state, 1, 0));
+        server.update(entry(state, 1));
+    }
+
+    private ServerList.Entry entry(ServerList.State state, long bootMicros) {
+        InetSocketAddress address = (InetSocketAddress) listening.getLocalSocketAddress();
+        return new ServerList.Entry("s-1", "", address, 0, 0, 0, state, 1, bootMicros);
     }
 
     private void holdConnections() throws InterruptedException {
@@ -159,7 +178,8 @@
         assertThat(attempt.end.get()).as("at once").isEqualTo(Status.NOT_SENT);
         try (Socket accepted = listening.accept()) {
             held.release();
-            // There is one connection at most: once it is up it carries the one withdrawn, or else one of these. Each waits
+            // There is one connection at most: once it is up it carries the one withdrawn, or else one of these. Each
+            // waits
             // for the end of the one before: a mailbox that is never empty would run in its own stack.
             for (int k = 0; accepted.getInputStream().available() == 0; k++) {
                 Attempt next = new Attempt("next" + k);
@@ -201,6 +221,67 @@
         assertThat(carried()).isEmpty();
     }
 
+    /** The connection at the worker, once an attempt has gone over it and the next has taken it and has its client checked. */
+    private Socket keptConnectionFor(Attempt next) throws Exception {
+        Attempt first = new Attempt("a1");
+        server.send(first);
+        Socket accepted = listening.accept();
+        assertThat(HttpText.head(accepted.getInputStream())).contains("X-Request-ID: a1");
+        accepted.getInputStream().read();
+        accepted.getOutputStream()
+                .write(("HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"
+                                + "{\"id\":\"a1\",\"state\":\"done\",\"result\":\"one\"} \n")
+                        .getBytes(StandardCharsets.ISO_8859_1));
+        assertThat(first.end.get()).isEqualTo(Status.OK);
+        next.checkedByTest = true;
+        server.send(next);
+        return accepted;
+    }
+
+    @Test
+    void aServerThatLeavesWhileTheClientIsCheckedGetsNothing() throws Exception {
+        Attempt next = new Attempt("a2");
+        try (Socket accepted = keptConnectionFor(next)) {
+            Runnable clientIsThere = next.checks.take();
+            say(ServerList.State.TERMINATING);
+            clientIsThere.run();
+            assertThat(next.end.get()).isEqualTo(Status.NOT_SENT);
+            assertThat(accepted.getInputStream().readAllBytes()).isEmpty();
+        }
+    }
+
+    /** The connection is one to its former life. */
+    @Test
+    void aServerThatRestartsWhileTheClientIsCheckedGetsItOnAFreshConnection() throws Exception {
+        Attempt next = new Attempt("a2");
+        try (Socket accepted = keptConnectionFor(next)) {
+            Runnable clientIsThere = next.checks.take();
+            server.update(entry(ServerList.State.READY, 2));
+            clientIsThere.run();
+            assertThat(accepted.getInputStream().readAllBytes()).isEmpty();
+            try (Socket fresh = listening.accept()) {
+                next.checks.take().run();
+                assertThat(HttpText.head(fresh.getInputStream())).contains("X-Request-ID: a2");
+            }
+        }
+    }
+
+    @Test
+    void aKeptConnectionThatEndsWhileTheClientIsCheckedIsReplaced() throws Exception {
+        Attempt next = new Attempt("a2");
+        try (Socket accepted = keptConnectionFor(next)) {
+            Runnable clientIsThere = next.checks.take();
+            accepted.shutdownOutput();
+            try (Socket fresh = listening.accept()) {
+                clientIsThere.run(); // said for the connection that has ended
+                next.checks.take().run();
+                assertThat(HttpText.head(fresh.getInputStream())).contains("X-Request-ID: a2");
+                assertThat(fresh.getInputStream().read()).isEqualTo('a');
+                assertThat(fresh.getInputStream().available()).as("once").isZero();
+            }
+        }
+    }
+
     /** Told before the close, its repeat could overtake it, and be a second copy where settings allow none. */
     @Test
     void anAnswerToAnotherRequestEndsTheConnectionBeforeItsEndIsTold() throws Exception {
