--- a/src/test/java/barrowshore/node/LateConnectionTest.java
+++ b/src/test/java/barrowshore/node/LateConnectionTest.java
@@ -133,9 +133,8 @@
         module.clientGone(request);
         try (Socket accepted = accept()) {
             held.release();
-            // There is one connection at most: it carries the one that has gone, or else one of these, once it is up.
-            // Each
-            // waits for the answer to the one before: a mailbox that is never empty would run in its own stack.
+            // There is one connection at most: once it is up it carries the one that has gone, or else one of these.
+            // Each waits for the answer to the one before: a mailbox that is never empty would run in its own stack.
             for (int k = 0; accepted.getInputStream().available() == 0; k++) {
                 CompletableFuture<JobRequest.Answer> answer = new CompletableFuture<>();
                 module.open(keyed("a" + k), answer::complete);
--- a/src/test/java/barrowshore/servers/ServerTest.java
+++ b/src/test/java/barrowshore/servers/ServerTest.java
@@ -178,9 +178,8 @@
         assertThat(attempt.end.get()).as("at once").isEqualTo(Status.NOT_SENT);
         try (Socket accepted = listening.accept()) {
             held.release();
-            // There is one connection at most: once it is up it carries the one withdrawn, or else one of these. Each
-            // waits
-            // for the end of the one before: a mailbox that is never empty would run in its own stack.
+            // There is one connection at most: once it is up it carries the one withdrawn, or else one of these.
+            // Each waits for the end of the one before: a mailbox that is never empty would run in its own stack.
             for (int k = 0; accepted.getInputStream().available() == 0; k++) {
                 Attempt next = new Attempt("next" + k);
                 server.send(next);
