Bound how long a change at discovery goes untold, and how long a start waits for a list

Need: a change counts as told 6 s after discovery had it and could be reached, whatever call failed before; and a restarted scheduler has to be ready within 10 s. Seen in the code, path by path: - after a move by SIGHUP, a scheduler that sends by the former list heeded 503 and Retry-After as if it had none: up to 2 s - a whole list that came in pieces over more than 500 ms was given up each time, and never told - a pause was a tenth to a fifth of the grace however long that is: 12 s at a grace of a minute - a dial took as long as the settings let any connection take - a 503 of the former address held up the next call at the present one - half a list that was still coming let the list known from before be used - a start to which discovery answered 503, even once, never used the list known from before: never ready - with no list at all, an answer that is later than 500 ms each time was never waited for Each has its limit now. ServiceDiscovery decides how long is long enough, so the module's actor is not told of a busy discovery.

Ruled out: keeping several calls open for a late answer; the agent answers at once, and each call has to be given up soon.

Tests on loopback connections by the test's own clock (taken out of ExchangeTest).

--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -76,7 +76,7 @@
 
     private final List<Runnable> whenReady = new ArrayList<>();
     private final List<Runnable> whenIdle = new ArrayList<>();
-    private boolean told, discoveryBusy;
+    private boolean told;
     private long lastNow;
 
     ModuleActor(
@@ -188,13 +188,12 @@
     }
 
     /**
-     * Discovery is silent, as it may be at a restart, or has nothing against the list known from before: that has to do.
-     * Where it answers with no list, it is up and what it has to tell counts as told; the known list may be from long
-     * before, so we wait.
+     * Discovery has told no list for long enough, or has nothing against the list known from before: that has to do. How
+     * long is enough, {@link barrowshore.servers.ServiceDiscovery} decides.
      */
     void discoverySilent(ServerList.Update known) {
         mailbox.post(() -> {
-            if (!told && !discoveryBusy) {
+            if (!told) {
                 list(known, ListKind.INITIAL);
                 told = !listed.isEmpty();
                 tellIfReady();
@@ -202,11 +201,6 @@
         });
     }
 
-    /** Discovery answered, but with no list. */
-    void discoveryBusy() {
-        mailbox.post(() -> discoveryBusy = true);
-    }
-
     void update(ServerList.Update update) {
         mailbox.post(() -> {
             list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -146,7 +146,6 @@
                 dialer,
                 timers,
                 keeper == null ? module::update : keeper::discovered,
-                module::discoveryBusy,
                 () -> module.discoverySilent(config.known()),
                 config.known(),
                 config.grace());
--- a/src/main/java/barrowshore/servers/ServiceDiscovery.java
+++ b/src/main/java/barrowshore/servers/ServiceDiscovery.java
@@ -42,6 +42,8 @@
      * as told at once, and a call made just before its return is given up, the next made, and its answer taken, within it.
      */
     private static final long PAUSES_OF_GRACE = 10, ANSWERS_OF_GRACE = 4;
+    /** The longest pause where that time is long: what discovery has counts as told 6 s later, whatever the settings say. */
+    private static final long LONGEST_PAUSE = 500;
     /** The same where discovery is up but gives no list, and while we have none either: then no server is at risk. */
     private static final long BUSY_PAUSE = 1000;
     /**
@@ -54,14 +56,30 @@
      * stay unanswered once it is back, and from then on all that it has counts as told.
      */
     private static final long LONGEST_ANSWER = 500, SHORTEST_ANSWER = 100;
+    /**
+     * The same while there is no list at all: then no server is at risk, and a discovery that is slow to answer everybody
+     * must not have each call given up before its answer.
+     */
+    private static final long LONGEST_FIRST_ANSWER = 2000;
+
+    private static final int MOST_DOUBLINGS = 5;
+    /** How long the whole list may take from the call to its last byte, as long as more of it keeps coming. */
+    private static final long LONGEST_LIST = 3000;
+    /** How long a dial may take where the settings let connections take longer: a connect that was lost is made anew. */
+    private static final long LONGEST_DIAL = 1000;
     /** How long a start waits for discovery before the list known from before will do. */
     private static final long PATIENCE = 1000;
+    /**
+     * The same where discovery answers, but with no list. It is up, so what it has may count as told; but it gives its list
+     * to nobody, and a scheduler that is never ready serves nobody.
+     */
+    private static final long BUSY_PATIENCE = 4000;
 
     private final Dialer dialer;
     private final Scheduler timers;
     private final Names names;
     private final Consumer<Update> listener;
-    private final Runnable busy, silent;
+    private final Runnable silent;
     private final Mailbox mailbox;
     /** Draws each pause: processes restarted together must not ask again in step. */
     private final SplittableRandom jitter = new SplittableRandom();
@@ -69,6 +87,8 @@
     private InetSocketAddress address;
     /** Counts the addresses: what belongs to an earlier one is told by it. */
     private int life;
+    /** Counts the dials: one that was given up may still come up. */
+    private int dials;
     /** Whether we have a list that this address counts from; until then its versions mean nothing to us. */
     private boolean whole;
 
@@ -81,14 +101,18 @@
     private Watch unanswered;
 
     private boolean dialing;
-    /** Whether the list known from before has been said to do, so that jobs are sent by it. */
-    private boolean knownInUse;
+    /** Whether the process was started with a list known from before. */
+    private final boolean startedWithList;
+    /** Whether jobs are sent by a list, of whatever address or known from before. */
+    private boolean sending;
+    /** How many calls on end have been given up without a word. */
+    private int unheardCalls;
     /** How long a call may go without a word, and the longest that the next one waits after it. */
     private long answer, longestPause;
-    /** Whether the last call was answered with no list. */
-    private boolean busyNow;
-    /** Whether a start has waited long enough for a first list. */
-    private boolean waited;
+    /** Whether the last call was answered with no list, and whether any was before the first list. */
+    private boolean busyNow, busyAtStart;
+    /** Whether a start has waited long enough for a first list, and also for one from a discovery that is busy. */
+    private boolean waited, waitedForBusy;
     /** What discovery asked for in a Retry-After, up to the longest pause; 0: nothing. */
     private long wanted;
     /** The watch whose changes count; it may be of the former address until the present one has told its list. */
@@ -96,9 +120,9 @@
 
     /**
      * known: the list as this scheduler had it last. Where it has entries, only what has changed since is asked for: many
-     * processes that start at once must not each ask an overbooked discovery for all of it. busy: discovery has answered,
-     * but with no list; it is up, so what it has to tell counts as told. silent: discovery has not answered for a while,
-     * or has said nothing against the known list: that will do. Called only where no call is out that may yet be answered.
+     * processes that start at once must not each ask an overbooked discovery for all of it. silent: discovery has told no
+     * list for a while, or has said nothing against the known list: that will do. Called only where no call is out that
+     * may yet be answered, and later where discovery answers, but with no list.
      */
     public ServiceDiscovery(
             InetSocketAddress address,
@@ -107,14 +131,13 @@
             Dialer dialer,
             Scheduler timers,
             Consumer<Update> listener,
-            Runnable busy,
             Runnable silent,
             Update known,
             long grace) {
-        this.known = known.entries().isEmpty() ? null : known;
+        this.startedWithList = !known.entries().isEmpty();
+        this.known = startedWithList ? known : null;
         this.whole = this.known != null;
         this.rev = known.rev();
-        this.busy = busy;
         this.silent = silent;
         this.dialer = dialer;
         this.timers = timers;
@@ -128,7 +151,7 @@
     /** How soon, in microseconds, nothing new may go to a server that is told to leave. */
     private void keepWithin(long grace) {
         answer = Math.min(LONGEST_ANSWER, Math.max(SHORTEST_ANSWER, grace / 1000 / ANSWERS_OF_GRACE));
-        longestPause = Math.max(FIRST_PAUSE, grace / 1000 / PAUSES_OF_GRACE);
+        longestPause = Math.min(LONGEST_PAUSE, Math.max(FIRST_PAUSE, grace / 1000 / PAUSES_OF_GRACE));
     }
 
     /** Settings have changed; grace as at the start. */
@@ -148,6 +171,13 @@
                 }),
                 PATIENCE,
                 TimeUnit.MILLISECONDS);
+        timers.schedule(
+                () -> mailbox.post(() -> {
+                    waitedForBusy = true;
+                    tellIfSilent();
+                }),
+                BUSY_PATIENCE,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -155,9 +185,9 @@
      * the present one, though the answer lay in its socket.
      */
     private void tellIfSilent() {
-        if (waited && unanswered == null && !dialing) {
+        if (waited && unanswered == null && !dialing && (!busyAtStart || waitedForBusy)) {
             waited = false;
-            knownInUse = known != null;
+            sending |= startedWithList;
             silent.run();
         }
     }
@@ -185,28 +215,42 @@
             return;
         }
         dialing = true;
+        int number = ++dials;
+        timers.schedule(() -> mailbox.post(() -> dialFailed(number)), LONGEST_DIAL, TimeUnit.MILLISECONDS);
         boolean started = dialer.dial(address, 0, new Dialer.Opener() {
             @Override
             public Connection apply(EndPoint endPoint) {
-                return new Watch(endPoint, of);
+                return new Watch(endPoint, of, number);
             }
 
             @Override
             public void failed(Throwable cause) {
-                mailbox.post(() -> again(of));
+                mailbox.post(() -> dialFailed(number));
             }
         });
         if (!started) {
-            again(of);
+            dialFailed(number);
         }
     }
 
+    /** A dial has failed or was given up; not so one that has come up, or was given up before. */
+    private void dialFailed(int number) {
+        if (dialing && number == dials) {
+            again(life);
+        }
+    }
+
+    /** How long the next call may go without a word. */
+    private long answerLimit() {
+        boolean listless = !sending && known == null;
+        return listless ? Math.min(LONGEST_FIRST_ANSWER, answer << Math.min(unheardCalls, MOST_DOUBLINGS)) : answer;
+    }
+
     private void again(int of) {
         if (of == life) {
             dialing = false;
             // Between one and two pauses: fewer calls than in step, and none at once, where discovery is overbooked.
             // One that has a list and is sending by it can't wait for long: what discovery has is told all the same.
-            boolean sending = knownInUse || whole && known == null;
             long longest = busyNow && !sending ? BUSY_PAUSE : longestPause;
             long wait = Math.max(Math.min(wanted, longest), pause + jitter.nextLong(pause + 1));
             pause = Math.max(FIRST_PAUSE, Math.min(longest, pause * 2));
@@ -223,22 +267,26 @@
 
     /** The connection of one watch; the first at an address asks for the whole list before it watches. */
     private final class Watch extends HttpLink implements HttpParser.ResponseHandler {
-        private final int of;
+        private final int of, number;
         private final ObjectBuffer objects = new ObjectBuffer(LONGEST_OBJECT);
-        private boolean listing, refused;
+        private boolean listing, refused, abandoned;
+        /** Counts the calls on this connection. */
+        private int asked;
         /** Counts the limits set. */
         private int limits;
 
-        Watch(EndPoint endPoint, int of) {
+        Watch(EndPoint endPoint, int of, int number) {
             super(endPoint, ServiceDiscovery.this.mailbox, timers);
             this.of = of;
+            this.number = number;
             parser = new HttpParser((HttpParser.ResponseHandler) this, MAX_HEADER);
         }
 
         @Override
         protected void begin() {
-            if (of != life) {
-                shut(); // moved on while it came up
+            if (of != life || !dialing || number != dials) {
+                abandoned = true;
+                shut(); // moved on, or given up, while it came up
                 return;
             }
             dialing = false;
@@ -253,8 +301,16 @@
 
         /** There is a sign of life from discovery. */
         private void sign() {
-            if (!listing) {
-                limit(SILENCE);
+            limit(listing ? answer : SILENCE);
+        }
+
+        /** A list that keeps coming, but never ends. */
+        private void endListing(int number) {
+            if (listing && number == asked) {
+                read();
+                if (listing && number == asked) {
+                    shut();
+                }
             }
         }
 
@@ -270,7 +326,9 @@
         private void unchanged() {
             if (unanswered == this) {
                 read();
-                answered();
+                if (!objects.isOpen()) {
+                    answered();
+                }
             }
         }
 
@@ -280,6 +338,9 @@
             int before = limits;
             read();
             if (limits == before) {
+                if (unanswered == this) {
+                    unheardCalls++;
+                }
                 shut();
             }
         }
@@ -293,7 +354,11 @@
         private void ask() {
             listing = !whole;
             unanswered = this;
-            limit(answer);
+            limit(answerLimit());
+            int number = ++asked;
+            if (listing) {
+                timers.schedule(() -> mailbox.post(() -> endListing(number)), LONGEST_LIST, TimeUnit.MILLISECONDS);
+            }
             HttpFields.Mutable fields =
                     HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":" + address.getPort());
             String target = listing ? "/api/targets" : "/api/targets?watch=1&after=" + rev;
@@ -307,24 +372,28 @@
         public void startResponse(HttpVersion version, int status, String reason) {
             persistent = version == HttpVersion.HTTP_1_1;
             refused = status != 200;
-            busyNow = refused;
             sign();
+            if (of != life) {
+                return; // what a former address has to say of itself means nothing at this one
+            }
+            unheardCalls = 0;
+            busyNow = refused;
             if (!refused && !listing) {
                 timers.schedule(() -> mailbox.post(this::unchanged), answer, TimeUnit.MILLISECONDS);
             }
             if (refused) {
+                busyAtStart = true;
                 LOG.log(
                         Level.WARNING,
-                        "discovery answered {0}: asked again; the list known from before is not used",
+                        "discovery answered {0}: asked again; a start does not use the list known from before yet",
                         status);
-                busy.run();
             }
         }
 
         @Override
         public void parsedHeader(HttpField field) {
             super.parsedHeader(field);
-            if (refused && field.getHeader() == HttpHeader.RETRY_AFTER) {
+            if (refused && of == life && field.getHeader() == HttpHeader.RETRY_AFTER) {
                 try {
                     wanted = Math.min(
                             BUSY_PAUSE,
@@ -346,7 +415,8 @@
         @Override
         public boolean content(ByteBuffer bytes) {
             // An object that has begun does not renew the limit: one that never ends is no sign of life.
-            if (!objects.isOpen()) {
+            // Of a whole list each piece renews it, up to a limit of its own: it may come in as many as it likes.
+            if (listing || !objects.isOpen()) {
                 sign();
             }
             if (heard == this) {
@@ -386,6 +456,7 @@
                     update = known.with(update);
                 }
                 listener.accept(listing ? new Update(update.rev(), true, update.entries()) : update);
+                sending = true;
                 if (of == life) {
                     known = null;
                     rev = update.rev();
@@ -429,7 +500,9 @@
         protected void onEnd(Throwable cause) {
             heard = heard == this ? null : heard;
             unanswered = unanswered == this ? null : unanswered;
-            again(of);
+            if (!abandoned) {
+                again(of);
+            }
         }
     }
 }
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -7,6 +7,7 @@
 import barrowshore.module.DispatchApi;
 import barrowshore.module.Dispatcher;
 import barrowshore.net.Clock;
+import barrowshore.net.ManualTime;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
 import barrowshore.operator.SetupFiles;
@@ -27,12 +28,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import org.eclipse.jetty.util.component.AbstractLifeCycle;
-import org.eclipse.jetty.util.thread.Scheduler;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -78,48 +76,9 @@
         heard.await();
     }
 
-    /** Time that moves only when told; timers run in the mover's thread. */
-    private static final class GivenTime extends AbstractLifeCycle implements Scheduler {
-        private record Entry(long at, long order, Runnable run) {}
-
-        private final PriorityQueue<Entry> entries =
-                new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
-        private long nanos;
-        private long order;
-
-        @Override
-        public synchronized Task schedule(Runnable run, long delay, TimeUnit unit) {
-            Entry entry = new Entry(nanos + unit.toNanos(delay), order++, run);
-            entries.add(entry);
-            return () -> {
-                synchronized (this) {
-                    return entries.remove(entry);
-                }
-            };
-        }
-
-        synchronized long nanos() {
-            return nanos;
-        }
-
-        void advance(long millis) {
-            long until = nanos() + TimeUnit.MILLISECONDS.toNanos(millis);
-            for (Entry due = next(until); due != null; due = next(until)) {
-                due.run.run();
-            }
-        }
-
-        private synchronized Entry next(long until) {
-            Entry due = entries.peek();
-            boolean now = due != null && due.at <= until;
-            nanos = now ? Math.max(nanos, due.at) : until;
-            return now ? entries.poll() : null;
-        }
-    }
-
     /** The scheduler and its scripted peers. */
     private static final class Stage implements AutoCloseable {
-        private final GivenTime time = new GivenTime();
+        private final ManualTime time = new ManualTime();
         private final ServerSocket servers = new ServerSocket(0, 50, LOOPBACK);
         private final ServerSocket discovery = new ServerSocket(0, 50, LOOPBACK);
         private final ServerSocket elsewhere = new ServerSocket(0, 50, LOOPBACK);
--- /dev/null
+++ b/src/test/java/barrowshore/node/ReadyTest.java
@@ -0,0 +1,201 @@
+package barrowshore.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import barrowshore.config.Config;
+import barrowshore.module.Dispatcher;
+import barrowshore.net.Clock;
+import barrowshore.net.ManualTime;
+import barrowshore.operator.Operator;
+import barrowshore.operator.Setup;
+import barrowshore.servers.ScriptedDiscovery;
+import barrowshore.servers.ScriptedDiscovery.Call;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * That a start is ready in bounded time, by the test's own clock, whatever discovery does: asked over real connections. A
+ * process counts the time of its JVM on top.
+ */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ReadyTest {
+    /** Milliseconds from a start, or from when discovery can be reached, to being ready. */
+    private static final long BOUND = 6000;
+
+    private static final long STEP = 10;
+    private static final String LIST =
+            "{\"rev\":7,\"all\":true,\"targets\":[{\"uid\":\"s-1\",\"endpoint\":\"127.0.0.1:1\","
+                    + "\"az\":\"a\",\"model\":\"m\",\"state\":\"Ready\"}]}\n";
+
+    /** What discovery does with a call. */
+    private interface Script {
+        void play(Call call) throws IOException;
+    }
+
+    private final ManualTime time = new ManualTime();
+    private ScriptedDiscovery discovery;
+    private Node node;
+
+    @BeforeEach
+    void open() throws IOException {
+        discovery = new ScriptedDiscovery();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        discovery.close();
+        node.stop();
+    }
+
+    private void start(boolean withKnownList) throws Exception {
+        Config config = Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replace("$D", "127.0.0.1:" + discovery.address().getPort())
+                .replace("$S", "127.0.0.1:1")
+                .replace("\"known\":", withKnownList ? "\"known\":" : "\"unknown\":"));
+        node = new Node(
+                new Setup(config, Operator.NONE),
+                new Clock(1_700_000_000_000L, time::nanos),
+                time,
+                null,
+                actions -> new Dispatcher(config.settings(), actions));
+    }
+
+    private boolean isReady() throws IOException {
+        try (Socket asker =
+                new Socket(InetAddress.getLoopbackAddress(), node.address().getPort())) {
+            asker.getOutputStream()
+                    .write("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            return new String(asker.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1).endsWith("200");
+        }
+    }
+
+    /** Plays discovery (null: nobody can reach it) for so long, or until the scheduler is ready. */
+    private boolean isReadyWithin(long millis, Script script) throws IOException {
+        long until = time.millis() + millis;
+        boolean ready = isReady();
+        while (!ready && time.millis() < until) {
+            Call call = script == null ? null : discovery.poll();
+            if (call != null) {
+                play(script, call);
+            }
+            time.advance(STEP);
+            ready = isReady();
+        }
+        return ready;
+    }
+
+    private static void play(Script script, Call call) {
+        try {
+            script.play(call);
+        } catch (IOException e) {
+            return; // the scheduler has given the call up meanwhile
+        }
+    }
+
+    private static void list(Call call) throws IOException {
+        if (call.target().contains("watch")) {
+            call.beginWatch();
+            call.chunk(LIST);
+        } else {
+            call.answer(LIST);
+        }
+    }
+
+    @Test
+    void discoveryListsAtOnce() throws Exception {
+        start(true);
+        assertThat(isReadyWithin(BOUND, ReadyTest::list)).isTrue();
+    }
+
+    @Test
+    void discoveryListsAtOnceAndNoListIsKnown() throws Exception {
+        start(false);
+        assertThat(isReadyWithin(BOUND, ReadyTest::list)).isTrue();
+    }
+
+    @Test
+    void discoveryIsDownAndConnectionsAreRefused() throws Exception {
+        discovery.refuse();
+        start(true);
+        assertThat(isReadyWithin(BOUND, null)).isTrue();
+    }
+
+    @Test
+    void discoveryIsDownAndConnectionsNeverComeUp() throws Exception {
+        discovery.fillQueue();
+        start(true);
+        assertThat(isReadyWithin(BOUND, null)).isTrue();
+    }
+
+    @Test
+    void discoveryAnswersNothing() throws Exception {
+        start(true);
+        assertThat(isReadyWithin(BOUND, Call::target)).isTrue();
+    }
+
+    @Test
+    void discoveryAnswersThatItHasNoListForNow() throws Exception {
+        start(true);
+        assertThat(isReadyWithin(BOUND, call -> {
+                    call.target();
+                    call.refuse("3600");
+                }))
+                .isTrue();
+    }
+
+    @Test
+    void discoveryAnswersThatItHasNoListAndThenNothing() throws Exception {
+        start(true);
+        boolean[] refused = new boolean[1];
+        assertThat(isReadyWithin(BOUND, call -> {
+                    call.target();
+                    if (!refused[0]) {
+                        refused[0] = true;
+                        call.refuse("3600");
+                    }
+                }))
+                .isTrue();
+    }
+
+    @Test
+    void theWatchIsSilentFromItsHeadOn() throws Exception {
+        start(true);
+        assertThat(isReadyWithin(BOUND, call -> {
+                    call.target();
+                    call.beginWatch();
+                }))
+                .isTrue();
+    }
+
+    @Test
+    void discoveryResetsEachCall() throws Exception {
+        start(true);
+        assertThat(isReadyWithin(BOUND, Call::reset)).isTrue();
+    }
+
+    @Test
+    void discoveryIsBackAfterALongSilenceAndNoListIsKnown() throws Exception {
+        start(false);
+        assertThat(isReadyWithin(12_000, Call::target)).isFalse();
+        assertThat(isReadyWithin(BOUND, ReadyTest::list)).isTrue();
+    }
+
+    @Test
+    void discoveryHasAListAgainAfterLongAndNoListIsKnown() throws Exception {
+        start(false);
+        assertThat(isReadyWithin(12_000, call -> {
+                    call.target();
+                    call.refuse("3600");
+                }))
+                .isFalse();
+        assertThat(isReadyWithin(BOUND, ReadyTest::list)).isTrue();
+    }
+}
--- /dev/null
+++ b/src/test/java/barrowshore/servers/ScriptedDiscovery.java
@@ -0,0 +1,132 @@
+package barrowshore.servers;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A discovery on a loopback socket that does what a test tells it, call by call; it can be closed and opened again. */
+public final class ScriptedDiscovery implements AutoCloseable {
+    private static final int BACKLOG = 1;
+
+    private final List<Socket> sockets = new ArrayList<>();
+    private ServerSocket listening;
+
+    public ScriptedDiscovery() throws IOException {
+        listening = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listening.getLocalSocketAddress();
+    }
+
+    /** From now on connections are refused; what is open stays. */
+    public void refuse() throws IOException {
+        listening.close();
+    }
+
+    public void listenAgain() throws IOException {
+        int port = listening.getLocalPort();
+        listening = new ServerSocket();
+        listening.setReuseAddress(true);
+        listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+    }
+
+    /** Fills the queue of those that wait to be accepted: connections never come up from then on. */
+    public void fillQueue() throws IOException {
+        for (int k = 0; k <= BACKLOG; k++) {
+            sockets.add(new Socket(listening.getInetAddress(), listening.getLocalPort()));
+        }
+    }
+
+    public void emptyQueue() throws IOException {
+        for (int k = 0; k <= BACKLOG; k++) {
+            sockets.add(listening.accept());
+        }
+    }
+
+    /** The connection that waits to be accepted; null: none. */
+    public Call poll() throws IOException {
+        listening.setSoTimeout(1);
+        try {
+            Socket socket = listening.accept();
+            socket.setTcpNoDelay(true);
+            sockets.add(socket);
+            return new Call(socket);
+        } catch (SocketTimeoutException e) {
+            return null;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listening.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    /** One connection of the scheduler's. */
+    public static final class Call {
+        private final Socket socket;
+
+        private Call(Socket socket) {
+            this.socket = socket;
+        }
+
+        /** Reads a request, and returns its target. */
+        public String target() throws IOException {
+            InputStream in = socket.getInputStream();
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int b = in.read();
+                if (b < 0) {
+                    throw new IOException("ended in a request: " + head);
+                }
+                head.append((char) b);
+            }
+            return head.toString().split(" ")[1];
+        }
+
+        public void send(String bytes) throws IOException {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+        }
+
+        /** The head of a watch's answer. */
+        public void beginWatch() throws IOException {
+            send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        }
+
+        public void chunk(String text) throws IOException {
+            send(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        }
+
+        /** A whole list, as the answer to the call for it. */
+        public void answer(String list) throws IOException {
+            send("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        }
+
+        public void refuse(String retryAfter) throws IOException {
+            send("HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\nContent-Length: 0\r\n\r\n");
+        }
+
+        /** Waits until the scheduler has ended the connection. */
+        public void awaitEnd() throws IOException {
+            while (socket.getInputStream().read() >= 0) {
+                continue; // what it had still written
+            }
+        }
+
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+}
