--- a/src/main/java/barrowshore/servers/ServiceDiscovery.java
+++ b/src/main/java/barrowshore/servers/ServiceDiscovery.java
@@ -57,12 +57,10 @@
      */
     private static final long LONGEST_ANSWER = 500, SHORTEST_ANSWER = 100;
     /**
-     * The same while there is no list at all: then no server is at risk, and a discovery that is slow to answer everybody
-     * must not have each call given up before its answer.
+     * How often that is doubled, call after call without a word, while there is no list at all: then no server is at risk,
+     * and a discovery that is slow to answer everybody must not have each call given up before its answer.
      */
-    private static final long LONGEST_FIRST_ANSWER = 2000;
-
-    private static final int MOST_DOUBLINGS = 5;
+    private static final int MOST_DOUBLINGS = 2;
     /** How long the whole list may take from the call to its last byte, as long as more of it keeps coming. */
     private static final long LONGEST_LIST = 3000;
     /** How long a dial may take where the settings let connections take longer: a connect that was lost is made anew. */
@@ -100,7 +98,8 @@
     /** Whether a call at the present address is out that has had no word yet. */
     private Watch unanswered;
 
-    private boolean dialing;
+    /** Whether a dial is under way, or the next one waits for the end of a pause. */
+    private boolean dialing, pausing;
     /** Whether the process was started with a list known from before. */
     private final boolean startedWithList;
     /** Whether jobs are sent by a list, of whatever address or known from before. */
@@ -174,7 +173,11 @@
         timers.schedule(
                 () -> mailbox.post(() -> {
                     waitedForBusy = true;
+                    boolean before = sending;
                     tellIfSilent();
+                    if (pausing && sending && !before) {
+                        dial(life); // the pause was that of a scheduler that sends nothing
+                    }
                 }),
                 BUSY_PATIENCE,
                 TimeUnit.MILLISECONDS);
@@ -215,6 +218,7 @@
             return;
         }
         dialing = true;
+        pausing = false;
         int number = ++dials;
         timers.schedule(() -> mailbox.post(() -> dialFailed(number)), LONGEST_DIAL, TimeUnit.MILLISECONDS);
         boolean started = dialer.dial(address, 0, new Dialer.Opener() {
@@ -243,24 +247,34 @@
     /** How long the next call may go without a word. */
     private long answerLimit() {
         boolean listless = !sending && known == null;
-        return listless ? Math.min(LONGEST_FIRST_ANSWER, answer << Math.min(unheardCalls, MOST_DOUBLINGS)) : answer;
+        return listless ? answer << Math.min(unheardCalls, MOST_DOUBLINGS) : answer;
     }
 
     private void again(int of) {
         if (of == life) {
             dialing = false;
+            tellIfSilent();
             // Between one and two pauses: fewer calls than in step, and none at once, where discovery is overbooked.
             // One that has a list and is sending by it can't wait for long: what discovery has is told all the same.
             long longest = busyNow && !sending ? BUSY_PAUSE : longestPause;
+            pause = Math.min(pause, longest);
             long wait = Math.max(Math.min(wanted, longest), pause + jitter.nextLong(pause + 1));
             pause = Math.max(FIRST_PAUSE, Math.min(longest, pause * 2));
             wanted = 0;
             busyNow = false;
-            tellIfSilent();
             if (wait == 0) {
                 dial(of);
             } else {
-                timers.schedule(() -> mailbox.post(() -> dial(of)), wait, TimeUnit.MILLISECONDS);
+                pausing = true;
+                int number = dials;
+                timers.schedule(
+                        () -> mailbox.post(() -> {
+                            if (number == dials) {
+                                dial(of);
+                            }
+                        }),
+                        wait,
+                        TimeUnit.MILLISECONDS);
             }
         }
     }
--- a/src/test/java/barrowshore/servers/ServiceDiscoveryTest.java
+++ b/src/test/java/barrowshore/servers/ServiceDiscoveryTest.java
@@ -263,6 +263,40 @@
         assertToldWithin(PAUSE, since);
     }
 
+    /** Calls are rare while nothing is sent, and must not stay so once the list known from before is in use. */
+    @Test
+    void theListKnownFromBeforeIsInUseBehindRefusalsAndIsPutRightSoon() throws Exception {
+        start(known(), GRACE);
+        Call call = called(here);
+        call.target();
+        time.advance(ANSWER - STEP);
+        while (!knownListUsed) {
+            call.refuse("3600");
+            ended(call);
+            call = null;
+            while (call == null && !knownListUsed) {
+                time.advance(STEP);
+                call = here.poll();
+            }
+            if (call != null) {
+                call.target();
+            }
+        }
+        long since = time.millis();
+        if (call == null) {
+            call = called(here);
+            call.target();
+        }
+        assertToldWithin(PAUSE, since);
+        call.refuse("3600");
+        ended(call);
+        since = time.millis();
+        tellDrain(called(here), 8);
+        assertToldWithin(PAUSE, since);
+        time.advance(1000); // past the end of the pause that was cut short
+        assertThat(here.poll()).as("a second call").isNull();
+    }
+
     @Test
     void aCallLeftUnansweredIsGivenUp() throws Exception {
         start(known(), GRACE);
@@ -358,6 +392,21 @@
         assertThat(told().entries()).extracting(ServerList.Entry::state).containsExactly(ServerList.State.TERMINATING);
     }
 
+    @Test
+    void theListKnownFromBeforeIsUsedWhereAWatchTellsNoChange() throws Exception {
+        start(known(), GRACE);
+        Call watch = called(here);
+        watch.target();
+        long before = time.scheduled();
+        watch.beginWatch();
+        while (time.scheduled() < before + 2) {
+            Thread.onSpinWait(); // until the head has been read: its limit, and one look at what follows
+        }
+        settle();
+        time.advance(1000);
+        assertThat(knownListUsed).isTrue();
+    }
+
     @Test
     void aWatchThatIsResetIsOpenedAnew() throws Exception {
         Call watch = watching(GRACE);
