Count a descriptor as in use until the kernel has it back, not until its channel is closed

Cause, in the program: Dialer gave a permit back in connectionClosed, that is at the close of the channel. The JDK keeps the descriptor of a channel that a selector knows until the next selection, at which the cancelled key is dropped, and the selector's thread may accept many others before it selects again. The same held for dials and for dials that failed.

Ruled out: how limits.sockets is read (incoming is 288, as worked out), accepts beyond the budget (none), accepts that failed (none seen), and connections that linger (they hold their permit).

Change: the permit comes back in the selector's thread once the channel's key is gone (afterRelease).

It now waits for pool and selector first; what it checks is unchanged. Held selectors are freed after each test, so that a failing one ends.

--- a/src/main/java/barrowshore/net/Dialer.java
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -24,9 +24,9 @@
 
 /**
  * Opens and accepts every socket. It owns the selector and the budgets of descriptors for clients' and for outgoing
- * connections: a permit is taken when an accept or a dial starts and given back in one place, when the end point is
- * closed, or else when the dial fails. It must
- * never know what is spoken on a connection.
+ * connections: a permit is taken when an accept or a dial starts and given back when the descriptor has been released,
+ * which is later than the close of the channel (see {@link #afterRelease}). It must never know what is spoken on a
+ * connection.
  */
 public final class Dialer extends SelectorManager {
     /** Marks a connection that was accepted, and so counts among the clients'. */
@@ -47,6 +47,8 @@
     private final Budget clients;
     private final Function<EndPoint, Connection> accepted;
     private final long connectMillis;
+    /** The only one; null until the start, and kept after the end for connections that are closed by it. */
+    private volatile ManagedSelector selector;
     /** Clients' connections from their accept to their end, also those that no actor knows yet; the permits given out. */
     private final AtomicInteger clientsOpen = new AtomicInteger();
 
@@ -66,6 +68,12 @@
         this.connectMillis = connectMillis;
     }
 
+    @Override
+    protected ManagedSelector newSelector(int id) {
+        selector = super.newSelector(id);
+        return selector;
+    }
+
     /** Dials; false if that would not leave so many descriptors to others, in which case the opener hears nothing. */
     public boolean dial(InetSocketAddress address, int leave, Opener opener) {
         if (!budget.tryAcquire(1 + leave)) {
@@ -101,7 +109,6 @@
                 .schedule(
                         () -> {
                             if (channel.isConnectionPending()) {
-                                ManagedSelector selector = getBean(ManagedSelector.class);
                                 selector.submit(keys -> selector.submit(again -> {
                                     if (channel.isConnectionPending()) {
                                         connectionFailed(
@@ -127,17 +134,16 @@
      * go, all that wait are taken in and it is closed. The message runs after that.
      */
     public void endListening(ServerSocketChannel server, Runnable ended) {
-        ManagedSelector selector = getBean(ManagedSelector.class);
         selector.submit(keys -> {
             SelectionKey key = server.keyFor(keys);
             if (key != null) {
                 key.cancel();
             }
-            selector.submit(again -> sweep(selector, server, MOST_SWEEPS, ended));
+            selector.submit(again -> sweep(server, MOST_SWEEPS, ended));
         });
     }
 
-    private void sweep(ManagedSelector selector, ServerSocketChannel server, int left, Runnable ended) {
+    private void sweep(ServerSocketChannel server, int left, Runnable ended) {
         try {
             for (SelectableChannel next = doAccept(server); next != null; next = doAccept(server)) {
                 accepted(next);
@@ -145,7 +151,7 @@
             if (left > 0 && (server.isRegistered() || clients.availablePermits() <= 0)) {
                 getScheduler()
                         .schedule(
-                                () -> selector.submit(again -> sweep(selector, server, left - 1, ended)),
+                                () -> selector.submit(again -> sweep(server, left - 1, ended)),
                                 SWEEP_MILLIS,
                                 TimeUnit.MILLISECONDS);
             } else {
@@ -228,11 +234,23 @@
     @Override
     public void connectionClosed(Connection connection, Throwable cause) {
         super.connectionClosed(connection, cause);
-        if (connection instanceof Accepted) {
-            clientGone();
-        } else {
-            budget.release();
-        }
+        SelectableChannel channel = ((SocketChannelEndPoint) connection.getEndPoint()).getChannel();
+        afterRelease(channel, connection instanceof Accepted ? this::clientGone : budget::release);
+    }
+
+    /**
+     * Runs the action once the descriptor of a closed channel has been released. The JDK keeps the descriptor of a channel
+     * that a selector knows until the next selection, and the selector's thread may accept many others before that: with
+     * permits that came back at the close, a burst of clients had more descriptors than their budget.
+     */
+    private void afterRelease(SelectableChannel channel, Runnable action) {
+        selector.submit(keys -> {
+            if (channel.isRegistered()) {
+                afterRelease(channel, action);
+            } else {
+                action.run();
+            }
+        });
     }
 
     /** A connection that was up at once, accepted or dialed, and never came to be one. */
@@ -240,10 +258,10 @@
     protected void onAcceptFailed(SelectableChannel channel, Throwable cause, Object attachment) {
         super.onAcceptFailed(channel, cause, attachment);
         if (attachment instanceof Opener opener) {
-            budget.release();
+            afterRelease(channel, budget::release);
             opener.failed(cause);
         } else {
-            clientGone();
+            afterRelease(channel, this::clientGone);
         }
     }
 
@@ -271,7 +289,7 @@
     protected void connectionFailed(SelectableChannel channel, Throwable cause, Object attachment) {
         IO.close(channel);
         if (attachment instanceof Opener opener) {
-            budget.release();
+            afterRelease(channel, budget::release);
             opener.failed(cause);
         }
     }
--- a/src/test/java/barrowshore/net/DialerTest.java
+++ b/src/test/java/barrowshore/net/DialerTest.java
@@ -16,8 +16,10 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -37,9 +39,13 @@
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class DialerTest {
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final int THREADS = 4;
 
-    private final ExecutorService pool = Executors.newFixedThreadPool(4);
+    private final ExecutorService pool = Executors.newFixedThreadPool(THREADS);
     private final GivenTimers timers = new GivenTimers();
+    /** What holds the selector waits for this. */
+    private final CountDownLatch free = new CountDownLatch(1);
+
     private Dialer dialer;
 
     /** Timers that run only when the test says so, those of up to a second, in the order in which they were set. */
@@ -120,6 +126,7 @@
 
     @AfterEach
     void stop() {
+        free.countDown();
         LifeCycle.stop(dialer);
         pool.shutdownNow();
     }
@@ -175,6 +182,9 @@
                 CountDownLatch ended = new CountDownLatch(1);
                 dialer.endListening(server, ended::countDown);
                 served.close();
+                // Sweeps are counted: none may pass before the descriptor is back.
+                letThePoolFinish();
+                letTheSelectorFinish();
                 EndPoint next = in.poll();
                 while (next == null) {
                     timers.runAll();
@@ -237,12 +247,7 @@
     void whatIsUpIsNotTakenForNeverUp() throws Exception {
         start(1, 1, StillClient::new);
         try (ServerSocket server = new ServerSocket(0, 5, LOOPBACK)) {
-            CountDownLatch blocked = new CountDownLatch(1), free = new CountDownLatch(1);
-            dialer.getBean(ManagedSelector.class).submit(keys -> {
-                blocked.countDown();
-                await(free);
-            });
-            blocked.await();
+            holdSelector();
             Asker asker = new Asker(false);
             assertThat(dialer.dial((InetSocketAddress) server.getLocalSocketAddress(), 0, asker))
                     .isTrue();
@@ -284,6 +289,127 @@
         }
     }
 
+    /**
+     * The descriptor of a closed channel is held until the selector has dropped its key; a dial that took its place before
+     * that would be one more than the limit allows.
+     */
+    @Test
+    void aDialTakesThePlaceOfAClosedOneOnlyOnceItsDescriptorIsReleased() throws Exception {
+        start(1, 1, StillClient::new);
+        try (ServerSocket server = new ServerSocket(0, 5, LOOPBACK)) {
+            InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+            Asker first = new Asker(false);
+            assertThat(dialer.dial(address, 0, first)).isTrue();
+            EndPoint up = first.up.get();
+            try (Socket accepted = server.accept()) {
+                holdSelector();
+                up.close();
+                letThePoolFinish();
+                assertThat(dialer.dial(address, 0, new Asker(false))).isFalse();
+                free.countDown();
+                Asker second = new Asker(false);
+                while (!dialer.dial(address, 0, second)) {
+                    Thread.onSpinWait();
+                }
+                assertThat(second.up.get().isOpen()).isTrue();
+                assertThat(accepted.isConnected()).isTrue();
+            }
+        }
+    }
+
+    /** One round of accepts may take long, and in it no closed channel's descriptor is released. */
+    @Test
+    void aClientTakesThePlaceOfAClosedOneOnlyOnceItsDescriptorIsReleased() throws Exception {
+        BlockingQueue<EndPoint> in = new LinkedBlockingQueue<>();
+        start(1, 1, endPoint -> {
+            in.add(endPoint);
+            return new StillClient(endPoint);
+        });
+        try (ServerSocketChannel server = ServerSocketChannel.open()) {
+            server.bind(new InetSocketAddress(LOOPBACK, 0), 10);
+            dialer.listen(server);
+            try (Socket first = new Socket(LOOPBACK, server.socket().getLocalPort())) {
+                EndPoint served = in.take();
+                holdSelector();
+                try (Socket second = new Socket(LOOPBACK, server.socket().getLocalPort())) {
+                    served.close();
+                    letThePoolFinish();
+                    assertThat(dialer.doAccept(server)).isNull();
+                    free.countDown();
+                    assertThat(in.take().isOpen()).isTrue();
+                    assertThat(first.getInputStream().read()).isEqualTo(-1);
+                    assertThat(second.isConnected()).isTrue();
+                }
+            }
+        }
+    }
+
+    /** A dial that failed after its channel was known to the selector holds its descriptor as long. */
+    @Test
+    void aFailedDialGivesItsPermitBackOnlyOnceItsDescriptorIsReleased() throws Exception {
+        start(1, 1, StillClient::new);
+        try (ServerSocket server = new ServerSocket(0, 5, LOOPBACK)) {
+            CountDownLatch opening = new CountDownLatch(1), fails = new CountDownLatch(1);
+            CompletableFuture<Throwable> failed = new CompletableFuture<>();
+            InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+            assertThat(dialer.dial(address, 0, new Dialer.Opener() {
+                        @Override
+                        public Connection apply(EndPoint endPoint) {
+                            opening.countDown();
+                            await(fails);
+                            throw new IllegalStateException("broken on purpose");
+                        }
+
+                        @Override
+                        public void failed(Throwable cause) {
+                            failed.complete(cause);
+                        }
+                    }))
+                    .isTrue();
+            opening.await();
+            holdSelector();
+            fails.countDown();
+            assertThat(failed.get()).hasMessage("broken on purpose");
+            assertThat(dialer.dial(address, 0, new Asker(false))).isFalse();
+            free.countDown();
+            Asker second = new Asker(false);
+            while (!dialer.dial(address, 0, second)) {
+                Thread.onSpinWait();
+            }
+            assertThat(second.up.get().isOpen()).isTrue();
+        }
+    }
+
+    /** Holds the selector's thread, which is one of the pool's, between two selections until {@link #free} is down. */
+    private void holdSelector() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        dialer.getBean(ManagedSelector.class).submit(keys -> {
+            held.countDown();
+            await(free);
+        });
+        held.await();
+    }
+
+    /** Returns once the selector has been through two selections and what it was to do between them. */
+    private void letTheSelectorFinish() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        ManagedSelector selector = dialer.getBean(ManagedSelector.class);
+        selector.submit(first -> selector.submit(second -> selector.submit(third -> done.countDown())));
+        done.await();
+    }
+
+    /** Returns once all that was given to the pool has run, but for the selector's thread. */
+    private void letThePoolFinish() throws Exception {
+        CyclicBarrier all = new CyclicBarrier(THREADS - 1);
+        List<Future<Integer>> met = new ArrayList<>();
+        for (int k = 0; k < THREADS - 1; k++) {
+            met.add(pool.submit(() -> all.await()));
+        }
+        for (Future<Integer> each : met) {
+            each.get();
+        }
+    }
+
     private static boolean ended(Socket socket) {
         try {
             return socket.getInputStream().read() < 0;
