Do not look at the listening socket while clients hold all of their descriptors

Cause: with no permit left and somebody in the queue the selector found the listening socket ready at each round and never rested, while the threads that close others and so make room waited for the processor.

Change: the key's interest is taken away where an accept finds no permit and set again as one comes back, both in the selector's thread; also where the budget grows.

Test: DialerTest.nothingIsLookedFor...; seen to fail without the call of pauseAccepting (interest 16 in place of 0).

--- a/src/main/java/barrowshore/net/Dialer.java
+++ b/src/main/java/barrowshore/net/Dialer.java
@@ -52,6 +52,9 @@
     /** Clients' connections from their accept to their end, also those that no actor knows yet; the permits given out. */
     private final AtomicInteger clientsOpen = new AtomicInteger();
 
+    /** The listening socket's key while nothing is accepted for want of a permit, else null; the selector thread's. */
+    private SelectionKey paused;
+
     private final AtomicReference<Runnable> whenClientsGone = new AtomicReference<>();
 
     public Dialer(
@@ -168,6 +171,7 @@
     public void grow(int outgoing, int more) {
         budget.grow(outgoing);
         clients.grow(more);
+        selector.submit(keys -> resumeAccepting());
     }
 
     /** Permits that may become fewer while all are given out. */
@@ -194,6 +198,7 @@
     @Override
     protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
         if (!clients.tryAcquire()) {
+            pauseAccepting(server);
             return null;
         }
         SelectableChannel channel = null;
@@ -209,6 +214,26 @@
         }
     }
 
+    /**
+     * Guards the processor: a selector that goes on looking for connections that it may not accept never rests, while those
+     * that would close others and so make room wait for their turn, and the queue grows.
+     */
+    private void pauseAccepting(SelectableChannel server) {
+        SelectionKey key = server.keyFor(selector.getSelector());
+        if (key != null && key.isValid()) {
+            key.interestOps(0);
+            paused = key;
+        }
+    }
+
+    private void resumeAccepting() {
+        SelectionKey key = paused;
+        paused = null;
+        if (key != null && key.isValid()) {
+            key.interestOps(SelectionKey.OP_ACCEPT);
+        }
+    }
+
     @Override
     protected void accepted(SelectableChannel channel) {
         try {
@@ -267,6 +292,7 @@
 
     private void clientGone() {
         clients.release();
+        resumeAccepting();
         if (clientsOpen.decrementAndGet() == 0) {
             tellIfClientsGone();
         }
--- a/src/test/java/barrowshore/net/DialerTest.java
+++ b/src/test/java/barrowshore/net/DialerTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
@@ -380,6 +381,35 @@
         }
     }
 
+    /** A selector that keeps looking for connections that it may not accept never rests. */
+    @Test
+    void nothingIsLookedForWhileAllDescriptorsOfClientsAreInUse() throws Exception {
+        BlockingQueue<EndPoint> in = new LinkedBlockingQueue<>();
+        start(1, 1, endPoint -> {
+            in.add(endPoint);
+            return new StillClient(endPoint);
+        });
+        try (ServerSocketChannel server = ServerSocketChannel.open()) {
+            server.bind(new InetSocketAddress(LOOPBACK, 0), 10);
+            dialer.listen(server);
+            try (Socket first = new Socket(LOOPBACK, server.socket().getLocalPort())) {
+                EndPoint served = in.take();
+                try (Socket second = new Socket(LOOPBACK, server.socket().getLocalPort())) {
+                    letTheSelectorFinish();
+                    SelectionKey key =
+                            server.keyFor(dialer.getBean(ManagedSelector.class).getSelector());
+                    assertThat(key.interestOps()).isZero();
+                    served.close();
+                    assertThat(in.take().isOpen())
+                            .as("accepted as soon as there is room")
+                            .isTrue();
+                    assertThat(first.getInputStream().read()).isEqualTo(-1);
+                    assertThat(second.isConnected()).isTrue();
+                }
+            }
+        }
+    }
+
     /** Holds the selector's thread, which is one of the pool's, between two selections until {@link #free} is down. */
     private void holdSelector() throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
