Test that idle clients which fill the descriptors keep neither discovery nor workers out

Need: idle clients may fill the descriptors while discovery is down; the watch, the dials to workers and a held connection go on.

IdleClientsTest starts a scheduler in a process of its own (limits.sockets = 256), keeps 600 idle clients coming for as long as it runs (silent, with half a request, with their own side ended), and asks in turn: a request on a held connection while discovery is down, on a fresh connection to its worker; discovery's return in the same place, with a change that moves requests to another worker; a new place after SIGHUP, with a whole list of a third worker. At the end the kernel's descriptor table of the process (FDSize, which never shrinks) must be 256 at most, so that the limit held at each moment, looked at or not.

The table's size cannot show an excess under 256; that a closed channel counts until its release is in DialerTest.

--- /dev/null
+++ b/src/test/java/barrowshore/node/IdleClientsTest.java
@@ -0,0 +1,326 @@
+package barrowshore.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.condition.EnabledOnOs;
+import org.junit.jupiter.api.condition.OS;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A scheduler in a process of its own whose descriptors idle clients fill, again and again, while discovery is down: the
+ * limit holds at each moment, and what the scheduler needs descriptors for itself still goes through.
+ */
+@EnabledOnOs(OS.LINUX)
+@Timeout(value = 90, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class IdleClientsTest {
+    /**
+     * The limit given to the scheduler. The kernel's table of a process's descriptors grows by powers of two and never
+     * shrinks, so its size tells whether there were ever more than these.
+     */
+    private static final int SOCKETS = 256;
+    /** Idle clients at a time: more than twice the limit. */
+    private static final int IDLE = 600;
+    /** Idle clients that have to come while one thing is waited for. */
+    private static final int MORE = IDLE;
+
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final String STREAM = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    @TempDir
+    private Path folder;
+
+    private final ServerSocket firstWorker = new ServerSocket(0, 50, LOOPBACK);
+    private final ServerSocket secondWorker = new ServerSocket(0, 50, LOOPBACK);
+    private final ServerSocket thirdWorker = new ServerSocket(0, 50, LOOPBACK);
+    /** Connections that the scheduler has made to workers. */
+    private final BlockingQueue<Socket> carried = new LinkedBlockingQueue<>();
+
+    private final AtomicInteger idleSoFar = new AtomicInteger();
+    private int requests;
+    private int listenPort;
+    private int discoveryPort;
+    private Process scheduler;
+    private Thread flood;
+
+    IdleClientsTest() throws IOException {}
+
+    @BeforeEach
+    void start() throws Exception {
+        for (ServerSocket worker : List.of(firstWorker, secondWorker, thirdWorker)) {
+            new Thread(() -> acceptAll(worker), "worker").start();
+        }
+        listenPort = freePort();
+        discoveryPort = freePort();
+        configure(discoveryPort);
+        scheduler = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx64m",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "barrowshore.cli.Main",
+                        "serve",
+                        "--config",
+                        folder.resolve("config.json").toString())
+                .redirectErrorStream(true)
+                .redirectOutput(folder.resolve("scheduler.log").toFile())
+                .start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        if (flood != null) {
+            flood.interrupt();
+            flood.join();
+        }
+        scheduler.destroyForcibly().waitFor();
+        firstWorker.close();
+        secondWorker.close();
+        thirdWorker.close();
+    }
+
+    @Test
+    void theLimitHoldsAndDiscoveryAndWorkersAreReached() throws Exception {
+        untilReady();
+        assertThat(descriptorTable()).as("descriptors before any client").isLessThanOrEqualTo(SOCKETS);
+        try (Socket held = new Socket(LOOPBACK, listenPort)) {
+            serve(held, firstWorker);
+            flood = new Thread(this::flood, "flood");
+            flood.start();
+            untilMoreIdle();
+            // Discovery is down: a request on a held connection, and a fresh connection to the worker for it.
+            serve(held, firstWorker);
+
+            try (ServerSocket discovery = listen(discoveryPort);
+                    Socket watch = discovery.accept()) {
+                assertThat(head(watch.getInputStream())).startsWith("GET /api/targets?watch=1&after=5 ");
+                send(watch, STREAM);
+                untilMoreIdle();
+                list(watch, 6, false, entry("s-1", firstWorker, "Terminating"), entry("s-2", secondWorker, "Ready"));
+                serve(held, secondWorker);
+                untilMoreIdle();
+
+                // It comes back in a new place.
+                try (ServerSocket elsewhere = new ServerSocket(0, 50, LOOPBACK)) {
+                    configure(elsewhere.getLocalPort());
+                    new ProcessBuilder("kill", "-HUP", Long.toString(scheduler.pid()))
+                            .start()
+                            .waitFor();
+                    try (Socket moved = elsewhere.accept()) {
+                        assertThat(head(moved.getInputStream())).startsWith("GET /api/targets");
+                        whole(moved, entry("s-3", thirdWorker, "Ready"));
+                        assertThat(watch.getInputStream().read())
+                                .as("the former watch ends")
+                                .isEqualTo(-1);
+                        serve(held, thirdWorker);
+                    }
+                }
+            }
+        }
+        assertThat(descriptorTable()).as("descriptors at any moment").isLessThanOrEqualTo(SOCKETS);
+    }
+
+    private void configure(int discovery) throws IOException {
+        String config = Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replace("\"ops\":\"127.0.0.1:0\",", "")
+                .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + listenPort + "\"")
+                .replace("$D", "127.0.0.1:" + discovery)
+                .replace("$S", "127.0.0.1:" + firstWorker.getLocalPort())
+                // Where the processor is short a connect may take long, and one given up proves nothing here.
+                .replace("\"dialTimeout\":250000", "\"dialTimeout\":10000000")
+                .replace("\"sockets\":1024", "\"sockets\":" + SOCKETS);
+        Path next = folder.resolve("config.next");
+        Files.writeString(next, config);
+        Files.move(next, folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, LOOPBACK)) {
+            return any.getLocalPort();
+        }
+    }
+
+    private static ServerSocket listen(int port) throws IOException {
+        ServerSocket server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(new InetSocketAddress(LOOPBACK, port));
+        return server;
+    }
+
+    /** How many descriptors the kernel has made room for in the scheduler's table: so many at most were ever open. */
+    private int descriptorTable() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(scheduler.pid()), "status")).stream()
+                .filter(line -> line.startsWith("FDSize:"))
+                .mapToInt(line -> Integer.parseInt(line.substring(7).strip()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void untilReady() throws IOException {
+        for (boolean ready = false; !ready; ) {
+            assertThat(scheduler.isAlive()).isTrue();
+            try (Socket asker = new Socket(LOOPBACK, listenPort)) {
+                send(asker, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                ready = head(asker.getInputStream()).startsWith("HTTP/1.1 200");
+            } catch (IOException e) {
+                continue; // not up yet
+            }
+        }
+    }
+
+    /** Clients that come and stay: silent, with half a request, or with their own side ended. The oldest make room. */
+    private void flood() {
+        Deque<Socket> idle = new ArrayDeque<>();
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                Socket client = new Socket(LOOPBACK, listenPort);
+                idle.add(client);
+                switch (idleSoFar.incrementAndGet() % 3) {
+                    case 0 -> send(client, "POST /order HTTP/1.1\r\nHost: app.svc\r\nX-Req");
+                    case 1 -> client.shutdownOutput();
+                    default -> {}
+                }
+                if (idle.size() > IDLE) {
+                    idle.remove().close();
+                }
+            } catch (IOException e) {
+                continue; // it was shut at once
+            }
+        }
+        idle.forEach(IdleClientsTest::close);
+    }
+
+    private static void close(Socket client) {
+        try {
+            client.close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void untilMoreIdle() {
+        int enough = idleSoFar.get() + MORE;
+        while (idleSoFar.get() < enough) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Requests on the held connection until one comes to that worker, which the scheduler may have yet to hear of. */
+    private void serve(Socket client, ServerSocket worker) throws Exception {
+        for (int port = 0; port != worker.getLocalPort(); ) {
+            port = serve(client);
+        }
+    }
+
+    /** A request that may not run twice, and so goes to its worker on a fresh connection; returns the worker's port. */
+    private int serve(Socket client) throws Exception {
+        String id = "a" + ++requests;
+        send(
+                client,
+                "POST /order HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: " + id
+                        + "\r\nX-Priority-Class: order\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 60000\r\nContent-Length: 2\r\n\r\nab");
+        return answerAsWorker(client, id);
+    }
+
+    /** Answers the request as its worker, and reads the client's answer. */
+    private int answerAsWorker(Socket client, String id) throws Exception {
+        try (Socket worker = arrival(client)) {
+            String asked = head(worker.getInputStream());
+            if (asked.isEmpty()) {
+                return answerAsWorker(
+                        client, id); // it came up as its worker left the list, so nothing may be sent on it
+            }
+            assertThat(asked).startsWith("POST /order ").contains("X-Request-ID: " + id);
+            send(worker, STREAM + chunk("{\"id\":\"" + id + "\",\"from\":\"s\",\"state\":\"done\",\"result\":\"ok\"}"));
+            send(worker, "0\r\n\r\n");
+            assertThat(head(client.getInputStream())).startsWith("HTTP/1.1 200 ");
+            assertThat(client.getInputStream().readNBytes(2)).containsExactly('o', 'k');
+            return worker.getLocalPort();
+        }
+    }
+
+    /** The next connection to a worker; the client must have no answer before that. */
+    private Socket arrival(Socket client) throws Exception {
+        Socket next = null;
+        while (next == null) {
+            assertThat(client.getInputStream().available())
+                    .as("an answer that no worker gave")
+                    .isZero();
+            next = carried.poll(10, TimeUnit.MILLISECONDS);
+        }
+        return next;
+    }
+
+    private void acceptAll(ServerSocket worker) {
+        try {
+            while (true) {
+                carried.add(worker.accept());
+            }
+        } catch (IOException e) {
+            return; // closed: the test is over
+        }
+    }
+
+    private static String entry(String uid, ServerSocket worker, String state) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + worker.getLocalPort()
+                + "\",\"az\":\"a\",\"model\":\"m\",\"state\":\"" + state + "\"}";
+    }
+
+    private static String targets(int rev, boolean all, String... entries) {
+        return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + String.join(",", entries) + "]}";
+    }
+
+    private static void list(Socket watch, int rev, boolean all, String... entries) throws IOException {
+        send(watch, chunk(targets(rev, all, entries)));
+    }
+
+    /** Answers the call for a whole list, and the watch that comes after it. */
+    private static void whole(Socket discovery, String... entries) throws IOException {
+        String list = targets(3, true, entries);
+        send(discovery, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        assertThat(head(discovery.getInputStream())).startsWith("GET /api/targets?watch=1&after=3 ");
+        send(discovery, STREAM);
+    }
+
+    private static String chunk(String line) {
+        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+
+    private static void send(Socket to, String bytes) throws IOException {
+        to.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return head.toString();
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+}
