Look at eight workers in turn of a large fleet, and at cold ones by due times

Need: the bound of CapacityCountsTest, 8 visits in a refresh of an idle fleet; 32 were made. A cold worker and one that is down are now looked at when their state is due to have changed, so that nothing waits for its turn. Fleets of up to 32 workers are looked at whole, as before.

--- a/src/main/java/barrowshore/module/FleetView.java
+++ b/src/main/java/barrowshore/module/FleetView.java
@@ -33,8 +33,10 @@
     private static final double TRUST = 0.3, FORGET = 8;
     /** Jobs that a kind's speed weighs against a worker's own: where work is known; where it is a guess. */
     private static final double PRIOR_JOBS = 3, PRIOR_GUESSED = 9;
-    /** Workers looked at in turn in each refresh: a fleet of that size is looked at whole. */
-    static final int IN_TURN = 32;
+    /** A fleet of that size is looked at whole in each refresh; of a larger one so many workers in turn. */
+    private static final int SMALL_FLEET = 32, IN_TURN = 8;
+    /** Looks at a cold worker in the time that it takes to get warm. */
+    private static final int LOOKS_WHILE_COLD = 64;
     /** Share of the time that an overdue job has run until its worker is looked at again. */
     private static final double LOOK_AGAIN = 0.1;
     /** Rounds of the bisection for a level. */
@@ -180,7 +182,7 @@
                 include(look.worker, due);
             }
         }
-        int inTurn = visitAll ? roster.ready.length : Math.min(IN_TURN, roster.ready.length);
+        int inTurn = visitAll || roster.ready.length <= SMALL_FLEET ? roster.ready.length : IN_TURN;
         visitAll = false;
         for (int k = 0; k < inTurn; k++) {
             nextInTurn = nextInTurn + 1 < roster.ready.length ? nextInTurn + 1 : 0;
@@ -356,7 +358,10 @@
         if (w.silent) {
             return now;
         }
-        double next = Long.MAX_VALUE;
+        double next = w.warmth < 1 ? now + set.cold / LOOKS_WHILE_COLD : Long.MAX_VALUE;
+        if (w.downUntil > now) {
+            next = Math.min(next, w.downUntil);
+        }
         for (Ledger.Left left : w.leftRunning) {
             next = Math.min(next, left.until());
         }
