Give cold turns a process's start: it sends nothing in a turn that began before

Cause: a scheduler that is killed and starts afresh in its turn does not know what it sent there, so each life spends the budget anew.

Change: Terms.startedAt(start) leaves out the turn that runs at the start; after(before) carries it to changed settings.

Not chosen: taking the first look at a worker for the start, which would cost new workers their first turn.

Test: aFreshProcessSendsNothingInATurnThatBeganBeforeIt, seen to fail with the condition replaced by true.

--- a/src/main/java/barrowshore/budget/ColdTurns.java
+++ b/src/main/java/barrowshore/budget/ColdTurns.java
@@ -22,28 +22,50 @@
 
     /**
      * What all schedulers share: how many they are, this one's number from 0, the window in microseconds, and the number
-     * of tracks.
+     * of tracks. startedAt: when this process started, {@link #LONG_AGO} if no turn of before can matter any more.
      */
-    public record Terms(int schedulers, int me, long window, int tracks) {
+    public record Terms(int schedulers, int me, long window, int tracks, long startedAt) {
+        private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
         public Terms {
             if (schedulers < 1 || me < 0 || window <= 0 || tracks < 1) {
                 throw new IllegalArgumentException("a turn needs a scheduler, a window and a track");
             }
         }
 
+        /** Terms of a process that has been up for long. */
+        public Terms(int schedulers, int me, long window, int tracks) {
+            this(schedulers, me, window, tracks, LONG_AGO);
+        }
+
+        /**
+         * The terms of a process that started then. In a turn that had begun before, a process of the same name may have
+         * sent what is due to the scheduler, and this one does not know: it sends nothing until the next turn.
+         */
+        public Terms startedAt(long start) {
+            return new Terms(schedulers, me, window, tracks, start);
+        }
+
+        /** These terms for the process that had the others before, if any. */
+        public Terms after(Terms before) {
+            return before == null ? this : startedAt(before.startedAt);
+        }
+
         /** As many tracks as hold a few jobs each: multiple times the window against the mean aim of the classes. */
         public static Terms of(int schedulers, int me, long window, double multiple, double meanAim) {
             int tracks = (int) Math.min(schedulers, multiple * window / Math.max(1, meanAim) / TRACK_JOBS);
             return new Terms(schedulers, me, window, Math.max(1, tracks));
         }
 
-        /** Whether this scheduler has a turn at the worker of that name, and it is not in its quiet end. */
+        /** Whether this scheduler has a turn at the worker of that name, it is not in its quiet end, and it began with this process up. */
         public boolean turn(long now, int name) {
             long period = (long) (TURN * window);
             for (int track = 0; track < tracks; track++) {
-                long at = now + track * period / tracks;
+                long phase = track * period / tracks, at = now + phase;
                 long owner = Math.floorDiv(at, period) + name + (long) track * schedulers / tracks;
-                if (Math.floorMod(at, period) < period - QUIET * window && Math.floorMod(owner, schedulers) == me) {
+                boolean quiet = Math.floorMod(at, period) >= period - QUIET * window;
+                boolean whole = startedAt + phase <= at - Math.floorMod(at, period);
+                if (!quiet && whole && Math.floorMod(owner, schedulers) == me) {
                     return true;
                 }
             }
--- a/src/test/java/barrowshore/budget/ColdTurnsTest.java
+++ b/src/test/java/barrowshore/budget/ColdTurnsTest.java
@@ -27,4 +27,25 @@
         assertThat(ColdTurns.Terms.of(1, 0, WINDOW, 3, 1).tracks()).isEqualTo(1);
         assertThatThrownBy(() -> new ColdTurns.Terms(1, 0, 0, 1)).hasMessageContaining("window");
     }
+
+    /** What a process of the same name sent before, in the same turn, is not known to the one that follows it. */
+    @Test
+    void aFreshProcessSendsNothingInATurnThatBeganBeforeIt() {
+        ColdTurns.Terms old = ColdTurns.Terms.of(30, 7, WINDOW, 3, 180_000);
+        long[] turns = LongStream.range(0, 100_000)
+                .map(t -> t * 10_000)
+                .filter(t -> old.turn(t, 12345) && old.turn(t + 1, 12345))
+                .toArray();
+        long start = turns[turns.length / 2] + 1;
+        ColdTurns.Terms fresh = old.startedAt(start);
+        assertThat(fresh.turn(start, 12345)).isFalse();
+        assertThat(new ColdTurns().may(start, fresh, 12345, 1e9, 1)).isFalse();
+        assertThat(new ColdTurns().may(start, old, 12345, 1e9, 1)).isTrue();
+        long first = LongStream.of(turns)
+                .filter(t -> fresh.turn(t, 12345))
+                .findFirst()
+                .orElseThrow();
+        assertThat(first).isGreaterThan(start);
+        assertThat(LongStream.of(turns).filter(t -> t >= first)).allMatch(t -> fresh.turn(t, 12345));
+    }
 }
