--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -84,10 +84,11 @@
         mean.enter(kinds);
         quotas.enter();
         double aim = Arrays.stream(set.classes).mapToLong(JobClass::aim).average().orElse(0);
-        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, aim);
+        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, aim).after(turns);
     }
 
     @Override public void start(long now) {
+        turns = turns.startedAt(now);
         quotas.start(now);
         load.keep(now, 1);
         act.timer((long) (REFRESH_TICKS * set.tick * (0.5 + rng.next())), "refresh");
--- a/src/main/java/barrowshore/module/Worker.java
+++ b/src/main/java/barrowshore/module/Worker.java
@@ -1,4 +1,3 @@
-// Part of the decision module; its whole interface is DispatchApi.java.
 package barrowshore.module;
 
 import java.util.ArrayList;
