--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -74,11 +74,13 @@
         quotas.enter();
         double aim =
                 Arrays.stream(set.classes).mapToLong(JobClass::aim).average().orElse(0);
-        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, aim);
+        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, aim)
+                .after(turns);
     }
 
     @Override
     public void start(long now) {
+        turns = turns.startedAt(now);
         quotas.start(now);
         fleet.start(now);
         peers.start(now);
