--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -243,8 +243,8 @@
                 name = "--deployments",
                 metaVar = "COUNT",
                 forbids = {"--operator", "--json", "--compare", "--seeds"},
-                usage =
-                        "in place of a scenario: so many deployments drawn by seeds, a day on each; where it loses, worst first")
+                usage = "in place of a scenario: so many deployments drawn by seeds, a day on each; "
+                        + "where it loses, worst first")
         int deployments;
 
         @Option(name = "--rivals", depends = "--deployments", usage = "and the same days by textbook policies")
--- a/src/main/java/barrowshore/client/ClientSide.java
+++ b/src/main/java/barrowshore/client/ClientSide.java
@@ -37,9 +37,9 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * The clients' HTTP side: turns HTTP requests into job requests and final answers into responses. An actor that owns the set of
- * client connections and their limit; each connection is an actor of its own and owns at most one open job request. It must
- * never let a request that is not well formed reach the module, and never answer a request twice.
+ * The clients' HTTP side: turns HTTP requests into job requests and final answers into responses. An actor that owns the set
+ * of client connections and their limit; each connection is an actor of its own and owns at most one open job request. It
+ * must never let a request that is not well formed reach the module, and never answer a request twice.
  */
 public final class ClientSide {
     private static final int MAX_BODY = 64 * 1024;
@@ -156,8 +156,8 @@
     }
 
     /**
-     * Closes connections without a request on them: those that have had a job's answer, or all of them. One without is about to
-     * bring a request, or else its time runs out by itself.
+     * Closes connections without a request on them: those that have had a job's answer, or all of them. One without is about
+     * to bring a request, or else its time runs out by itself.
      */
     public void closeIdle(boolean all) {
         mailbox.post(() -> links.forEach(link -> link.leave(all)));
@@ -167,7 +167,10 @@
     public void most(int now) {
         mailbox.post(() -> {
             most = now;
-            for (int over = links.size() - most; over > 0 && makeRoom(); over--) {}
+            int over = links.size() - most;
+            while (over > 0 && makeRoom()) {
+                over--;
+            }
         });
     }
 
@@ -515,14 +518,8 @@
             return true;
         }
 
-        /** Reads the HTTP request's head as a job request. */
-        private JobRequest head() throws BadRequest {
-            if (!TARGET.matcher(target).matches()) {
-                throw new BadRequest(400, "the target cannot be read");
-            }
-            String path = target.substring(1).split("[/?;]", 2)[0];
-            Terms terms = ClientSide.this.terms;
-            List<String> tenants = terms.tenants();
+        /** Whether it is a POST with a body to a path served here, and no header of a job's is there twice. */
+        private void checkForm(Terms terms, String path) throws BadRequest {
             if (!terms.served().contains(path)) {
                 throw new BadRequest(404, "no such path");
             }
@@ -537,6 +534,17 @@
                     throw new BadRequest(400, name + " is there twice");
                 }
             }
+        }
+
+        /** Reads the HTTP request's head as a job request. */
+        private JobRequest head() throws BadRequest {
+            if (!TARGET.matcher(target).matches()) {
+                throw new BadRequest(400, "the target cannot be read");
+            }
+            String path = target.substring(1).split("[/?;]", 2)[0];
+            Terms terms = ClientSide.this.terms;
+            List<String> tenants = terms.tenants();
+            checkForm(terms, path);
             String id = header("X-Request-ID");
             if (!ID.matcher(id).matches()) {
                 throw new BadRequest(400, "X-Request-ID is not a word of at most 64 letters and digits");
--- a/src/main/java/barrowshore/emulate/Deployment.java
+++ b/src/main/java/barrowshore/emulate/Deployment.java
@@ -63,8 +63,8 @@
             double share, double speedFrom, double speedTo, int cores, double queueFrom, double queueTo) {}
 
     /**
-     * What schedulers are told of load, starts and machines; period and delay as ranges, noise a standard deviation; bySpeed:
-     * whether a machine's registered size is its cores by their usual speed, or its cores.
+     * What schedulers are told of load, starts and machines; period and delay as ranges, noise a standard deviation;
+     * bySpeed: whether a machine's registered size is its cores by their usual speed, or its cores.
      */
     public record Told(
             Reports reports,
@@ -81,6 +81,7 @@
             boolean listAsked,
             boolean bySpeed) {}
 
+    /** What the site allows its schedulers: talk to peers, second copies, cancelling, and how many attempts a job. */
     public record Allowed(boolean peers, boolean copies, boolean cancel, int attempts) {}
 
     /** What is certain of a cold machine, and what pushes it over. */
@@ -261,7 +262,8 @@
             double[] shares = new double[count];
             double sum = 0;
             for (int c = 0; c < count; c++) {
-                sum += shares[c] = in(0.15, 0.5);
+                shares[c] = in(0.15, 0.5);
+                sum += shares[c];
             }
             Scope scope = one(Scope.ALL, Scope.ZONE, Scope.CELL);
             boolean memory = chance(0.3);
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -184,7 +184,7 @@
     private void look() {
         report.even.look(nodes.stream().map(Node::look).toList(), schedulers.size());
         int halls = scenario.halls().size();
-        double[] foreign = new double[halls], usable = new double[halls], can = new double[halls];
+        double[] foreign = new double[halls], usable = new double[halls];
         for (Node n : nodes) {
             if (n.model.up() && !n.vanished) {
                 usable[n.hall] += n.model.spec().cores();
--- a/src/main/java/barrowshore/files/WatchedFile.java
+++ b/src/main/java/barrowshore/files/WatchedFile.java
@@ -173,6 +173,7 @@
                 case SAME -> inUse = next;
                 case HELD, REFUSED -> say(
                         Level.WARNING, "revision " + next.revision() + " is not taken: " + verdict.why() + kept());
+                default -> throw new IllegalStateException("no such outcome: " + verdict.outcome());
             }
         } catch (ConfigException e) {
             say(Level.WARNING, "left unused: " + e.getMessage() + kept());
--- a/src/main/java/barrowshore/fleet/Fleet.java
+++ b/src/main/java/barrowshore/fleet/Fleet.java
@@ -43,7 +43,7 @@
  * everything that it starts, and ends it by its id, also when the run fails; what it finds broken it takes from clients'
  * and workers' records alone. It must never start more than the memory holds, or listen elsewhere than on loopback.
  */
-public final class Fleet implements AutoCloseable {
+public final class Fleet {
     /** Memory that a scheduler needs at most on these runs, MiB, as measured with 60. */
     private static final int MIB_EACH = 100;
     /** Starts at once: each keeps a core busy for a second. */
@@ -94,8 +94,8 @@
     }
 
     /**
-     * Plays it. folder: where logs, configurations and figures go; deploy: the deploy file whose `run` has the JVM's options,
-     * or null for none. A {@link ConfigException} says why nothing was started, or which process did not come up.
+     * Plays it. folder: where logs, configurations and figures go; deploy: the deploy file whose `run` has the JVM's
+     * options, or null for none. A {@link ConfigException} says why nothing was started, or which process did not come up.
      */
     public static Outcome play(FleetScenario scenario, Path folder, Path deploy, PrintStream out) throws Exception {
         long room = available();
@@ -103,9 +103,12 @@
             throw new ConfigException(scenario.schedulers() + " schedulers need " + scenario.schedulers() * MIB_EACH
                     + " MiB and " + room + " MiB are free: nothing was started");
         }
-        try (Fleet fleet = new Fleet(scenario, folder, deploy, out)) {
+        Fleet fleet = new Fleet(scenario, folder, deploy, out);
+        try {
             fleet.start();
             return fleet.run();
+        } finally {
+            fleet.end();
         }
     }
 
@@ -251,25 +254,8 @@
                 instances.get(f.one()).term();
                 noticed(instances.get(f.one()), TOLD);
             }
-            case START -> {
-                Instance one = instances.get(f.one());
-                one.leave();
-                one.start(config(one));
-                one.awaitReady();
-                closeOutage(f.one());
-                event("ready", f.one());
-            }
-            case PAUSE -> {
-                long from = now();
-                instances.get(f.one()).signal("STOP");
-                Thread.sleep(Math.min(NOTICES, lasts));
-                instances.get(f.one()).inService = false;
-                Thread.sleep(Math.max(0, lasts - NOTICES));
-                instances.get(f.one()).signal("CONT");
-                outages.add(new Outage(f.one(), from, now()));
-                instances.get(f.one()).inService = true;
-                event("goes on", f.one());
-            }
+            case START -> start(f.one());
+            case PAUSE -> pause(f.one(), lasts);
             case PARTITION -> {
                 hub.cut(new HashSet<>(f.others()));
                 Thread.sleep(lasts);
@@ -282,15 +268,7 @@
                 discoveries.get(f.one()).silent(false);
                 event("heard again", f.one());
             }
-            case CRASH -> {
-                StandInNode node = workers.get(f.one());
-                node.crash().join();
-                Thread.sleep(Math.min(GONE, lasts));
-                tell(f.one(), "Gone", 0);
-                Thread.sleep(Math.max(0, lasts - GONE));
-                tell(f.one(), "Ready", node.restart().join());
-                event("back, cold", f.one());
-            }
+            case CRASH -> crash(f.one(), lasts);
             case HANG -> {
                 workers.get(f.one()).hang(true).join();
                 Thread.sleep(lasts);
@@ -306,10 +284,43 @@
                 tell(f.one(), "Terminating", 0);
                 workers.get(f.one()).nothingNewAfter(GRACE + untilHeard(f.at()));
             }
+            default -> throw new IllegalStateException("nothing begins with " + f.what());
         }
     }
 
-    /** How much longer some scheduler stands still or hears nothing of discovery, at that time of the scenario, milliseconds. */
+    private void start(int scheduler) throws Exception {
+        Instance instance = instances.get(scheduler);
+        instance.leave();
+        instance.start(config(instance));
+        instance.awaitReady();
+        closeOutage(scheduler);
+        event("ready", scheduler);
+    }
+
+    private void pause(int scheduler, long lasts) throws Exception {
+        Instance instance = instances.get(scheduler);
+        long from = now();
+        instance.signal("STOP");
+        Thread.sleep(Math.min(NOTICES, lasts));
+        instance.inService = false;
+        Thread.sleep(Math.max(0, lasts - NOTICES));
+        instance.signal("CONT");
+        outages.add(new Outage(scheduler, from, now()));
+        instance.inService = true;
+        event("goes on", scheduler);
+    }
+
+    private void crash(int worker, long lasts) throws Exception {
+        StandInNode node = workers.get(worker);
+        node.crash().join();
+        Thread.sleep(Math.min(GONE, lasts));
+        tell(worker, "Gone", 0);
+        Thread.sleep(Math.max(0, lasts - GONE));
+        tell(worker, "Ready", node.restart().join());
+        event("back, cold", worker);
+    }
+
+    /** How much longer some scheduler stands still or hears nothing of discovery, at that time of the scenario, in ms. */
     private long untilHeard(long at) {
         return scenario.faults().stream()
                 .filter(f -> f.what() == FleetScenario.What.PAUSE || f.what() == FleetScenario.What.SILENCE)
@@ -434,8 +445,8 @@
         Files.write(folder.resolve("events.jsonl"), events);
     }
 
-    @Override
-    public void close() throws Exception {
+    /** Ends every process and all that was started for them. */
+    private void end() throws Exception {
         faults.shutdownNow();
         for (Instance one : instances) {
             one.end();
--- a/src/main/java/barrowshore/fleet/Invariants.java
+++ b/src/main/java/barrowshore/fleet/Invariants.java
@@ -10,7 +10,7 @@
  * scheduler says of itself. Pure.
  */
 final class Invariants {
-    /** What came back to a client; REFUSED: its connection never came up; NONE: it ended, or time passed, without an answer. */
+    /** What came back to a client; REFUSED: its connection never came up; NONE: it ended or time ran out, unanswered. */
     enum Answer {
         SERVED,
         TURNED_DOWN,
--- a/src/main/java/barrowshore/halls/Hall.java
+++ b/src/main/java/barrowshore/halls/Hall.java
@@ -106,8 +106,19 @@
 
     /** Capacity that speaks for itself: no more than what is listed. */
     private void count(long now) {
-        listed = lost = words = draining = proved = trying = 0;
-        weight = slots = lostWeight = aliveWeight = provedWeight = provedSlots = provedLost = 0;
+        listed = 0;
+        lost = 0;
+        words = 0;
+        draining = 0;
+        proved = 0;
+        trying = 0;
+        weight = 0;
+        slots = 0;
+        lostWeight = 0;
+        aliveWeight = 0;
+        provedWeight = 0;
+        provedSlots = 0;
+        provedLost = 0;
         firm = false;
         signAt = Long.MIN_VALUE / 2;
         troubledAt = Long.MAX_VALUE;
@@ -204,8 +215,8 @@
             return move(now, HallState.SERVING);
         }
         boolean sure = enough() && firm && share >= SURE;
-        boolean long_ = firm && now - since >= rules.darkAfter() && share >= rules.doubtShare();
-        return sure || long_ ? goDark(now, peers.served() > 0 ? Why.CUT_OFF : Why.LOST) : null;
+        boolean forLong = firm && now - since >= rules.darkAfter() && share >= rules.doubtShare();
+        return sure || forLong ? goDark(now, peers.served() > 0 ? Why.CUT_OFF : Why.LOST) : null;
     }
 
     private String dark(long now, Hearsay peers) {
--- a/src/main/java/barrowshore/halls/HallGate.java
+++ b/src/main/java/barrowshore/halls/HallGate.java
@@ -59,8 +59,8 @@
     /**
      * Weighs a request before a pick. Returns for each hall how many times the price of crossing a request pays there;
      * {@link #CLOSED}: not at all; below 0: as many times as {@link #asked} says, at servers that {@link #takes} takes.
-     * The array is the gate's own, and holds until the next call. worth: for the room it takes, against the usual job, 0 to 1; repeatable: it may
-     * run twice; tier: the furthest tier to look at.
+     * The array is the gate's own, and holds until the next call. worth: for the room it takes,
+     * against the usual job, 0 to 1; repeatable: it may run twice; tier: the furthest tier to look at.
      */
     default double[] weigh(long now, double slots, double worth, boolean repeatable, int tier) {
         throw new UnsupportedOperationException("without halls there is nothing to weigh");
--- a/src/main/java/barrowshore/model/NodeModel.java
+++ b/src/main/java/barrowshore/model/NodeModel.java
@@ -432,6 +432,7 @@
         hung = false;
         draining = false;
         slowness = 1;
-        bornAt = settledAt = time.now();
+        bornAt = time.now();
+        settledAt = bornAt;
     }
 }
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -175,6 +175,10 @@
             module.startPublishing();
             ops = new OpsDoor(listen(config.ops(), "ops", false), timers, new Door());
         }
+        logStart(setup);
+    }
+
+    private void logStart(Setup setup) {
         LOG.log(
                 Level.INFO,
                 config.summary()
--- a/src/main/java/barrowshore/request/JobRequest.java
+++ b/src/main/java/barrowshore/request/JobRequest.java
@@ -3,8 +3,8 @@
 import java.util.function.Consumer;
 
 /**
- * What any client protocol hands to the desk that serves it, and the one final answer that it takes back. These records own no
- * resource and know no protocol: a second protocol beside HTTP brings its requests in this form. Times in microseconds of
+ * What any client protocol hands to the desk that serves it, and the one final answer that it takes back. These records own
+ * no resource and know no protocol: a second protocol beside HTTP brings its requests in this form. Times in microseconds of
  * the scheduler's clock; {@code deadline} is when the answer must have been given;
  * {@code window}: for how long after a send that may have run it may be sent again, since that does no harm or its repeats
  * are dropped; {@link #ALWAYS}, or 0: not at all;
--- a/src/main/java/barrowshore/servers/Server.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -339,7 +339,8 @@
             lines = null;
             body = null;
             persistent = true;
-            linesRead = bytesRead = 0;
+            linesRead = 0;
+            bytesRead = 0;
             limit(0);
             HttpFields.Mutable fields =
                     HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":" + address.getPort());
--- a/src/main/java/barrowshore/wire/SettingsReader.java
+++ b/src/main/java/barrowshore/wire/SettingsReader.java
@@ -144,7 +144,7 @@
         return value == null ? "" : value.toString().replaceAll("[ ,]", "_");
     }
 
-    /** The settings that no page names, in order, numbers in their paths as N: a new site's news, which nothing here heeds. */
+    /** The settings that no page names, in order, numbers in their paths as N: news of a new site, not heeded here. */
     public List<String> unknown() {
         return pairs.keySet().stream()
                 .map(key -> key.replaceAll("\\.[0-9]+(?=\\.|$)", ".N"))
--- a/src/test/java/barrowshore/model/NodeModelTest.java
+++ b/src/test/java/barrowshore/model/NodeModelTest.java
@@ -176,7 +176,7 @@
         assertThat(words).last().isEqualTo("b done 31000");
     }
 
-    /** 0.2 of ten cores are two: a lone job has one to itself, eight share 2.2 and what comes (0.275 t + 0.025 t^2 = 0.5 s). */
+    /** 0.2 of ten cores are two: a lone job has one to itself, eight share 2.2 and more (0.275 t + 0.025 t^2 = 0.5 s). */
     @Test
     void aColdNodeHasFewerCoresAndNotSlowerOnes() {
         NodeModel node = node(10, 1, 100, false);
--- a/src/test/java/barrowshore/node/EndTest.java
+++ b/src/test/java/barrowshore/node/EndTest.java
@@ -36,7 +36,8 @@
                 started.complete(node);
                 client.getOutputStream()
                         .write(("POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\n"
-                                        + "X-Priority-Class: order\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 300\r\nContent-Length: 0\r\n\r\n")
+                                        + "X-Priority-Class: order\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 300\r\n"
+                                        + "Content-Length: 0\r\n\r\n")
                                 .getBytes(StandardCharsets.ISO_8859_1));
                 InputStream in = client.getInputStream();
                 assertThat(new String(in.readNBytes(12), StandardCharsets.ISO_8859_1))
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -176,20 +176,7 @@
                     String file = config;
                     node.reload(() -> new Setup(Config.parse(file), Operator.NONE));
                 }
-                case "look-again" -> {
-                    Path file = folder.resolve("config.json");
-                    Files.writeString(file, config);
-                    SetupFiles files = new SetupFiles(file, null, null);
-                    files.read();
-                    node.lookAgain(files); // it is as it was
-                    config = config.replace(named(words[1]), named(words[2]));
-                    // Put in its place whole: a look between the truncation and the bytes would find a bad file.
-                    Path next = folder.resolve("config.next");
-                    Files.writeString(next, config);
-                    Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
-                    node.lookAgain(files);
-                    node.lookAgain(files);
-                }
+                case "look-again" -> lookAgain(named(words[1]), named(words[2]));
                 case "module" -> module = words[1];
                 case "start" -> start();
                 case "follow" -> {
@@ -251,6 +238,21 @@
             }
         }
 
+        private void lookAgain(String part, String instead) throws Exception {
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, config);
+            SetupFiles files = new SetupFiles(file, null, null);
+            files.read();
+            node.lookAgain(files); // it is as it was
+            config = config.replace(part, instead);
+            // Put in its place whole: a look between the truncation and the bytes would find a bad file.
+            Path next = folder.resolve("config.next");
+            Files.writeString(next, config);
+            Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
+            node.lookAgain(files);
+            node.lookAgain(files);
+        }
+
         private void act(String who, String does, String status, String bytes, String text) throws Exception {
             Socket peer = peer(who, does.equals("reopens"));
             switch (does) {
@@ -375,7 +377,7 @@
             }
         }
 
-        /** Tells the whole list, by itself or as a watch's first line, whichever is asked for; or (+) a line of the watch. */
+        /** Tells the whole list, by itself or as a watch's first line, as it is asked for; or (+) a line of the watch. */
         private void list(String who, String line) throws IOException {
             Socket watch = peer(who, false);
             if (!line.startsWith("+")) {
--- a/src/test/java/barrowshore/node/ReloadOperatorTest.java
+++ b/src/test/java/barrowshore/node/ReloadOperatorTest.java
@@ -49,14 +49,13 @@
                     }))
                     .isEqualTo(2);
             // A preference for a hall that there is not: found only when the two files are put together.
-            assertThat(
-                            halls(
-                                    node,
-                                    () -> setup(
-                                            Operator.parse(
-                                                    "f",
-                                                    "<operator xmlns=\"urn:barrowshore:operator:1\"><halls>"
-                                                            + "<preference of=\"nowhere\"><tier><hall name=\"a\"/></tier></preference></halls></operator>"))))
+            assertThat(halls(
+                            node,
+                            () -> setup(Operator.parse(
+                                    "f",
+                                    "<operator xmlns=\"urn:barrowshore:operator:1\"><halls>"
+                                            + "<preference of=\"nowhere\"><tier><hall name=\"a\"/></tier>"
+                                            + "</preference></halls></operator>"))))
                     .isEqualTo(2);
             assertThat(halls(node, () -> setup(Operator.NONE))).isEqualTo(2);
             assertThat(halls(node, () -> setup(Operator.NONE))).isZero();
--- a/src/test/java/barrowshore/ops/OpsDoorTest.java
+++ b/src/test/java/barrowshore/ops/OpsDoorTest.java
@@ -85,10 +85,10 @@
     @Test
     void figuresStandOneALineUnderTheirNames() throws Exception {
         assertThat(answer(call("GET /v1/metrics HTTP/1.1\r\nHost: x\r\n\r\n")))
-                .endsWith(
-                        "\r\n\r\n"
-                                + "svc.passed.soup=812\nsvc.dropped.soup=3\nsvc.bad_gateway.soup=1\nsvc.upstream_tries=820\n"
-                                + "svc.in_progress=14\nsvc.known_workers=5\nsvc.skipped_workers=2\nsvc.loads=1\nsvc.load_errors=4\n");
+                .endsWith("\r\n\r\n"
+                        + "svc.passed.soup=812\nsvc.dropped.soup=3\nsvc.bad_gateway.soup=1\nsvc.upstream_tries=820\n"
+                        + "svc.in_progress=14\nsvc.known_workers=5\nsvc.skipped_workers=2\n"
+                        + "svc.loads=1\nsvc.load_errors=4\n");
     }
 
     @Test
@@ -96,10 +96,8 @@
         assertThat(answer(call("GET /v1/readyz HTTP/1.0\r\n\r\n"))).startsWith("HTTP/1.1 503 ");
         assertThat(answer(call("POST /v1/scheduler/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}")))
                 .startsWith("HTTP/1.1 409 ");
-        assertThat(
-                        answer(
-                                call(
-                                        "POST /v1/scheduler/activate HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")))
+        assertThat(answer(call("POST /v1/scheduler/activate HTTP/1.1\r\nHost: x\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")))
                 .startsWith("HTTP/1.1 409 ");
     }
 
--- a/src/test/java/barrowshore/wire/SettingsReaderTest.java
+++ b/src/test/java/barrowshore/wire/SettingsReaderTest.java
@@ -17,7 +17,8 @@
                 "groupSize=2 kinds=big_one,small zones=a,b tick=5000 lanes.count=1 "
                         + "lanes.0.name=menu lanes.0.aim=120000 lanes.0.deadline=5000000 lanes.0.worth=2.0 "
                         + "lanes.0.idempotency=idempotent domain.classStretch=1.75 policyLimits.sendCap=5 "
-                        + "policyLimits.cancel=true telemetry.how=pull tenants.count=1 tenants.0.quotaPerS=8.0 unheard.of=1");
+                        + "policyLimits.cancel=true telemetry.how=pull tenants.count=1 tenants.0.quotaPerS=8.0 "
+                        + "unheard.of=1");
         SettingsReader reader = SettingsReader.of(Map.of(
                 "groupSize",
                 2L,
