Call the emulator's halls zones in its code, as deployments and settings do

Cause: one thing had two names: Deployment and the module's settings say zone, the rest of the emulator said hall, and clients were diners.

Change: names and comments in `emulate` and two of its tests. The scenarios' XML, the printed tables, the JSON keys and the package `barrowshore.halls` with its types are as they were.

--- a/src/main/java/barrowshore/emulate/Attempt.java
+++ b/src/main/java/barrowshore/emulate/Attempt.java
@@ -45,7 +45,7 @@
         }
         ended = true;
         open.outstanding--;
-        scheduler.out[node.hall] -= open.job.slots;
+        scheduler.out[node.zone] -= open.job.slots;
         if (status == Status.OK && !open.answered) {
             open.answer(Status.OK, 0);
         }
@@ -70,7 +70,7 @@
             later(EmulatedScheduler.CONNECT_TIMEOUT, () -> end(Status.CONNECT_FAILED));
             return;
         }
-        long there = world.draws.way(scheduler.hall, node.hall);
+        long there = world.draws.way(scheduler.zone, node.zone);
         if (!node.model.up()) {
             later(2 * there, () -> end(Status.CONNECT_FAILED));
             return;
@@ -81,7 +81,7 @@
                 return;
             }
             knew = scheduler.bootsHeard.getOrDefault(node.id, -1L) == node.boot;
-            world.report.sent(kernel.now() - World.START, node.hall, scheduler.hall);
+            world.report.sent(kernel.now() - World.START, node.zone, scheduler.zone);
             kernel.after(there, () -> {
                 if (node.reachable(scheduler)) {
                     cameAt = kernel.now();
@@ -104,9 +104,9 @@
     /** Runs it when it has come back to the scheduler; where the machine is cut off, once it is not. */
     private void back(Runnable run) {
         if (node.vanished) {
-            node.unsaid.add(() -> scheduler.over(node.hall, born, run));
+            node.unsaid.add(() -> scheduler.over(node.zone, born, run));
         } else {
-            scheduler.over(node.hall, born, run);
+            scheduler.over(node.zone, born, run);
         }
     }
 
--- a/src/main/java/barrowshore/emulate/ClientJob.java
+++ b/src/main/java/barrowshore/emulate/ClientJob.java
@@ -16,7 +16,7 @@
     final ClassOf jobClass;
 
     final int type;
-    final int hall;
+    final int zone;
     final double slots;
     final double work;
     final double guess;
@@ -27,12 +27,12 @@
     /** Where it has started, and when it had come there. */
     private final List<Start> starts = new ArrayList<>(1);
 
-    ClientJob(World world, int type, int hall, double slots, double work, double guess, int tenant) {
+    ClientJob(World world, int type, int zone, double slots, double work, double guess, int tenant) {
         this.world = world;
         this.jobClass = world.deployment.classes().get(type);
         this.since = world.kernel.now();
         this.type = type;
-        this.hall = hall;
+        this.zone = zone;
         this.slots = slots;
         this.work = work;
         this.guess = guess;
@@ -50,7 +50,7 @@
                             || came - s.came < jobClass.window()
                                     && switch (jobClass.scope()) {
                                         case ALL -> true;
-                                        case ZONE -> s.node.hall == node.hall;
+                                        case ZONE -> s.node.zone == node.zone;
                                         case CELL -> s.node.cell == node.cell;
                                     });
             world.report.twice += jobClass.effect() == Effect.SAFE || dropped ? 0 : 1;
--- a/src/main/java/barrowshore/emulate/Clients.java
+++ b/src/main/java/barrowshore/emulate/Clients.java
@@ -3,7 +3,7 @@
 import barrowshore.emulate.Deployment.ClassOf;
 import java.util.List;
 
-/** All clients: they come at the day's rate, pick a scheduler of their hall, and try again after a refusal or a failure. */
+/** All clients: they come at the day's rate, pick a scheduler of their zone, and try again after a refusal or a failure. */
 final class Clients {
     private static final int TENANTS = 7;
     /** The sizes that jobs have, by the columns of a class's shares. */
@@ -57,14 +57,14 @@
         while (s < k.slots().length - 1 && (chance -= k.slots()[s]) > 0) {
             s++;
         }
-        double all = scenario.halls().stream()
-                .mapToDouble(Scenario.HallSpec::clients)
+        double all = scenario.zones().stream()
+                .mapToDouble(Scenario.ZoneSpec::clients)
                 .sum();
         double where = draws.day.nextDouble() * all;
-        int hall = 0;
-        while (hall < scenario.halls().size() - 1
-                && (where -= scenario.halls().get(hall).clients()) > 0) {
-            hall++;
+        int zone = 0;
+        while (zone < scenario.zones().size() - 1
+                && (where -= scenario.zones().get(zone).clients()) > 0) {
+            zone++;
         }
         double work = draws.work(type),
                 guess =
@@ -73,15 +73,15 @@
                             case GOOD -> work * Math.exp(0.1 * draws.normal());
                             case MISLEADING -> k.work() * Math.exp(1.5 * draws.normal());
                         };
-        ClientJob job = new ClientJob(world, type, hall, SLOTS[s], work, guess, draws.day.nextInt(TENANTS));
-        world.report.asked(kernel.now() - World.START, job.hall, job.type, job.worth(), job.work * job.slots);
+        ClientJob job = new ClientJob(world, type, zone, SLOTS[s], work, guess, draws.day.nextInt(TENANTS));
+        world.report.asked(kernel.now() - World.START, job.zone, job.type, job.worth(), job.work * job.slots);
         attempt(job);
     }
 
     private void attempt(ClientJob job) {
         job.tries++;
         List<EmulatedScheduler> there =
-                world.schedulers.stream().filter(s -> s.hall == job.hall).toList();
+                world.schedulers.stream().filter(s -> s.zone == job.zone).toList();
         EmulatedScheduler to = there.get(draws.random.nextInt(there.size()));
         if (!to.up()) {
             retry(job, 0); // nobody there: the front has not noticed yet
--- a/src/main/java/barrowshore/emulate/Deployment.java
+++ b/src/main/java/barrowshore/emulate/Deployment.java
@@ -328,12 +328,12 @@
 
         private Scenario day(Deployment d, int zones) {
             int schedulers = Math.max(zones, one(2, 3, 4, 6, 10)), nodes = Math.max(zones, 6 + random.nextInt(10));
-            List<Scenario.HallSpec> halls = new ArrayList<>();
+            List<Scenario.ZoneSpec> specs = new ArrayList<>();
             double rest = 1;
             for (int z = 0; z < zones; z++) {
                 double clients = z == zones - 1 ? rest : rest / (zones - z) * in(0.7, 1.3);
                 rest -= clients;
-                halls.add(new Scenario.HallSpec("z" + z, (nodes + z) / zones, (schedulers + z) / zones, clients));
+                specs.add(new Scenario.ZoneSpec("z" + z, (nodes + z) / zones, (schedulers + z) / zones, clients));
             }
             List<Scenario.Happening> happenings = new ArrayList<>();
             for (int k = random.nextInt(3); k > 0; k--) {
@@ -366,7 +366,7 @@
                     allowedLoss(d),
                     0,
                     d.told().reports() == Reports.PROBES,
-                    halls,
+                    specs,
                     happenings);
         }
 
--- a/src/main/java/barrowshore/emulate/Draws.java
+++ b/src/main/java/barrowshore/emulate/Draws.java
@@ -73,7 +73,7 @@
         return (long) (uniform(fromMillis, toMillis) * World.MS);
     }
 
-    /** One way between two halls, in microseconds. */
+    /** One way between two zones, in microseconds. */
     long way(int from, int to) {
         long[] range = from == to ? deployment.net().same() : deployment.net().cross();
         return (long) (1 + uniform(range[0], range[1]));
--- a/src/main/java/barrowshore/emulate/EmulatedNode.java
+++ b/src/main/java/barrowshore/emulate/EmulatedNode.java
@@ -24,7 +24,7 @@
     private final Deployment deployment;
 
     final String id;
-    final int hall;
+    final int zone;
     final int kind;
     final int number;
     /** Cells are a few machines each, within a zone. */
@@ -43,7 +43,7 @@
     /** The weight that the list tells of it. */
     double weight;
 
-    EmulatedNode(World world, String id, int number, int hall, int kind, NodeModel.Spec spec) {
+    EmulatedNode(World world, String id, int number, int zone, int kind, NodeModel.Spec spec) {
         this.world = world;
         this.kernel = world.kernel;
         this.draws = world.draws;
@@ -51,7 +51,7 @@
         this.id = id;
         this.number = number;
         this.cell = number / CELL;
-        this.hall = hall;
+        this.zone = zone;
         this.kind = kind;
         Deployment.Rules rules = deployment.rules();
         this.model = new NodeModel(
@@ -103,11 +103,11 @@
 
     /** Its line of the list. */
     Member entry() {
-        return new Member(id, health, weight, cell, kind, hall, boot);
+        return new Member(id, health, weight, cell, kind, zone, boot);
     }
 
     boolean reachable(EmulatedScheduler from) {
-        return !vanished && !from.cutFrom.contains(hall);
+        return !vanished && !from.cutFrom.contains(zone);
     }
 
     /** The list hears of it late, each scheduler a little apart. */
@@ -137,7 +137,7 @@
         if (health == Health.GONE) {
             tell(Health.READY, draws.between(260, 1800));
         }
-        world.schedulers.forEach(s -> s.reconnect(hall));
+        world.schedulers.forEach(s -> s.reconnect(zone));
     }
 
     void die(long late) {
--- a/src/main/java/barrowshore/emulate/EmulatedScheduler.java
+++ b/src/main/java/barrowshore/emulate/EmulatedScheduler.java
@@ -38,7 +38,7 @@
     private final Report report;
 
     final int number;
-    final int hall;
+    final int zone;
     final Set<Integer> cutFrom = new HashSet<>();
     final double[] out;
     final Map<String, Health> listed = new HashMap<>();
@@ -51,7 +51,7 @@
     private int life;
 
     @SuppressWarnings({"unchecked", "rawtypes"})
-    EmulatedScheduler(World world, int number, int hall) {
+    EmulatedScheduler(World world, int number, int zone) {
         this.world = world;
         this.kernel = world.kernel;
         this.draws = world.draws;
@@ -59,10 +59,10 @@
         this.deployment = world.deployment;
         this.classes = deployment.classes();
         this.report = world.report;
-        this.out = new double[scenario.halls().size()];
+        this.out = new double[scenario.zones().size()];
         this.number = number;
-        this.hall = hall;
-        held = new List[scenario.halls().size()];
+        this.zone = zone;
+        held = new List[scenario.zones().size()];
     }
 
     /** A process starts: a new module, which is told the whole list. */
@@ -71,7 +71,7 @@
         states = List.of();
         listed.clear();
         bootsHeard.clear();
-        module = world.modules.make(settings, this, world.truth(hall));
+        module = world.modules.make(settings, this, world.truth(zone));
         module.start(kernel.now());
         whole();
     }
@@ -81,7 +81,7 @@
         set.seed = draws.random.nextLong();
         set.dispatchers = world.schedulers.size();
         set.me = number;
-        set.zone = hall;
+        set.zone = zone;
         set.kinds = deployment.machines().size();
         set.tick = 5 * World.MS;
         set.classes = new JobClass[classes.size()];
@@ -109,7 +109,7 @@
         set.fall = deployment.rules().fall();
         set.crossZoneCharge = deployment.prices().crossing();
         set.halls =
-                world.operator.halls() == null ? null : world.operator.halls().rules(scenario.hallNames(), hall);
+                world.operator.halls() == null ? null : world.operator.halls().rules(scenario.zoneNames(), zone);
         return set;
     }
 
@@ -168,9 +168,9 @@
         }
     }
 
-    /** Runs it when it has come over from a hall, or once that can be reached again. */
+    /** Runs it when it has come over from a zone, or once that can be reached again. */
     void over(int from, int born, Runnable run) {
-        kernel.after(draws.way(from, hall), () -> {
+        kernel.after(draws.way(from, zone), () -> {
             if (!lives(born)) {
                 return;
             }
@@ -183,7 +183,7 @@
         });
     }
 
-    /** What was on its way from a hall comes at last. */
+    /** What was on its way from a zone comes at last. */
     void reconnect(int from) {
         List<Runnable> late = held[from];
         held[from] = null;
@@ -235,11 +235,11 @@
         a.failing = draws.random.nextDouble() < node.errors;
         open.attempts.add(a);
         open.outstanding++;
-        out[node.hall] += open.job.slots;
+        out[node.zone] += open.job.slots;
         HallState stands = world.operator.halls() == null
                 ? HallState.SERVING
-                : module.halls().get(node.hall);
-        report.chosen(kernel.now() - World.START, node.hall, stands == HallState.DARK || stands == HallState.RETURNING);
+                : module.halls().get(node.zone);
+        report.chosen(kernel.now() - World.START, node.zone, stands == HallState.DARK || stands == HallState.RETURNING);
         a.go();
     }
 
@@ -284,7 +284,7 @@
         report.notAllowed += settings.mayProbe ? 0 : 1;
         boolean answers = node.reachable(this) && node.model.up() && !node.model.hung();
         boolean refused = node.reachable(this) && !node.model.up();
-        long takes = answers || refused ? draws.way(hall, node.hall) + draws.way(node.hall, hall) : PROBE_TIMEOUT;
+        long takes = answers || refused ? draws.way(zone, node.zone) + draws.way(node.zone, zone) : PROBE_TIMEOUT;
         kernel.after(takes, () -> {
             if (lives(born)) {
                 module.probed(
--- a/src/main/java/barrowshore/emulate/Faults.java
+++ b/src/main/java/barrowshore/emulate/Faults.java
@@ -31,10 +31,10 @@
                 }
                 case CUT -> {
                     EmulatedScheduler s = world.schedulers.get(what.scheduler());
-                    s.cutFrom.add(what.hall());
+                    s.cutFrom.add(what.zone());
                     kernel.after(what.lasts(), () -> {
-                        s.cutFrom.remove(what.hall());
-                        s.reconnect(what.hall());
+                        s.cutFrom.remove(what.zone());
+                        s.reconnect(what.zone());
                     });
                 }
                 case TROUBLES -> {
@@ -47,17 +47,17 @@
         });
     }
 
-    /** What befalls a part of a hall's machines, of which some come back. */
+    /** What befalls a part of a zone's machines, of which some come back. */
     private void atMachines(Scenario.Happening what) {
         List<EmulatedNode> in = world.nodes.stream()
-                .filter(n -> n.hall == what.hall() && !n.gone)
+                .filter(n -> n.zone == what.zone() && !n.gone)
                 .toList();
         int count = (int) Math.round(what.part() * in.size());
         int back = (int) Math.round(what.back() * count);
         if (what.what() == Scenario.What.VANISH
                 || what.what() == Scenario.What.CRASH
                 || what.what() == Scenario.What.RENEW) {
-            world.report.dark(what.hall(), kernel.now() - World.START, what.lasts(), what.part());
+            world.report.dark(what.zone(), kernel.now() - World.START, what.lasts(), what.part());
         }
         for (int k = 0; k < count; k++) {
             EmulatedNode n = in.get(k);
@@ -88,7 +88,7 @@
             case CRASH -> n.rise();
             case RENEW -> {
                 n.gone = true;
-                EmulatedNode fresh = world.addNode(n.id + "-r" + ++renewed, n.hall, n.kind, n.model.spec());
+                EmulatedNode fresh = world.addNode(n.id + "-r" + ++renewed, n.zone, n.kind, n.model.spec());
                 fresh.model.restart();
                 fresh.boot = kernel.now();
                 fresh.tell(Health.READY, draws.between(260, 1800));
@@ -136,9 +136,9 @@
                     case 1 -> {
                         n.model.hang(true);
                         world.report.hung(
-                                n.hall,
+                                n.zone,
                                 world.nodes.stream()
-                                        .filter(o -> o.hall == n.hall && o.model.hung())
+                                        .filter(o -> o.zone == n.zone && o.model.hung())
                                         .count());
                     }
                     case 2 -> n.errors = size;
--- a/src/main/java/barrowshore/emulate/Matrix.java
+++ b/src/main/java/barrowshore/emulate/Matrix.java
@@ -186,9 +186,9 @@
         return String.format(
                 Locale.ROOT,
                 "%d zones, %d schedulers, %d nodes, load %.2f%s; %s",
-                day.halls().size(),
+                day.zones().size(),
                 day.schedulers(),
-                day.halls().stream().mapToInt(Scenario.HallSpec::nodes).sum(),
+                day.zones().stream().mapToInt(Scenario.ZoneSpec::nodes).sum(),
                 day.load(),
                 day.happenings().stream()
                         .map(h -> ", " + h.what().name().toLowerCase(Locale.ROOT))
--- a/src/main/java/barrowshore/emulate/OpenRequest.java
+++ b/src/main/java/barrowshore/emulate/OpenRequest.java
@@ -61,7 +61,7 @@
                 job.served = true;
                 world.report.served(
                         job.since - World.START,
-                        job.hall,
+                        job.zone,
                         job.type,
                         job.worth(),
                         inTime,
--- a/src/main/java/barrowshore/emulate/Rehearsal.java
+++ b/src/main/java/barrowshore/emulate/Rehearsal.java
@@ -44,11 +44,11 @@
             row(out, "worth served (least)", Report::kept, false, on, off);
             row(out, "less deductions (least)", Report::priced, false, on, off);
             row(out, "worst 10 s (least)", Report::worst, false, on, off);
-            for (int h = 0; h < scenario.halls().size(); h++) {
-                int hall = h;
-                String name = scenario.halls().get(h).name();
-                row(out, "diners of " + name + " (least)", r -> r.diners(hall), false, on, off);
-                row(out, "spilled into " + name + " (most)", r -> r.mostSpillShare(hall), true, on, off);
+            for (int z = 0; z < scenario.zones().size(); z++) {
+                int zone = z;
+                String name = scenario.zones().get(z).name();
+                row(out, "diners of " + name + " (least)", r -> r.servedShare(zone), false, on, off);
+                row(out, "spilled into " + name + " (most)", r -> r.mostSpillShare(zone), true, on, off);
             }
             row(out, "to a dark hall after 2 s (most)", Report::toDark, true, on, off);
             row(out, "trials of a dark hall (most)", Report::trials, true, on, off);
--- a/src/main/java/barrowshore/emulate/Report.java
+++ b/src/main/java/barrowshore/emulate/Report.java
@@ -12,12 +12,12 @@
 /** What came of an emulated day, counted as it goes. It owns its counters alone, and judges nothing. */
 public final class Report {
     private static final long S = 1_000_000;
-    /** From a hall's going dark until new work for it counts as a fault. */
+    /** From a zone's going dark until new work for it counts as a fault. */
     private static final long FOUND_OUT = 2 * S;
     /** Answer times are kept to the hundredth, up to a minute. */
     private static final long MOST_MICROS = 60 * S;
 
-    private record Dark(int hall, long from, long to, double part) {}
+    private record Dark(int zone, long from, long to, double part) {}
 
     private final Scenario scenario;
     private final long seed;
@@ -72,31 +72,31 @@
         seconds = (int) (scenario.length() / S) + 2;
         askedAt = new double[seconds];
         servedAt = new double[seconds];
-        int halls = scenario.halls().size();
-        asked = new double[halls][seconds];
-        served = new double[halls][seconds];
+        int zones = scenario.zones().size();
+        asked = new double[zones][seconds];
+        served = new double[zones][seconds];
         askedClass = new double[classes.size()];
         servedClass = new double[classes.size()];
         classes.forEach(c -> times.add(new Histogram(MOST_MICROS, 2)));
-        mostSpilled = new double[halls];
-        mostSpillShare = new double[halls];
+        mostSpilled = new double[zones];
+        mostSpillShare = new double[zones];
     }
 
-    void asked(long at, int hall, int type, double worth, double size) {
+    void asked(long at, int zone, int type, double worth, double size) {
         flows++;
         work += size;
         int second = (int) (at / S);
         askedAt[second] += worth;
-        asked[hall][second] += worth;
+        asked[zone][second] += worth;
         askedClass[type] += worth;
     }
 
-    void served(long since, int hall, int type, double worth, boolean inTime, long took) {
+    void served(long since, int zone, int type, double worth, boolean inTime, long took) {
         times.get(type).recordValue(Math.min(took, MOST_MICROS));
         if (inTime) {
             int second = (int) (since / S);
             servedAt[second] += worth;
-            served[hall][second] += worth;
+            served[zone][second] += worth;
             servedClass[type] += worth;
         }
     }
@@ -113,35 +113,35 @@
         wasted += work;
     }
 
-    void sent(long at, int hall, int from) {
+    void sent(long at, int zone, int from) {
         sends++;
-        crossings += hall == from ? 0 : 1;
+        crossings += zone == from ? 0 : 1;
     }
 
-    /** The module chose a node of this hall; trial: it holds the hall for lost, or is trying it. */
-    void chosen(long at, int hall, boolean trial) {
+    /** The module chose a node of this zone; trial: it holds the zone for lost, or is trying it. */
+    void chosen(long at, int zone, boolean trial) {
         for (Dark d : darks) {
             if (d.part >= 1 && at >= d.from + FOUND_OUT && at < d.to) {
                 chosenWhileDark++;
-                chosenInDark += d.hall == hall && !trial ? 1 : 0;
-                trials += d.hall == hall && trial ? 1 : 0;
+                chosenInDark += d.zone == zone && !trial ? 1 : 0;
+                trials += d.zone == zone && trial ? 1 : 0;
             }
         }
     }
 
-    /** So many nodes of a hall hang at once, by troubles drawn for each. */
-    void hung(int hall, long count) {
+    /** So many nodes of a zone hang at once, by troubles drawn for each. */
+    void hung(int zone, long count) {
         mostHung = Math.max(mostHung, count);
     }
 
-    void dark(int hall, long from, long lasts, double part) {
-        darks.add(new Dark(hall, from, from + lasts, part));
+    void dark(int zone, long from, long lasts, double part) {
+        darks.add(new Dark(zone, from, from + lasts, part));
     }
 
-    void spilled(int hall, double slots, double usable) {
-        mostSpilled[hall] = Math.max(mostSpilled[hall], slots);
+    void spilled(int zone, double slots, double usable) {
+        mostSpilled[zone] = Math.max(mostSpilled[zone], slots);
         if (usable > 0) {
-            mostSpillShare[hall] = Math.max(mostSpillShare[hall], slots / usable);
+            mostSpillShare[zone] = Math.max(mostSpillShare[zone], slots / usable);
         }
     }
 
@@ -151,17 +151,17 @@
     }
 
     void moved(long at, int scheduler, List<HallState> from, List<HallState> to, List<String> names) {
-        for (int h = 0; h < to.size(); h++) {
-            HallState was = h < from.size() ? from.get(h) : HallState.SERVING;
-            if (was != to.get(h)) {
+        for (int z = 0; z < to.size(); z++) {
+            HallState was = z < from.size() ? from.get(z) : HallState.SERVING;
+            if (was != to.get(z)) {
                 movesCounted++;
                 moves.add(String.format(
                         Locale.ROOT,
                         "%.1f s  scheduler %d: %s %s",
                         at / 1e6,
                         scheduler,
-                        names.get(h),
-                        to.get(h).name().toLowerCase(Locale.ROOT)));
+                        names.get(z),
+                        to.get(z).name().toLowerCase(Locale.ROOT)));
             }
         }
     }
@@ -184,7 +184,7 @@
         return share(servedAt, askedAt, 0, seconds);
     }
 
-    /** The same less what the operators deduct: for requests that cross halls, and for work wasted. */
+    /** The same less what the operators deduct: for requests that cross zones, and for work wasted. */
     double priced() {
         return kept() - prices.crossing() * share(crossings, flows) - prices.waste() * (work <= 0 ? 0 : wasted / work);
     }
@@ -208,16 +208,16 @@
         return least;
     }
 
-    /** The same of the diners that belong to a hall, from one second to another. */
-    double diners(int hall, int from, int to) {
-        return share(served[hall], asked[hall], from, to);
+    /** The same of the clients that belong to a zone, from one second to another. */
+    double servedShare(int zone, int from, int to) {
+        return share(served[zone], asked[zone], from, to);
     }
 
-    double diners(int hall) {
-        return diners(hall, 0, seconds);
+    double servedShare(int zone) {
+        return servedShare(zone, 0, seconds);
     }
 
-    /** Of what was chosen later than 2 s after a whole hall went dark: the share that went there, trials apart. */
+    /** Of what was chosen later than 2 s after a whole zone went dark: the share that went there, trials apart. */
     double toDark() {
         return chosenWhileDark == 0 ? 0 : (double) chosenInDark / chosenWhileDark;
     }
@@ -239,8 +239,8 @@
         return movesCounted;
     }
 
-    double mostSpillShare(int hall) {
-        return mostSpillShare[hall];
+    double mostSpillShare(int zone) {
+        return mostSpillShare[zone];
     }
 
     List<String> moveLines() {
@@ -274,20 +274,20 @@
         all.put("kept", round(kept()));
         all.put("keptLessDeductions", round(priced()));
         all.put("worst10s", round(worst()));
-        Map<String, Object> halls = new LinkedHashMap<>();
-        for (int h = 0; h < scenario.halls().size(); h++) {
+        Map<String, Object> zones = new LinkedHashMap<>();
+        for (int z = 0; z < scenario.zones().size(); z++) {
             Map<String, Object> one = new LinkedHashMap<>();
-            one.put("diners", round(diners(h)));
+            one.put("diners", round(servedShare(z)));
             List<Object> windows = new ArrayList<>();
             for (int from = 0; from < seconds; from += 5) {
-                windows.add(round(diners(h, from, from + 5)));
+                windows.add(round(servedShare(z, from, from + 5)));
             }
             one.put("dinersBy5s", windows.toArray());
-            one.put("mostSpilledSlots", round(mostSpilled[h]));
-            one.put("mostSpilledShare", round(mostSpillShare[h]));
-            halls.put(scenario.halls().get(h).name(), one);
+            one.put("mostSpilledSlots", round(mostSpilled[z]));
+            one.put("mostSpilledShare", round(mostSpillShare[z]));
+            zones.put(scenario.zones().get(z).name(), one);
         }
-        all.put("halls", halls);
+        all.put("halls", zones);
         Map<String, Object> types = new LinkedHashMap<>();
         for (int c = 0; c < classes.size(); c++) {
             Map<String, Object> one = new LinkedHashMap<>();
@@ -352,14 +352,14 @@
                 probes,
                 messages));
         out.append(String.format("%-16s %8s %14s %14s%n", "hall", "diners", "most spilled", "of its slots"));
-        for (int h = 0; h < scenario.halls().size(); h++) {
+        for (int z = 0; z < scenario.zones().size(); z++) {
             out.append(String.format(
                     Locale.ROOT,
                     "%-16s %8.3f %14.1f %14.2f%n",
-                    scenario.halls().get(h).name(),
-                    diners(h),
-                    mostSpilled[h],
-                    mostSpillShare[h]));
+                    scenario.zones().get(z).name(),
+                    servedShare(z),
+                    mostSpilled[z],
+                    mostSpillShare[z]));
         }
         out.append(String.format(
                 Locale.ROOT,
--- a/src/main/java/barrowshore/emulate/Scenario.java
+++ b/src/main/java/barrowshore/emulate/Scenario.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /**
- * What is emulated: halls with their nodes, schedulers and clients, and what happens to them when. It owns the reading
+ * What is emulated: zones with their nodes, schedulers and clients, and what happens to them when. It owns the reading
  * of the scenario's file; times are microseconds from the start.
  */
 public record Scenario(
@@ -20,10 +20,10 @@
         double loss,
         double leaving,
         boolean probes,
-        List<HallSpec> halls,
+        List<ZoneSpec> zones,
         List<Happening> happenings) {
-    /** clients: the share of all clients that belong to the hall. */
-    public record HallSpec(String name, int nodes, int schedulers, double clients) {}
+    /** clients: the share of all clients that belong to the zone. */
+    public record ZoneSpec(String name, int nodes, int schedulers, double clients) {}
 
     /** What a thing is that happens. */
     public enum What {
@@ -41,7 +41,7 @@
     }
 
     /**
-     * Something that happens. spread: over how long its parts begin and end; part: of the hall's nodes; back: the share
+     * Something that happens. spread: over how long its parts begin and end; part: of the zone's nodes; back: the share
      * of those that ever come back; factor, scheduler and count where they mean something.
      */
     public record Happening(
@@ -49,7 +49,7 @@
             long at,
             long lasts,
             long spread,
-            int hall,
+            int zone,
             double part,
             double back,
             double factor,
@@ -67,32 +67,32 @@
     }
 
     private static Scenario of(String file, Element root) {
-        List<HallSpec> halls = new ArrayList<>();
+        List<ZoneSpec> zones = new ArrayList<>();
         for (Element e : root.all("hall")) {
-            if (halls.stream().anyMatch(h -> h.name().equals(e.get("name")))) {
+            if (zones.stream().anyMatch(z -> z.name().equals(e.get("name")))) {
                 throw e.wrong(file, e.get("name") + " is there twice");
             }
-            halls.add(new HallSpec(
+            zones.add(new ZoneSpec(
                     e.get("name"), (int) e.number("nodes"), (int) e.number("schedulers"), e.number("clients")));
         }
-        if (halls.stream().mapToDouble(HallSpec::clients).sum() <= 0) {
+        if (zones.stream().mapToDouble(ZoneSpec::clients).sum() <= 0) {
             throw root.wrong(file, "no hall has clients");
         }
-        for (HallSpec h : halls) {
-            if (h.clients() > 0 && h.schedulers() == 0) {
-                throw root.wrong(file, h.name() + " has clients but no scheduler");
+        for (ZoneSpec z : zones) {
+            if (z.clients() > 0 && z.schedulers() == 0) {
+                throw root.wrong(file, z.name() + " has clients but no scheduler");
             }
         }
-        int schedulers = halls.stream().mapToInt(HallSpec::schedulers).sum();
+        int schedulers = zones.stream().mapToInt(ZoneSpec::schedulers).sum();
         List<Happening> happenings = new ArrayList<>();
         for (Element e : root.children()) {
             if (e.name().equals("hall")) {
                 continue;
             }
-            int hall = -1;
+            int zone = -1;
             if (e.get("hall") != null) {
-                hall = halls.stream().map(HallSpec::name).toList().indexOf(e.get("hall"));
-                if (hall < 0) {
+                zone = zones.stream().map(ZoneSpec::name).toList().indexOf(e.get("hall"));
+                if (zone < 0) {
                     throw e.wrong(file, "there is no hall " + e.get("hall"));
                 }
             }
@@ -110,7 +110,7 @@
                     e.micros("at"),
                     e.micros("for"),
                     e.micros("spread"),
-                    hall,
+                    zone,
                     number(e, "part", 1),
                     number(e, "back", 1),
                     number(e, what == What.TROUBLES ? "count" : "factor", 1),
@@ -125,7 +125,7 @@
                 root.number("loss"),
                 root.number("leaving"),
                 "true".equals(root.get("probes")) || "1".equals(root.get("probes")),
-                halls,
+                zones,
                 happenings);
     }
 
@@ -134,10 +134,10 @@
     }
 
     int schedulers() {
-        return halls.stream().mapToInt(HallSpec::schedulers).sum();
+        return zones.stream().mapToInt(ZoneSpec::schedulers).sum();
     }
 
-    List<String> hallNames() {
-        return halls.stream().map(HallSpec::name).toList();
+    List<String> zoneNames() {
+        return zones.stream().map(ZoneSpec::name).toList();
     }
 }
--- a/src/main/java/barrowshore/emulate/World.java
+++ b/src/main/java/barrowshore/emulate/World.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /**
- * One emulated day: real decision modules against models of machines, with halls, delays, a late list, lossy messages
+ * One emulated day: real decision modules against models of machines, with zones, delays, a late list, lossy messages
  * between schedulers, and clients with deadlines and retries. It owns the world's truth, which the modules never see: the
  * clock, the machines, the schedulers and the clients. It must never decide anything for them, nor draw a random number
  * outside {@link Draws}, so that one seed gives one run.
@@ -63,12 +63,12 @@
         draws = new Draws(deployment, seed);
         report = new Report(scenario, deployment, seed);
         meanSize = deployment.meanSize();
-        for (int h = 0; h < scenario.halls().size(); h++) {
-            for (int n = 0; n < scenario.halls().get(h).nodes(); n++) {
+        for (int z = 0; z < scenario.zones().size(); z++) {
+            for (int n = 0; n < scenario.zones().get(z).nodes(); n++) {
                 int kind = draws.kind();
                 addNode(
-                        "s-" + h + "-" + n,
-                        h,
+                        "s-" + z + "-" + n,
+                        z,
                         kind,
                         draws.spec(deployment.machines().get(kind), scenario.cores()));
             }
@@ -77,16 +77,16 @@
                 .mapToDouble(n -> n.model.spec().cores() * n.model.spec().speed())
                 .sum();
         clients = new Clients(this, scenario.load() * capacity / meanSize);
-        for (int h = 0; h < scenario.halls().size(); h++) {
-            for (int s = 0; s < scenario.halls().get(h).schedulers(); s++) {
-                schedulers.add(new EmulatedScheduler(this, schedulers.size(), h));
+        for (int z = 0; z < scenario.zones().size(); z++) {
+            for (int s = 0; s < scenario.zones().get(z).schedulers(); s++) {
+                schedulers.add(new EmulatedScheduler(this, schedulers.size(), z));
             }
         }
     }
 
     /** Adds a machine, which no list tells of yet. */
-    EmulatedNode addNode(String id, int hall, int kind, NodeModel.Spec spec) {
-        EmulatedNode node = new EmulatedNode(this, id, nodes.size(), hall, kind, spec);
+    EmulatedNode addNode(String id, int zone, int kind, NodeModel.Spec spec) {
+        EmulatedNode node = new EmulatedNode(this, id, nodes.size(), zone, kind, spec);
         byId.put(id, node);
         nodes.add(node);
         return node;
@@ -126,32 +126,32 @@
     /** Looks at the truth, for the report alone. */
     private void look() {
         report.even.look(nodes.stream().map(EmulatedNode::look).toList(), schedulers.size());
-        int halls = scenario.halls().size();
-        double[] foreign = new double[halls], usable = new double[halls];
+        int zones = scenario.zones().size();
+        double[] foreign = new double[zones], usable = new double[zones];
         for (EmulatedNode n : nodes) {
             if (n.model.up() && !n.vanished) {
-                usable[n.hall] += n.model.spec().cores();
+                usable[n.zone] += n.model.spec().cores();
             }
         }
         for (EmulatedScheduler s : schedulers) {
             if (s.up()) {
-                for (int h = 0; h < halls; h++) {
-                    foreign[h] += h == s.hall ? 0 : s.out[h];
+                for (int z = 0; z < zones; z++) {
+                    foreign[z] += z == s.zone ? 0 : s.out[z];
                 }
                 List<HallState> states = s.module().halls();
                 if (!states.equals(s.states)) {
-                    report.moved(kernel.now() - START, s.number, s.states, states, scenario.hallNames());
+                    report.moved(kernel.now() - START, s.number, s.states, states, scenario.zoneNames());
                     s.states = states;
                 }
             }
         }
-        for (int h = 0; h < halls; h++) {
-            report.spilled(h, foreign[h], usable[h]);
+        for (int z = 0; z < zones; z++) {
+            report.spilled(z, foreign[z], usable[z]);
         }
     }
 
-    /** The truth as it is from a hall. */
-    Truth truth(int hall) {
+    /** The truth as it is from a zone. */
+    Truth truth(int zone) {
         return new Truth() {
             @Override
             public double startsIn(String worker, double slots) {
@@ -161,7 +161,7 @@
                 }
                 double over =
                         Math.max(0, n.model.heldSlots() + slots - n.model.spec().cores());
-                return over / n.model.spec().cores() * meanSize / n.model.pace() + 2 * draws.way(hall, n.hall);
+                return over / n.model.spec().cores() * meanSize / n.model.pace() + 2 * draws.way(zone, n.zone);
             }
 
             @Override
--- a/src/test/java/barrowshore/emulate/EmulatorPropertyTest.java
+++ b/src/test/java/barrowshore/emulate/EmulatorPropertyTest.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.emulate.Scenario.HallSpec;
 import barrowshore.emulate.Scenario.Happening;
 import barrowshore.emulate.Scenario.What;
+import barrowshore.emulate.Scenario.ZoneSpec;
 import barrowshore.operator.Operator;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,7 +14,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 
-/** Whole days of random misfortune: whatever happens to halls, nodes and schedulers, the rules hold. */
+/** Whole days of random misfortune: whatever happens to zones, nodes and schedulers, the rules hold. */
 class EmulatorPropertyTest {
     private static final long S = 1_000_000;
     private static final Operator ON = Operator.read(Path.of("deploy/operator.xml"));
@@ -33,12 +33,12 @@
     };
 
     private static Scenario day(Random chance, int misfortunes) {
-        List<HallSpec> halls = new ArrayList<>();
+        List<ZoneSpec> zones = new ArrayList<>();
         int schedulers = 0;
         for (String name : List.of("hala-a", "hala-b")) {
-            HallSpec hall = new HallSpec(name, 1 + chance.nextInt(6), 1 + chance.nextInt(2), 0.5);
-            halls.add(hall);
-            schedulers += hall.schedulers();
+            ZoneSpec zone = new ZoneSpec(name, 1 + chance.nextInt(6), 1 + chance.nextInt(2), 0.5);
+            zones.add(zone);
+            schedulers += zone.schedulers();
         }
         List<Happening> happenings = new ArrayList<>();
         for (int k = 0; k < misfortunes; k++) {
@@ -63,7 +63,7 @@
                 chance.nextInt(3) * 0.2,
                 chance.nextInt(3) * 0.1,
                 chance.nextBoolean(),
-                halls,
+                zones,
                 happenings);
     }
 
--- a/src/test/java/barrowshore/emulate/EmulatorTest.java
+++ b/src/test/java/barrowshore/emulate/EmulatorTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Whole days in virtual time: every rule in every scenario, the same run for the same seed, and what halls are for. */
+/** Whole days in virtual time: every rule in every scenario, the same run for the same seed, and what zones are for. */
 class EmulatorTest {
     private static final Path SCENARIOS = Path.of("scenarios");
     private static final Operator ON = Operator.read(Path.of("deploy/operator.xml"));
@@ -101,8 +101,8 @@
         // The limit is a share of the slots that there are, and the crowd must not make them look like more.
         assertThat(on)
                 .allSatisfy(r -> assertThat(r.mostSpillShare(1)).as(r.table()).isLessThanOrEqualTo(1));
-        assertThat(on.stream().mapToDouble(r -> r.diners(1)).sum())
-                .isGreaterThan(off.stream().mapToDouble(r -> r.diners(1)).sum());
+        assertThat(on.stream().mapToDouble(r -> r.servedShare(1)).sum())
+                .isGreaterThan(off.stream().mapToDouble(r -> r.servedShare(1)).sum());
         assertThat(on.stream().mapToDouble(Report::kept).sum())
                 .isGreaterThan(off.stream().mapToDouble(Report::kept).sum());
     }
