Measure what control costs a scheduler against the fleet's size: barrowshore capacity

Change: package capacity plays fleets of real decision modules in virtual time, seeded and without sockets: Poisson requests, workers with slots and a queue, a late list, datagrams that may be lost, doubled and overtaken. It counts datagrams, bytes with heads, entries visited and held, and takes the calling thread's processor time by kind of call, control apart from requests. The target's figures stand in CapacityTarget alone. Kernel is public, so that the events are not written twice.

Ruled out: the emulated World for this, whose nodes, clients and reports cost more than what is to be measured.

--- /dev/null
+++ b/src/main/java/barrowshore/capacity/CallMeter.java
@@ -0,0 +1,76 @@
+package barrowshore.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.Arrays;
+import java.util.function.LongSupplier;
+
+/**
+ * Adds up the processor time of the calls into one module, by kind. The time is that of the calling thread, so that other
+ * processes on a busy machine are not counted; what reading the clock itself costs is taken off. Garbage collection and
+ * compilation run on other threads and are not in it.
+ */
+final class CallMeter {
+    private static final int CALIBRATION_READS = 20_000;
+
+    private final LongSupplier nanos;
+    private final long readingCost;
+    private final long[] spent = new long[CallKind.values().length];
+    private final long[] calls = new long[CallKind.values().length];
+
+    private CallMeter(LongSupplier nanos, long readingCost) {
+        this.nanos = nanos;
+        this.readingCost = readingCost;
+    }
+
+    /** A meter that counts calls and takes no time. */
+    static CallMeter countsOnly() {
+        return new CallMeter(() -> 0, 0);
+    }
+
+    /** A meter of this thread's processor time. */
+    static CallMeter ofThisThread() {
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        LongSupplier nanos = threads::getCurrentThreadCpuTime;
+        return new CallMeter(nanos, readingCost(nanos));
+    }
+
+    private static long readingCost(LongSupplier nanos) {
+        long before = nanos.getAsLong();
+        for (int i = 0; i < CALIBRATION_READS; i++) {
+            nanos.getAsLong();
+        }
+        return (nanos.getAsLong() - before) / CALIBRATION_READS;
+    }
+
+    void call(CallKind kind, Runnable call) {
+        long before = nanos.getAsLong();
+        call.run();
+        long took = nanos.getAsLong() - before - readingCost;
+        spent[kind.ordinal()] += Math.max(0, took);
+        calls[kind.ordinal()]++;
+    }
+
+    /** Forgets what was before the measured time. */
+    void reset() {
+        Arrays.fill(spent, 0);
+        Arrays.fill(calls, 0);
+    }
+
+    long nanos(CallKind kind) {
+        return spent[kind.ordinal()];
+    }
+
+    long calls(CallKind kind) {
+        return calls[kind.ordinal()];
+    }
+
+    /** Nanoseconds of all calls that are control, or of all that are not. */
+    long nanos(boolean control) {
+        long sum = 0;
+        for (CallKind kind : CallKind.values()) {
+            sum += kind.control == control ? nanos(kind) : 0;
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/capacity/CapacityRun.java
@@ -0,0 +1,72 @@
+package barrowshore.capacity;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Plays the base size and the sweeps, each size once however many sweeps have it, and reports what was measured. */
+public final class CapacityRun {
+    /** A play of a small fleet before the first that is timed, so that the module's code is compiled by then. */
+    private static final FleetSize SMALL = FleetSize.target().withWorkers(96);
+
+    private final FleetSize base;
+    private final PlayOptions options;
+    private final Map<FleetSize, FleetMeasurement> measured = new LinkedHashMap<>();
+
+    private CapacityRun(FleetSize base, PlayOptions options) {
+        this.base = base;
+        this.options = options;
+    }
+
+    /**
+     * Plays and prints; csv null: nothing is written. Nothing is played if a size cannot be.
+     *
+     * @return whether every figure at the base size is within its limit
+     */
+    public static boolean run(PrintStream out, FleetSize base, PlayOptions options, List<Sweep> sweeps, Path csv)
+            throws IOException {
+        options.check();
+        long heap = Runtime.getRuntime().maxMemory();
+        base.check(heap);
+        sweeps.forEach(sweep -> sweep.fleets(base).forEach(fleet -> fleet.check(heap)));
+        CapacityRun run = new CapacityRun(base, options);
+        CapacityReport report = new CapacityReport(options);
+        if (options.timed()) {
+            new FleetPlay(SMALL, options).play();
+        }
+        FleetMeasurement atBase = run.measure(base);
+        report.print(out, atBase);
+        List<SweepResult> results = new ArrayList<>();
+        for (Sweep sweep : sweeps) {
+            SweepResult result = run.sweep(sweep);
+            report.print(out, result, atBase);
+            results.add(result);
+        }
+        if (csv != null) {
+            report.write(csv, atBase, results);
+        }
+        return Arrays.stream(Metric.values()).noneMatch(atBase::passesLimit);
+    }
+
+    private SweepResult sweep(Sweep sweep) {
+        return new SweepResult(
+                sweep, sweep.fleets(base).stream().map(this::measure).toList());
+    }
+
+    private FleetMeasurement measure(FleetSize size) {
+        return measured.computeIfAbsent(size, this::play);
+    }
+
+    private FleetMeasurement play(FleetSize size) {
+        List<FleetCost> plays = new ArrayList<>();
+        for (int play = 0; play < options.plays(); play++) {
+            plays.add(new FleetPlay(size, options).play());
+        }
+        return FleetMeasurement.of(size, plays);
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/capacity/FleetSize.java
@@ -0,0 +1,121 @@
+package barrowshore.capacity;
+
+import barrowshore.config.ConfigException;
+
+/** How large a played fleet is, and how much happens to it. Rates are for the whole fleet. */
+public record FleetSize(
+        int workers,
+        int schedulers,
+        double startsPerSecond,
+        int tenants,
+        double listChangesPerSecond,
+        double settingsChangesPerSecond) {
+    private static final int MOST_WORKERS = 100_000;
+    private static final int MOST_SCHEDULERS = 1_000;
+    private static final int MOST_STARTS = 100_000;
+    private static final int MOST_TENANTS = 100_000;
+    private static final int MOST_CHANGES = 1_000;
+
+    /** Slots of the fleet for each task that runs on average: about 78 % are taken. */
+    private static final double SLOTS_PER_RUNNING_TASK = 1.28;
+
+    /** Bytes that a scheduler holds for a worker, for what one peer tells of one, and for a request under way. */
+    private static final long BYTES_PER_WORKER = 1_000, BYTES_PER_TOLD_FIGURE = 72, BYTES_PER_TASK = 3_000;
+
+    private static final long BYTES_PER_SCHEDULER = 1 << 20, BYTES_PER_TENANT = 16;
+    /** The share of the heap that a play may be expected to fill. */
+    private static final double USABLE_HEAP = 0.6;
+
+    /** The size of the target. */
+    public static FleetSize target() {
+        CapacityTarget target = CapacityTarget.TARGET;
+        return new FleetSize(
+                target.workers(),
+                target.schedulers(),
+                target.startsPerSecond(),
+                target.tenants(),
+                target.listChangesPerSecond(),
+                target.settingsChangesPerSecond());
+    }
+
+    /** The same with another number of workers. */
+    public FleetSize withWorkers(int count) {
+        return new FleetSize(
+                count, schedulers, startsPerSecond, tenants, listChangesPerSecond, settingsChangesPerSecond);
+    }
+
+    /** The same with another number of schedulers. */
+    public FleetSize withSchedulers(int count) {
+        return new FleetSize(workers, count, startsPerSecond, tenants, listChangesPerSecond, settingsChangesPerSecond);
+    }
+
+    /** The same with another number of task starts a second. */
+    public FleetSize withStartsPerSecond(double rate) {
+        return new FleetSize(workers, schedulers, rate, tenants, listChangesPerSecond, settingsChangesPerSecond);
+    }
+
+    /** The same with another number of tenants. */
+    public FleetSize withTenants(int count) {
+        return new FleetSize(
+                workers, schedulers, startsPerSecond, count, listChangesPerSecond, settingsChangesPerSecond);
+    }
+
+    /** The same with another number of list events a second. */
+    public FleetSize withListChangesPerSecond(double rate) {
+        return new FleetSize(workers, schedulers, startsPerSecond, tenants, rate, settingsChangesPerSecond);
+    }
+
+    /** The same with another number of changes of configuration a second. */
+    public FleetSize withSettingsChangesPerSecond(double rate) {
+        return new FleetSize(workers, schedulers, startsPerSecond, tenants, listChangesPerSecond, rate);
+    }
+
+    /** Tasks that run at once on average. */
+    public double runningTasks() {
+        return startsPerSecond * CapacityTarget.TARGET.taskSeconds();
+    }
+
+    /** Slots of a worker: a fleet of any size is about as full as the target's. */
+    public int slotsPerWorker() {
+        return Math.max(1, (int) Math.round(runningTasks() * SLOTS_PER_RUNNING_TASK / workers));
+    }
+
+    /** Throws a {@link ConfigException} that names the first size that cannot be played in so much memory. */
+    public void check(long heapBytes) {
+        require("--workers", workers, MOST_WORKERS);
+        require("--schedulers", schedulers, MOST_SCHEDULERS);
+        require("--starts", startsPerSecond, MOST_STARTS);
+        require("--tenants", tenants, MOST_TENANTS);
+        requireRate("--list-changes", listChangesPerSecond);
+        requireRate("--config-changes", settingsChangesPerSecond);
+        long needed = estimatedBytes();
+        long usable = (long) (heapBytes * USABLE_HEAP);
+        if (needed > usable) {
+            throw new ConfigException("capacity: " + workers + " workers and " + schedulers + " schedulers need about "
+                    + (needed >> 20) + " MiB, more than the " + (usable >> 20) + " MiB that this JVM may fill (-Xmx)");
+        }
+    }
+
+    /** Bytes that a play of this size is expected to hold at most. */
+    long estimatedBytes() {
+        long perWorker = BYTES_PER_WORKER + BYTES_PER_TOLD_FIGURE * schedulers;
+        long perScheduler = BYTES_PER_SCHEDULER + perWorker * workers + BYTES_PER_TENANT * tenants;
+        return perScheduler * schedulers + BYTES_PER_TASK * (long) runningTasks();
+    }
+
+    private static void require(String option, double value, int most) {
+        if (!(value > 0 && value <= most)) {
+            throw new ConfigException(option + " must be above 0 and at most " + most + ", not " + text(value));
+        }
+    }
+
+    private static void requireRate(String option, double value) {
+        if (!(value >= 0 && value <= MOST_CHANGES)) {
+            throw new ConfigException(option + " must be from 0 to " + MOST_CHANGES + ", not " + text(value));
+        }
+    }
+
+    private static String text(double value) {
+        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value) : "" + value;
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/capacity/HeldState.java
@@ -0,0 +1,140 @@
+package barrowshore.capacity;
+
+import java.lang.reflect.Array;
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What an object holds, found by following its references: the entries of all collections, maps and arrays of objects, and
+ * an estimate of the bytes, which unlike a heap's difference is the same on every machine. Bytes are those of a 64-bit JVM
+ * with compressed references.
+ *
+ * @param entries elements of all collections, maps and arrays of objects
+ * @param bytes all objects, estimated
+ */
+record HeldState(long entries, long bytes) {
+    private static final int OBJECT_HEADER = 12, ARRAY_HEADER = 16, REFERENCE = 4, ALIGNMENT = 8;
+    /** A node of a hash map with its place in the table; what a collection takes for itself. */
+    private static final int MAP_ENTRY = 32 + 8, CONTAINER = 48;
+
+    private static final int BOXED = 16;
+
+    /** What is reached from the root without going through the object that it reports to. */
+    static HeldState of(Object root, Object excluded) {
+        return new Walk(excluded).from(root);
+    }
+
+    /** One walk over an object graph. */
+    private static final class Walk {
+        private final Set<Object> seen = Collections.newSetFromMap(new IdentityHashMap<>());
+        private final ArrayDeque<Object> waiting = new ArrayDeque<>();
+        private long entries;
+        private long bytes;
+
+        Walk(Object excluded) {
+            seen.add(excluded);
+        }
+
+        HeldState from(Object root) {
+            reach(root);
+            while (!waiting.isEmpty()) {
+                visit(waiting.poll());
+            }
+            return new HeldState(entries, bytes);
+        }
+
+        private void reach(Object found) {
+            if (found != null && !(found instanceof Enum) && !(found instanceof Class) && seen.add(found)) {
+                waiting.add(found);
+            }
+        }
+
+        private void visit(Object object) {
+            if (object instanceof Map<?, ?> map) {
+                entries += map.size();
+                bytes += CONTAINER + (long) MAP_ENTRY * map.size();
+                map.forEach((key, value) -> {
+                    reach(key);
+                    reach(value);
+                });
+            } else if (object instanceof Collection<?> collection) {
+                entries += collection.size();
+                bytes += CONTAINER + (long) REFERENCE * collection.size();
+                collection.forEach(this::reach);
+            } else if (object.getClass().isArray()) {
+                array(object);
+            } else if (object instanceof String text) {
+                bytes += aligned(OBJECT_HEADER + REFERENCE + 5) + aligned(ARRAY_HEADER + text.length());
+            } else if (object instanceof Number || object instanceof Boolean || object instanceof Character) {
+                bytes += BOXED;
+            } else {
+                fields(object);
+            }
+        }
+
+        private void array(Object array) {
+            int length = Array.getLength(array);
+            Class<?> component = array.getClass().getComponentType();
+            bytes += aligned(ARRAY_HEADER + (long) length * size(component));
+            if (array instanceof Object[] objects) {
+                for (Object element : objects) {
+                    entries += element == null ? 0 : 1;
+                    reach(element);
+                }
+            }
+        }
+
+        private void fields(Object object) {
+            long size = OBJECT_HEADER;
+            for (Class<?> c = object.getClass(); c != Object.class && c != null; c = c.getSuperclass()) {
+                for (Field field : c.getDeclaredFields()) {
+                    if (!Modifier.isStatic(field.getModifiers())) {
+                        size += size(field.getType());
+                        follow(field, object);
+                    }
+                }
+            }
+            bytes += aligned(size);
+        }
+
+        private void follow(Field field, Object object) {
+            if (field.getType().isPrimitive() || !ours(field.getDeclaringClass())) {
+                return;
+            }
+            try {
+                field.setAccessible(true);
+                reach(field.get(object));
+            } catch (IllegalAccessException e) {
+                throw new IllegalStateException(field + " cannot be read", e);
+            }
+        }
+
+        /** The Java runtime's own objects are closed to reflection, and a lambda holds nothing to speak of. */
+        private static boolean ours(Class<?> type) {
+            return type.getName().startsWith("barrowshore.") && !type.isHidden();
+        }
+
+        private static int size(Class<?> type) {
+            if (!type.isPrimitive()) {
+                return REFERENCE;
+            }
+            if (type == long.class || type == double.class) {
+                return Long.BYTES;
+            }
+            if (type == int.class || type == float.class) {
+                return Integer.BYTES;
+            }
+            return type == short.class || type == char.class ? Short.BYTES : 1;
+        }
+
+        private static long aligned(long size) {
+            return (size + ALIGNMENT - 1) / ALIGNMENT * ALIGNMENT;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/capacity/PlayOptions.java
@@ -0,0 +1,44 @@
+package barrowshore.capacity;
+
+import barrowshore.config.ConfigException;
+
+/**
+ * How a fleet is played, whatever its size.
+ *
+ * @param seconds virtual seconds that are measured, after the warm-up
+ * @param seed of all chance in a play; the same seed gives the same counts
+ * @param plays how often each size is played, for the spread of the times
+ * @param timed whether processor time and memory are measured; counts alone are the same on every machine
+ * @param loss the share of datagrams that is lost
+ * @param doubled the share of datagrams that comes twice
+ * @param reports whether workers report their load in answers
+ */
+public record PlayOptions(
+        int seconds, long seed, int plays, boolean timed, double loss, double doubled, boolean reports) {
+    private static final int MOST_SECONDS = 3_600, MOST_PLAYS = 100;
+
+    /** Counts alone, once, without a fault between the schedulers. */
+    public static PlayOptions countsOnly(int seconds, long seed) {
+        return new PlayOptions(seconds, seed, 1, false, 0, 0, false);
+    }
+
+    /** Throws a {@link ConfigException} that names the first option that cannot be played. */
+    public void check() {
+        require("--seconds", seconds, MOST_SECONDS);
+        require("--plays", plays, MOST_PLAYS);
+        requireShare("--loss", loss);
+        requireShare("--doubled", doubled);
+    }
+
+    private static void require(String option, int value, int most) {
+        if (value < 1 || value > most) {
+            throw new ConfigException(option + " must be from 1 to " + most + ", not " + value);
+        }
+    }
+
+    private static void requireShare(String option, double value) {
+        if (!(value >= 0 && value < 1)) {
+            throw new ConfigException(option + " must be a share from 0 to under 1, not " + value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barrowshore/capacity/PlayedScheduler.java
@@ -0,0 +1,311 @@
+package barrowshore.capacity;
+
+import barrowshore.emulate.Kernel;
+import barrowshore.module.DispatchApi;
+import barrowshore.module.DispatchApi.ListKind;
+import barrowshore.module.DispatchApi.Member;
+import barrowshore.module.DispatchApi.Note;
+import barrowshore.module.DispatchApi.Reports;
+import barrowshore.module.DispatchApi.Request;
+import barrowshore.module.DispatchApi.Settings;
+import barrowshore.module.DispatchApi.Status;
+import barrowshore.module.Dispatcher;
+import barrowshore.module.Effort;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One scheduler of a played fleet: a real decision module, the books of its open requests, and the count of what it tells
+ * and hears. What the module orders is carried out after the call that ordered it, so that the call's time is the module's
+ * alone.
+ */
+final class PlayedScheduler implements DispatchApi.Actions {
+    private static final int LONGEST_DATAGRAM = 256;
+
+    /** What lies round the schedulers. */
+    interface Fleet {
+        PlayedWorker worker(String id);
+
+        /** Microseconds that a message takes one way between two zones. */
+        long way(int from, int to);
+
+        /** Brings a datagram to all other schedulers, or loses it. */
+        void tellOthers(PlayedScheduler from, byte[] message);
+
+        /** A task has started, so many microseconds after its client asked. */
+        void started(TaskKind kind, long waited);
+
+        void turnedDown();
+
+        void failed();
+    }
+
+    final int number;
+    final int zone;
+    final CallMeter meter;
+    final DatagramCount datagrams = new DatagramCount();
+    private final Kernel kernel;
+    private final Fleet fleet;
+    private final Settings settings;
+    private Dispatcher module;
+    private final Map<String, OpenRequest> open = new HashMap<>();
+    private final ArrayDeque<Runnable> ordered = new ArrayDeque<>();
+    private int requests;
+    private long entriesApplied;
+
+    PlayedScheduler(int number, int zone, Settings settings, CallMeter meter, Kernel kernel, Fleet fleet) {
+        this.number = number;
+        this.zone = zone;
+        this.settings = settings;
+        this.meter = meter;
+        this.kernel = kernel;
+        this.fleet = fleet;
+        this.module = new Dispatcher(settings, this);
+    }
+
+    private void call(CallKind kind, Runnable call) {
+        meter.call(kind, call);
+        while (!ordered.isEmpty()) {
+            ordered.poll().run();
+        }
+    }
+
+    /** Begins to count; what came before was the warm-up. */
+    void reset() {
+        meter.reset();
+        datagrams.reset();
+        entriesApplied = 0;
+    }
+
+    void start(List<Member> workers) {
+        call(CallKind.START, () -> module.start(kernel.now()));
+        list(ListKind.WHOLE, workers);
+    }
+
+    void list(ListKind kind, List<Member> entries) {
+        entriesApplied += entries.size();
+        call(CallKind.LIST, () -> module.list(kernel.now(), kind, entries));
+    }
+
+    /** Other quotas from now on. */
+    void quotas(double[] quotas) {
+        Settings next = new Settings();
+        next.stand(settings);
+        next.take(settings);
+        next.tenantQuota = quotas;
+        call(CallKind.SETTINGS, () -> module.settings(kernel.now(), next));
+    }
+
+    void heard(int from, byte[] message) {
+        datagrams.in(message);
+        call(CallKind.DATAGRAM, () -> module.peer(kernel.now(), from, message));
+    }
+
+    void request(TaskKind kind, int tenant, long work) {
+        OpenRequest request = new OpenRequest("r" + number + "-" + ++requests, kind, work);
+        open.put(request.id, request);
+        call(
+                CallKind.REQUEST,
+                () -> module.request(
+                        kernel.now(), new Request(request.id, kind.ordinal(), tenant, 1, 0, TaskKind.Terms.DEADLINE)));
+    }
+
+    long entriesApplied() {
+        return entriesApplied;
+    }
+
+    Effort effort() {
+        return module.effort();
+    }
+
+    /** What the module holds, apart from what is round it. */
+    HeldState held() {
+        return HeldState.of(module, this);
+    }
+
+    /** Lets go of the module, so that the memory that it held can be measured. */
+    void forget() {
+        module = null;
+    }
+
+    /** A client's request until its answer and the ends of its attempts. */
+    private final class OpenRequest {
+        final String id;
+        final TaskKind kind;
+        final long work;
+        final long since = kernel.now();
+        final List<Attempt> attempts = new ArrayList<>(1);
+        int outstanding;
+        boolean answered;
+        boolean everStarted;
+
+        OpenRequest(String id, TaskKind kind, long work) {
+            this.id = id;
+            this.kind = kind;
+            this.work = work;
+        }
+
+        void answer() {
+            answered = true;
+            forgetIfEnded();
+        }
+
+        void forgetIfEnded() {
+            if (answered && outstanding == 0) {
+                open.remove(id);
+            }
+        }
+    }
+
+    /** One try of a request at one worker. */
+    private final class Attempt implements PlayedWorker.Task {
+        /** One way for a connection to come up and the request to follow it. */
+        private static final int WAYS_TO_SEND = 4;
+
+        final OpenRequest request;
+        final int number;
+        final PlayedWorker worker;
+        final long sentAt = kernel.now();
+        boolean ended;
+
+        Attempt(OpenRequest request, int number, PlayedWorker worker) {
+            this.request = request;
+            this.number = number;
+            this.worker = worker;
+        }
+
+        void send() {
+            kernel.after(WAYS_TO_SEND * fleet.way(zone, worker.zone), () -> worker.offer(this));
+        }
+
+        private void end(Status status) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            request.outstanding--;
+            request.answered |= status == Status.OK;
+            boolean answer = status == Status.OK || status == Status.FULL;
+            DispatchApi.Load load = answer && settings.reports == Reports.ANSWERS ? worker.load() : null;
+            long took = kernel.now() - sentAt;
+            call(
+                    CallKind.OUTCOME,
+                    () -> module.outcome(kernel.now(), request.id, number, request.answered, status, took, load));
+            request.forgetIfEnded();
+        }
+
+        private void back(Runnable run) {
+            kernel.after(fleet.way(worker.zone, zone), run);
+        }
+
+        private void note(Note note, double share) {
+            back(() -> {
+                if (!ended) {
+                    call(CallKind.NOTE, () -> module.note(kernel.now(), request.id, number, note, share));
+                }
+            });
+        }
+
+        @Override
+        public long work() {
+            return request.work;
+        }
+
+        @Override
+        public boolean withdrawn() {
+            return ended;
+        }
+
+        @Override
+        public void started() {
+            if (!request.everStarted) {
+                request.everStarted = true;
+                fleet.started(request.kind, kernel.now() - request.since);
+            }
+            note(Note.STARTED, 0);
+        }
+
+        @Override
+        public void progress(double share) {
+            note(Note.PROGRESS, share);
+        }
+
+        @Override
+        public void done() {
+            back(() -> end(Status.OK));
+        }
+
+        @Override
+        public void rejected() {
+            back(() -> end(Status.FULL));
+        }
+    }
+
+    // What the module orders.
+
+    @Override
+    public void send(String id, String worker, long timeout) {
+        ordered.add(() -> {
+            OpenRequest request = open.get(id);
+            Attempt attempt = new Attempt(request, request.attempts.size(), fleet.worker(worker));
+            request.attempts.add(attempt);
+            request.outstanding++;
+            attempt.send();
+        });
+    }
+
+    @Override
+    public void refuse(String id, long retryAfter) {
+        ordered.add(() -> {
+            fleet.turnedDown();
+            open.get(id).answer();
+        });
+    }
+
+    @Override
+    public void fail(String id) {
+        ordered.add(() -> {
+            fleet.failed();
+            open.get(id).answer();
+        });
+    }
+
+    @Override
+    public void cancel(String id, int attempt) {
+        ordered.add(() -> {
+            Attempt called = open.get(id).attempts.get(attempt);
+            kernel.after(0, () -> called.end(Status.CANCELLED));
+        });
+    }
+
+    @Override
+    public void probe(String worker) {
+        throw new IllegalStateException("probes are not allowed here");
+    }
+
+    @Override
+    public void tell(byte[] message) {
+        if (message.length > LONGEST_DATAGRAM) {
+            throw new IllegalStateException("a datagram of " + message.length + " bytes");
+        }
+        ordered.add(() -> {
+            datagrams.out(message);
+            fleet.tellOthers(this, message);
+        });
+    }
+
+    @Override
+    public void timer(long delay, String token) {
+        ordered.add(() -> kernel.after(
+                Math.max(1, delay), () -> call(CallKind.REFRESH, () -> module.timer(kernel.now(), token))));
+    }
+
+    @Override
+    public void watch() {}
+
+    @Override
+    public void log(String line) {}
+}
--- /dev/null
+++ b/src/main/java/barrowshore/capacity/Sweep.java
@@ -0,0 +1,59 @@
+package barrowshore.capacity;
+
+import barrowshore.config.ConfigException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.BiFunction;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+
+/** What is varied, alone, and over which sizes. */
+public enum Sweep {
+    WORKERS(FleetSize::workers, (size, to) -> size.withWorkers(to.intValue()), 96, 192, 385, 770, 1_540),
+    SCHEDULERS(FleetSize::schedulers, (size, to) -> size.withSchedulers(to.intValue()), 5, 10, 20, 40),
+    STARTS(FleetSize::startsPerSecond, FleetSize::withStartsPerSecond, 130, 260, 520),
+    TENANTS(FleetSize::tenants, (size, to) -> size.withTenants(to.intValue()), 11, 43, 86),
+    LIST_CHANGES(FleetSize::listChangesPerSecond, FleetSize::withListChangesPerSecond, 0, 1, 5, 20),
+    CONFIG_CHANGES(FleetSize::settingsChangesPerSecond, FleetSize::withSettingsChangesPerSecond, 0, 1, 5, 20);
+
+    private final ToDoubleFunction<FleetSize> read;
+    private final BiFunction<FleetSize, Double, FleetSize> change;
+    private final double[] sizes;
+
+    Sweep(ToDoubleFunction<FleetSize> read, BiFunction<FleetSize, Double, FleetSize> change, double... sizes) {
+        this.read = read;
+        this.change = change;
+        this.sizes = sizes;
+    }
+
+    /** Its name on the command line. */
+    public String key() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** The size that it varies. */
+    double sizeOf(FleetSize fleet) {
+        return read.applyAsDouble(fleet);
+    }
+
+    /** The fleets that it plays, which differ from the base in one size. */
+    List<FleetSize> fleets(FleetSize base) {
+        return Arrays.stream(sizes).mapToObj(size -> change.apply(base, size)).toList();
+    }
+
+    /** The sweeps of a name: one, {@code all}, or {@code none}. */
+    public static List<Sweep> named(String name) {
+        if (name.equals("all")) {
+            return List.of(values());
+        }
+        if (name.equals("none")) {
+            return List.of();
+        }
+        return List.of(Arrays.stream(values())
+                .filter(sweep -> sweep.key().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new ConfigException("--sweep: " + name + " is none of "
+                        + Arrays.stream(values()).map(Sweep::key).collect(Collectors.joining(", ")) + ", all, none")));
+    }
+}
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -1,5 +1,10 @@
 package barrowshore.cli;
 
+import barrowshore.capacity.CapacityRun;
+import barrowshore.capacity.FleetSize;
+import barrowshore.capacity.PlayOptions;
+import barrowshore.capacity.SizeOption;
+import barrowshore.capacity.Sweep;
 import barrowshore.config.ConfigException;
 import barrowshore.emulate.Matrix;
 import barrowshore.emulate.Rehearsal;
@@ -292,6 +297,105 @@
         }
     }
 
+    /** Measures what a scheduler spends on control, against the fleet's size. */
+    @About(
+            "Plays fleets of real decision modules in virtual time and prints what control costs each scheduler by size.")
+    public static final class Capacity implements Command {
+        private static final FleetSize TARGET = FleetSize.target();
+        private static final int SECONDS = 6, PLAYS = 3;
+
+        @Option(name = "--workers", metaVar = "COUNT", handler = SizeOption.class, usage = "default: the target's 770")
+        double workers = TARGET.workers();
+
+        @Option(name = "--schedulers", metaVar = "COUNT", handler = SizeOption.class, usage = "default: 10")
+        double schedulers = TARGET.schedulers();
+
+        @Option(
+                name = "--starts",
+                metaVar = "RATE",
+                handler = SizeOption.class,
+                usage = "task starts a second, all schedulers (default: the target's 260)")
+        double starts = TARGET.startsPerSecond();
+
+        @Option(name = "--tenants", metaVar = "COUNT", handler = SizeOption.class, usage = "default: the target's 43")
+        double tenants = TARGET.tenants();
+
+        @Option(
+                name = "--list-changes",
+                metaVar = "RATE",
+                handler = SizeOption.class,
+                usage = "machines replaced a second (default: the target's)")
+        double listChanges = TARGET.listChangesPerSecond();
+
+        @Option(
+                name = "--config-changes",
+                metaVar = "RATE",
+                handler = SizeOption.class,
+                usage = "changes of configuration a second (default: the target's)")
+        double configChanges = TARGET.settingsChangesPerSecond();
+
+        @Option(
+                name = "--seconds",
+                metaVar = "COUNT",
+                handler = SizeOption.class,
+                usage = "virtual seconds that are measured (default 6)")
+        double seconds = SECONDS;
+
+        @Option(name = "--seed", metaVar = "N", handler = SizeOption.class, usage = "of all chance (default 1)")
+        double seed = 1;
+
+        @Option(
+                name = "--plays",
+                metaVar = "COUNT",
+                handler = SizeOption.class,
+                usage = "plays of each size, for the spread of the times (default 3)")
+        double plays = PLAYS;
+
+        @Option(name = "--loss", metaVar = "SHARE", handler = SizeOption.class, usage = "of datagrams lost (default 0)")
+        double loss;
+
+        @Option(
+                name = "--doubled",
+                metaVar = "SHARE",
+                handler = SizeOption.class,
+                usage = "of datagrams that come twice (default 0)")
+        double doubled;
+
+        @Option(name = "--reports", usage = "workers report their load in answers")
+        boolean reports;
+
+        @Option(name = "--counts", usage = "counts alone, one play: no times, the same on every machine")
+        boolean counts;
+
+        @Option(name = "--sweep", metaVar = "NAME", usage = "one sweep, all (default), or none: the size itself alone")
+        String sweep = "all";
+
+        @Option(name = "--csv", metaVar = "FILE", usage = "writes every figure")
+        Path csv;
+
+        @Override
+        public void run() throws Exception {
+            FleetSize size = new FleetSize(
+                    SizeOption.whole("--workers", workers),
+                    SizeOption.whole("--schedulers", schedulers),
+                    starts,
+                    SizeOption.whole("--tenants", tenants),
+                    listChanges,
+                    configChanges);
+            PlayOptions options = new PlayOptions(
+                    SizeOption.whole("--seconds", seconds),
+                    SizeOption.whole("--seed", seed),
+                    counts ? 1 : SizeOption.whole("--plays", plays),
+                    !counts,
+                    loss,
+                    doubled,
+                    reports);
+            if (!CapacityRun.run(System.out, size, options, Sweep.named(sweep), csv)) {
+                throw new Broken();
+            }
+        }
+    }
+
     /** Prints the version. */
     @About("Prints the version.")
     public static final class Version implements Command {
@@ -311,6 +415,7 @@
         @SubCommand(name = "demo", impl = Show.class),
         @SubCommand(name = "fleet", impl = RunFleet.class),
         @SubCommand(name = "emulate", impl = Emulate.class),
+        @SubCommand(name = "capacity", impl = Capacity.class),
         @SubCommand(name = "rehearse", impl = Rehearse.class),
         @SubCommand(name = "version", impl = Version.class)
     })
--- a/src/main/java/barrowshore/emulate/Kernel.java
+++ b/src/main/java/barrowshore/emulate/Kernel.java
@@ -7,7 +7,7 @@
  * Virtual time: discrete events in the order of their times and, at one time, of their making, so that the same inputs
  * give the same run. It owns the clock and what is still to come; it must never look at the real time.
  */
-final class Kernel implements Timeline {
+public final class Kernel implements Timeline {
     private record Event(long at, long order, Runnable run) {}
 
     private final PriorityQueue<Event> events =
@@ -16,7 +16,7 @@
     private long order;
 
     /** Starts at a time, so that 0 can go on meaning long ago. */
-    Kernel(long start) {
+    public Kernel(long start) {
         now = start;
     }
 
@@ -30,12 +30,13 @@
         events.add(new Event(Math.max(now, time), order++, run));
     }
 
-    void after(long delay, Runnable run) {
+    /** Runs it so long from now. */
+    public void after(long delay, Runnable run) {
         at(now + delay, run);
     }
 
     /** Runs what is due until then. */
-    void run(long until) {
+    public void run(long until) {
         while (!events.isEmpty() && events.peek().at <= until) {
             Event next = events.poll();
             now = next.at;
@@ -45,7 +46,7 @@
     }
 
     /** How many events there have been. */
-    long events() {
+    public long events() {
         return order;
     }
 }
