Let a played fleet settle within its warm-up: guesses at the work, clients spread over zones

Seen: with no guess at their work 700 of 3,000 tasks waited while 1,400 slots were free, for 20 s of virtual time. The first tasks that end are short, so their workers look fast; and five schedulers in four zones gave one zone two fifths of the clients.

Change: tasks come with a guess within 10 % (--no-guesses: without), clients are as many in each zone, urgent tasks are short, and second copies are counted.

--- a/src/main/java/barrowshore/capacity/Arrivals.java
+++ b/src/main/java/barrowshore/capacity/Arrivals.java
@@ -13,26 +13,34 @@
     /** The spread of a task's work: its standard deviation over its mean. */
     private static final double WORK_SPREAD = 0.5;
 
-    /** One request: which scheduler it comes to, for whom, and how long it would run. */
-    record Arrival(int scheduler, TaskKind kind, int tenant, long work) {}
+    /** The error of the guess at a task's work that comes with it. */
+    private static final double GUESS_SPREAD = 0.1;
+
+    /** One request: which scheduler it comes to, for whom, how long it would run, and how long its client thinks. */
+    record Arrival(int scheduler, TaskKind kind, int tenant, long work, long guess) {
+        Arrival withoutGuess() {
+            return new Arrival(scheduler, kind, tenant, work, 0);
+        }
+    }
 
     private final FleetSize size;
     private final UniformRandomProvider random;
     private final SharedStateContinuousSampler pause;
-    private final SharedStateContinuousSampler work;
-    private final SharedStateContinuousSampler workOfRunning;
+    /** A task's work over its class's mean: of one that begins, and of one that is found running, a long one more often. */
+    private final SharedStateContinuousSampler beginning;
+
+    private final SharedStateContinuousSampler running;
+    private final SharedStateContinuousSampler guess;
 
     Arrivals(FleetSize size, long seed) {
         this.size = size;
         random = RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + 1);
         pause = ZigguratSampler.Exponential.of(random);
         double variance = Math.log(1 + WORK_SPREAD * WORK_SPREAD);
-        double deviation = Math.sqrt(variance);
-        double median = Math.log(CapacityTarget.TARGET.taskSeconds() * MICROS) - variance / 2;
         NormalizedGaussianSampler normal = ZigguratSampler.NormalizedGaussian.of(random);
-        work = LogNormalSampler.of(normal, median, deviation);
-        // A task that is found running is a long one more often than not.
-        workOfRunning = LogNormalSampler.of(normal, median + variance, deviation);
+        beginning = LogNormalSampler.of(normal, -variance / 2, Math.sqrt(variance));
+        guess = LogNormalSampler.of(normal, 0, GUESS_SPREAD);
+        running = LogNormalSampler.of(normal, variance / 2, Math.sqrt(variance));
     }
 
     /** Microseconds until the next request at so many a second. */
@@ -42,17 +50,26 @@
 
     /** A request that begins. */
     Arrival next() {
-        return arrival(work.sample());
+        boolean urgent = random.nextDouble() < TaskKind.URGENT.share;
+        return arrival(urgent ? TaskKind.URGENT : TaskKind.ORDINARY, beginning.sample());
     }
 
-    /** A request that has run for a while, with what is left of it. */
+    /** A request that has run for a while, with what is left of it; the urgent ones are soon over and left out. */
     Arrival underWay() {
-        return arrival(workOfRunning.sample() * random.nextDouble());
+        return arrival(TaskKind.ORDINARY, running.sample() * random.nextDouble());
+    }
+
+    private Arrival arrival(TaskKind kind, double part) {
+        double work = part * kind.work;
+        return new Arrival(
+                scheduler(), kind, random.nextInt(size.tenants()), (long) work, (long) (work * guess.sample()));
     }
 
-    private Arrival arrival(double micros) {
-        int scheduler = random.nextInt(size.schedulers());
-        TaskKind kind = random.nextDouble() < TaskKind.URGENT.share ? TaskKind.URGENT : TaskKind.ORDINARY;
-        return new Arrival(scheduler, kind, random.nextInt(size.tenants()), (long) micros);
+    /** Clients are as many in each zone, and each goes to a scheduler of its own; schedulers stand in zones by turns. */
+    private int scheduler() {
+        int zones = Math.min(CapacityTarget.TARGET.zones(), size.schedulers());
+        int zone = random.nextInt(zones);
+        int inZone = (size.schedulers() - zone + zones - 1) / zones;
+        return zone + zones * random.nextInt(inZone);
     }
 }
--- a/src/main/java/barrowshore/capacity/FleetCost.java
+++ b/src/main/java/barrowshore/capacity/FleetCost.java
@@ -45,6 +45,7 @@
 
     private void workload(FleetPlay.Workload workload, int seconds) {
         values.put(Metric.STARTED, workload.started() / (double) seconds);
+        values.put(Metric.STARTED_AGAIN, workload.startedAgain() / (double) seconds);
         values.put(Metric.RUNNING, workload.running());
         values.put(Metric.TURNED_DOWN, PERCENT * workload.turnedDown() / workload.asked());
         values.put(Metric.FAILED, PERCENT * workload.failed() / workload.asked());
--- a/src/main/java/barrowshore/capacity/FleetPlay.java
+++ b/src/main/java/barrowshore/capacity/FleetPlay.java
@@ -48,6 +48,7 @@
     private boolean measuring;
     private long asked;
     private long started;
+    private long startedAgain;
     private long turnedDown;
     private long failed;
     private int replacements;
@@ -131,7 +132,7 @@
             visits = visits.plus(EffortReading.of(schedulers.get(s).effort()).minus(before.get(s)));
         }
         Workload workload = new Workload(
-                asked, started, turnedDown, failed, running / (double) options.seconds(), urgentStarts.percentile(99));
+                asked, started, startedAgain, turnedDown, failed, running / (double) options.seconds(), urgentStarts.percentile(99));
         return FleetCost.of(size, options, schedulers, visits, workload);
     }
 
@@ -151,7 +152,7 @@
 
     private void request(Arrivals.Arrival arrival) {
         asked += measuring ? 1 : 0;
-        schedulers.get(arrival.scheduler()).request(arrival.kind(), arrival.tenant(), arrival.work());
+        schedulers.get(arrival.scheduler()).request(options.guesses() ? arrival : arrival.withoutGuess());
     }
 
     private void every(double perSecond, Runnable change) {
@@ -235,6 +236,11 @@
         }
     }
 
+    @Override
+    public void startedAgain() {
+        startedAgain += measuring ? 1 : 0;
+    }
+
     @Override
     public void turnedDown() {
         turnedDown += measuring ? 1 : 0;
@@ -246,7 +252,7 @@
     }
 
     /** What clients asked for in the measured time, and what came of it; the urgent tasks' start in seconds. */
-    record Workload(long asked, long started, long turnedDown, long failed, double running, double urgentStart) {}
+    record Workload(long asked, long started, long startedAgain, long turnedDown, long failed, double running, double urgentStart) {}
 
     /** The module's own counts at one moment, or the difference of two. */
     record EffortReading(
--- a/src/main/java/barrowshore/capacity/Metric.java
+++ b/src/main/java/barrowshore/capacity/Metric.java
@@ -5,6 +5,7 @@
 /** What is measured, for each scheduler unless it says otherwise, with its limit at the target where there is one. */
 public enum Metric {
     STARTED("tasks started, all schedulers", "1/s"),
+    STARTED_AGAIN("second copies started", "1/s"),
     RUNNING("tasks running, all workers", "tasks"),
     TURNED_DOWN("requests turned down", "%"),
     FAILED("requests failed", "%"),
--- a/src/main/java/barrowshore/capacity/PlayOptions.java
+++ b/src/main/java/barrowshore/capacity/PlayOptions.java
@@ -12,14 +12,16 @@
  * @param loss the share of datagrams that is lost
  * @param doubled the share of datagrams that comes twice
  * @param reports whether workers report their load in answers
+ * @param guesses whether tasks come with a guess at their work; without, a fleet takes longer than the warm-up to settle,
+ *     since the first tasks that end are short and their workers look fast
  */
 public record PlayOptions(
-        int seconds, long seed, int plays, boolean timed, double loss, double doubled, boolean reports) {
+        int seconds, long seed, int plays, boolean timed, double loss, double doubled, boolean reports, boolean guesses) {
     private static final int MOST_SECONDS = 3_600, MOST_PLAYS = 100;
 
     /** Counts alone, once, without a fault between the schedulers. */
     public static PlayOptions countsOnly(int seconds, long seed) {
-        return new PlayOptions(seconds, seed, 1, false, 0, 0, false);
+        return new PlayOptions(seconds, seed, 1, false, 0, 0, false, true);
     }
 
     /** Throws a {@link ConfigException} that names the first option that cannot be played. */
--- a/src/main/java/barrowshore/capacity/PlayedScheduler.java
+++ b/src/main/java/barrowshore/capacity/PlayedScheduler.java
@@ -38,6 +38,9 @@
         /** A task has started, so many microseconds after its client asked. */
         void started(TaskKind kind, long waited);
 
+        /** Another attempt of a task has started while the first was out. */
+        void startedAgain();
+
         void turnedDown();
 
         void failed();
@@ -104,13 +107,17 @@
         call(CallKind.DATAGRAM, () -> module.peer(kernel.now(), from, message));
     }
 
-    void request(TaskKind kind, int tenant, long work) {
-        OpenRequest request = new OpenRequest("r" + number + "-" + ++requests, kind, work);
+    void request(Arrivals.Arrival arrival) {
+        OpenRequest request = new OpenRequest("r" + number + "-" + ++requests, arrival.kind(), arrival.work());
         open.put(request.id, request);
-        call(
-                CallKind.REQUEST,
-                () -> module.request(
-                        kernel.now(), new Request(request.id, kind.ordinal(), tenant, 1, 0, TaskKind.Terms.DEADLINE)));
+        Request asked = new Request(
+                request.id,
+                arrival.kind().ordinal(),
+                arrival.tenant(),
+                1,
+                arrival.guess(),
+                TaskKind.Terms.DEADLINE);
+        call(CallKind.REQUEST, () -> module.request(kernel.now(), asked));
     }
 
     long entriesApplied() {
@@ -224,6 +231,8 @@
             if (!request.everStarted) {
                 request.everStarted = true;
                 fleet.started(request.kind, kernel.now() - request.since);
+            } else {
+                fleet.startedAgain();
             }
             note(Note.STARTED, 0);
         }
--- a/src/main/java/barrowshore/capacity/TaskKind.java
+++ b/src/main/java/barrowshore/capacity/TaskKind.java
@@ -4,23 +4,26 @@
 import barrowshore.module.DispatchApi.JobClass;
 import barrowshore.module.DispatchApi.Scope;
 
-/** The classes of tasks that are played: ordinary ones, and urgent ones that are worth more and can wait for less. */
+/**
+ * The classes of tasks that are played: ordinary ones, and short urgent ones that are worth more and can wait for less. A
+ * class's aim is its mean work, which is what a module takes for the work until it has seen some.
+ */
 enum TaskKind {
-    ORDINARY(0.9, seconds(CapacityTarget.TARGET.taskSeconds()), 1, Effect.SAFE, 0),
-    URGENT(0.1, seconds(CapacityTarget.TARGET.urgentStartSeconds()), 10, Effect.UNSAFE, 1);
+    ORDINARY(Terms.ORDINARY_SHARE, Terms.ORDINARY_SECONDS, 1, Effect.SAFE, 0),
+    URGENT(1 - Terms.ORDINARY_SHARE, Terms.URGENT_SECONDS, 10, Effect.UNSAFE, 1);
 
     /** The share of all tasks. */
     final double share;
+    /** Mean work in microseconds. */
+    final double work;
 
     final JobClass jobClass;
 
-    TaskKind(double share, long aim, double worth, Effect effect, int priority) {
+    TaskKind(double share, double seconds, double worth, Effect effect, int priority) {
         this.share = share;
-        this.jobClass = new JobClass(aim, Terms.STRETCH, Terms.DEADLINE, worth, 0, effect, Scope.ALL, 0, -1, priority);
-    }
-
-    private static long seconds(double count) {
-        return (long) (count * 1e6);
+        this.work = seconds * Terms.MICROS;
+        this.jobClass = new JobClass(
+                (long) work, Terms.STRETCH, Terms.DEADLINE, worth, 0, effect, Scope.ALL, 0, -1, priority);
     }
 
     /** The classes as a module's settings name them, by ordinal. */
@@ -32,11 +35,17 @@
         return classes;
     }
 
-    /** What all classes have in common. */
+    /** What the classes have in common, and their shares, by which tasks run as long as the target's on average. */
     static final class Terms {
+        static final double MICROS = 1e6;
         /** How long a client waits for its answer at most. */
-        static final long DEADLINE = seconds(120);
+        static final long DEADLINE = (long) (120 * MICROS);
         /** A task's aim grows with its own work, once. */
         static final double STRETCH = 1;
+
+        static final double ORDINARY_SHARE = 0.9;
+        static final double URGENT_SECONDS = CapacityTarget.TARGET.urgentStartSeconds();
+        static final double ORDINARY_SECONDS =
+                (CapacityTarget.TARGET.taskSeconds() - (1 - ORDINARY_SHARE) * URGENT_SECONDS) / ORDINARY_SHARE;
     }
 }
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -364,6 +364,9 @@
         @Option(name = "--reports", usage = "workers report their load in answers")
         boolean reports;
 
+        @Option(name = "--no-guesses", usage = "tasks come without a guess at their work")
+        boolean noGuesses;
+
         @Option(name = "--counts", usage = "counts alone, one play: no times, the same on every machine")
         boolean counts;
 
@@ -389,7 +392,8 @@
                     !counts,
                     loss,
                     doubled,
-                    reports);
+                    reports,
+                    !noGuesses);
             if (!CapacityRun.run(System.out, size, options, Sweep.named(sweep), csv)) {
                 throw new Broken();
             }
