--- a/src/benchmark/java/barrowshore/module/PickBenchmark.java
+++ b/src/benchmark/java/barrowshore/module/PickBenchmark.java
@@ -23,9 +23,13 @@
 import org.openjdk.jmh.annotations.Param;
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
 import org.openjdk.jmh.annotations.Warmup;
 
-/** What a request with its outcome, a refresh and a peer's datagram cost the module, with halls off and on. */
+/**
+ * What a request with its outcome, a refresh, a peer's datagram and a change of the list cost the module, with halls off
+ * and on, at sizes up to twice the target; with {@code -prof gc} also what they allocate.
+ */
 @State(org.openjdk.jmh.annotations.Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
@@ -33,19 +37,28 @@
 @Measurement(iterations = 4, time = 500, timeUnit = TimeUnit.MILLISECONDS)
 @Fork(1)
 public class PickBenchmark {
-    @Param({"10", "100", "1000"})
+    /** Schedulers at the target. */
+    private static final int DISPATCHERS = 10;
+    /** Different datagrams that each of the peer's two lives has told. */
+    private static final int DATAGRAMS = 512;
+
+    private static final int MOST_STEPS = 20 * DATAGRAMS;
+
+    @Param({"10", "96", "385", "770", "1540"})
     int servers;
 
     @Param({"false", "true"})
     boolean halls;
 
-    private DispatchApi module;
+    private Dispatcher module;
     private long now = 1_000_000_000L;
     private int number;
-    private byte[] datagram;
+    private final List<byte[]> datagrams = new ArrayList<>();
+    private long heard;
+    private long changes;
 
     private static final class Nothing implements DispatchApi.Actions {
-        byte[] told;
+        final List<byte[]> told = new ArrayList<>();
 
         @Override
         public void send(String id, String worker, long timeout) {}
@@ -64,7 +77,7 @@
 
         @Override
         public void tell(byte[] message) {
-            told = message;
+            told.add(message);
         }
 
         @Override
@@ -77,39 +90,65 @@
         public void log(String line) {}
     }
 
-    private DispatchApi module(int me, Nothing actions) {
+    private Dispatcher module(int me, long seed, Nothing actions) {
         Settings set = new Settings();
+        set.seed = seed;
         set.classes = new JobClass[] {new JobClass(200_000, 1, 5_000_000, 10, 0, Effect.SAFE, Scope.ALL, 0, -1, 0)};
-        set.dispatchers = Math.max(2, servers / 8);
+        set.dispatchers = DISPATCHERS;
         set.me = me;
         set.mayTell = true;
         set.crossZoneCharge = 0.1;
         set.tellsStart = true;
         set.progressEvery = 2_000_000;
         set.halls = halls ? HallRules.usual(List.of("a", "b", "c", "d"), 0) : null;
-        DispatchApi made = new Dispatcher(set, actions);
+        Dispatcher made = new Dispatcher(set, actions);
         List<Member> list = new ArrayList<>();
         for (int k = 0; k < servers; k++) {
-            list.add(new Member("server-" + k, Health.READY, 5, 0, 0, k % 4, 0));
+            list.add(member(k, Health.READY));
         }
         made.start(now);
         made.list(now, ListKind.WHOLE, list);
         return made;
     }
 
+    private static Member member(int number, Health health) {
+        return new Member("server-" + number, health, 5, 0, 0, number % 4, 0);
+    }
+
     @Setup
     public void start() {
-        Nothing other = new Nothing();
-        DispatchApi peer = module(1, other);
-        peer.request(now, new Request("x", 0, -1, 1, 0, 5_000_000));
-        datagram = other.told;
-        module = module(0, new Nothing());
+        datagrams.addAll(tellings(1));
+        datagrams.addAll(tellings(2));
+        module = module(0, 1, new Nothing());
         for (int k = 0; k < 1000; k++) {
             requestWithItsOutcome();
         }
         module.timer(now, "refresh");
     }
 
+    /** What a peer tells in one of its lives, as it starts and ends tasks. */
+    private List<byte[]> tellings(long seed) {
+        Nothing actions = new Nothing();
+        Dispatcher peer = module(1, seed, actions);
+        long time = now;
+        for (int step = 0; step < MOST_STEPS && actions.told.size() < DATAGRAMS; step++) {
+            String id = "x" + step;
+            time += 80_000;
+            peer.request(time, new Request(id, 0, -1, 1, 0, 5_000_000));
+            peer.timer(time, "refresh");
+            peer.outcome(time, id, 0, true, Status.OK, 100_000, null);
+        }
+        return actions.told;
+    }
+
+    /** A datagram that was dropped costs nothing, and would be measured for one that was entered. */
+    @TearDown
+    public void check() {
+        if (heard > 0 && module.effort().datagrams() < heard / 2) {
+            throw new IllegalStateException(module.effort().datagrams() + " of " + heard + " datagrams were entered");
+        }
+    }
+
     @Benchmark
     public void requestWithItsOutcome() {
         String id = "r" + ++number;
@@ -127,9 +166,13 @@
 
     @Benchmark
     public void datagram() {
-        // A number of its own each time, or it would be dropped as an old one.
-        datagram[3] = (byte) (++number >> 8);
-        datagram[4] = (byte) number;
-        module.peer(now, 1, datagram);
+        module.peer(now, 1, datagrams.get((int) (heard++ % datagrams.size())));
+    }
+
+    @Benchmark
+    public void listChange() {
+        int changed = (int) (changes / 2 % servers);
+        Health health = changes++ % 2 == 0 ? Health.DRAINING : Health.READY;
+        module.list(now, ListKind.CHANGES, List.of(member(changed, health)));
     }
 }
--- a/src/main/java/barrowshore/capacity/CapacityReport.java
+++ b/src/main/java/barrowshore/capacity/CapacityReport.java
@@ -27,7 +27,7 @@
                 "%s%nseed %d, %d plays of %d s after the warm-up; for each scheduler unless said otherwise%n%n",
                 describe(at.size()),
                 options.seed(),
-                options.plays(),
+                options.playsOfASize(),
                 options.seconds());
         out.println(row("", "unit", "median", "min", "max", "limit"));
         for (Metric metric : Metric.values()) {
--- a/src/main/java/barrowshore/capacity/CapacityRun.java
+++ b/src/main/java/barrowshore/capacity/CapacityRun.java
@@ -1,7 +1,9 @@
 package barrowshore.capacity;
 
+import barrowshore.config.ConfigException;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -34,6 +36,9 @@
         long heap = Runtime.getRuntime().maxMemory();
         base.check(heap);
         sweeps.forEach(sweep -> sweep.fleets(base).forEach(fleet -> fleet.check(heap)));
+        if (csv != null) {
+            requireWritable(csv);
+        }
         CapacityRun run = new CapacityRun(base, options);
         CapacityReport report = new CapacityReport(options);
         if (options.timed()) {
@@ -53,6 +58,15 @@
         return Arrays.stream(Metric.values()).noneMatch(atBase::passesLimit);
     }
 
+    /** What is measured for long is not to be lost for want of a folder. */
+    private static void requireWritable(Path csv) {
+        try {
+            Files.writeString(csv, "");
+        } catch (IOException e) {
+            throw new ConfigException("--csv: " + csv + " cannot be written");
+        }
+    }
+
     private SweepResult sweep(Sweep sweep) {
         return new SweepResult(
                 sweep, sweep.fleets(base).stream().map(this::measure).toList());
@@ -64,7 +78,7 @@
 
     private FleetMeasurement play(FleetSize size) {
         List<FleetCost> plays = new ArrayList<>();
-        for (int play = 0; play < options.plays(); play++) {
+        for (int play = 0; play < options.playsOfASize(); play++) {
             plays.add(new FleetPlay(size, options).play());
         }
         return FleetMeasurement.of(size, plays);
--- a/src/main/java/barrowshore/capacity/FleetPlay.java
+++ b/src/main/java/barrowshore/capacity/FleetPlay.java
@@ -132,7 +132,13 @@
             visits = visits.plus(EffortReading.of(schedulers.get(s).effort()).minus(before.get(s)));
         }
         Workload workload = new Workload(
-                asked, started, startedAgain, turnedDown, failed, running / (double) options.seconds(), urgentStarts.percentile(99));
+                asked,
+                started,
+                startedAgain,
+                turnedDown,
+                failed,
+                running / (double) options.seconds(),
+                urgentStarts.percentile(99));
         return FleetCost.of(size, options, schedulers, visits, workload);
     }
 
@@ -252,7 +258,14 @@
     }
 
     /** What clients asked for in the measured time, and what came of it; the urgent tasks' start in seconds. */
-    record Workload(long asked, long started, long startedAgain, long turnedDown, long failed, double running, double urgentStart) {}
+    record Workload(
+            long asked,
+            long started,
+            long startedAgain,
+            long turnedDown,
+            long failed,
+            double running,
+            double urgentStart) {}
 
     /** The module's own counts at one moment, or the difference of two. */
     record EffortReading(
--- a/src/main/java/barrowshore/capacity/PlayOptions.java
+++ b/src/main/java/barrowshore/capacity/PlayOptions.java
@@ -16,7 +16,14 @@
  *     since the first tasks that end are short and their workers look fast
  */
 public record PlayOptions(
-        int seconds, long seed, int plays, boolean timed, double loss, double doubled, boolean reports, boolean guesses) {
+        int seconds,
+        long seed,
+        int plays,
+        boolean timed,
+        double loss,
+        double doubled,
+        boolean reports,
+        boolean guesses) {
     private static final int MOST_SECONDS = 3_600, MOST_PLAYS = 100;
 
     /** Counts alone, once, without a fault between the schedulers. */
@@ -24,6 +31,11 @@
         return new PlayOptions(seconds, seed, 1, false, 0, 0, false, true);
     }
 
+    /** Counts are the same in each play, so that one is enough for them. */
+    int playsOfASize() {
+        return timed ? plays : 1;
+    }
+
     /** Throws a {@link ConfigException} that names the first option that cannot be played. */
     public void check() {
         require("--seconds", seconds, MOST_SECONDS);
--- a/src/main/java/barrowshore/capacity/PlayedScheduler.java
+++ b/src/main/java/barrowshore/capacity/PlayedScheduler.java
@@ -111,12 +111,7 @@
         OpenRequest request = new OpenRequest("r" + number + "-" + ++requests, arrival.kind(), arrival.work());
         open.put(request.id, request);
         Request asked = new Request(
-                request.id,
-                arrival.kind().ordinal(),
-                arrival.tenant(),
-                1,
-                arrival.guess(),
-                TaskKind.Terms.DEADLINE);
+                request.id, arrival.kind().ordinal(), arrival.tenant(), 1, arrival.guess(), TaskKind.Terms.DEADLINE);
         call(CallKind.REQUEST, () -> module.request(kernel.now(), asked));
     }
 
--- a/src/main/java/barrowshore/capacity/Sweep.java
+++ b/src/main/java/barrowshore/capacity/Sweep.java
@@ -1,5 +1,7 @@
 package barrowshore.capacity;
 
+import static barrowshore.capacity.CapacityTarget.TARGET;
+
 import barrowshore.config.ConfigException;
 import java.util.Arrays;
 import java.util.List;
@@ -11,11 +13,17 @@
 /** What is varied, alone, and over which sizes. */
 public enum Sweep {
     WORKERS(FleetSize::workers, (size, to) -> size.withWorkers(to.intValue()), 96, 192, 385, 770, 1_540),
-    SCHEDULERS(FleetSize::schedulers, (size, to) -> size.withSchedulers(to.intValue()), 5, 10, 20, 40),
+    SCHEDULERS(FleetSize::schedulers, (size, to) -> size.withSchedulers(to.intValue()), 5, 10, 20),
     STARTS(FleetSize::startsPerSecond, FleetSize::withStartsPerSecond, 130, 260, 520),
     TENANTS(FleetSize::tenants, (size, to) -> size.withTenants(to.intValue()), 11, 43, 86),
-    LIST_CHANGES(FleetSize::listChangesPerSecond, FleetSize::withListChangesPerSecond, 0, 1, 5, 20),
-    CONFIG_CHANGES(FleetSize::settingsChangesPerSecond, FleetSize::withSettingsChangesPerSecond, 0, 1, 5, 20);
+    LIST_CHANGES(
+            FleetSize::listChangesPerSecond, FleetSize::withListChangesPerSecond, TARGET.listChangesPerSecond(), 5, 20),
+    CONFIG_CHANGES(
+            FleetSize::settingsChangesPerSecond,
+            FleetSize::withSettingsChangesPerSecond,
+            TARGET.settingsChangesPerSecond(),
+            5,
+            20);
 
     private final ToDoubleFunction<FleetSize> read;
     private final BiFunction<FleetSize, Double, FleetSize> change;
@@ -42,18 +50,22 @@
         return Arrays.stream(sizes).mapToObj(size -> change.apply(base, size)).toList();
     }
 
-    /** The sweeps of a name: one, {@code all}, or {@code none}. */
-    public static List<Sweep> named(String name) {
-        if (name.equals("all")) {
+    /** The sweeps of some names with commas between them, {@code all}, or {@code none}. */
+    public static List<Sweep> named(String names) {
+        if (names.equals("all")) {
             return List.of(values());
         }
-        if (name.equals("none")) {
+        if (names.equals("none")) {
             return List.of();
         }
-        return List.of(Arrays.stream(values())
+        return Arrays.stream(names.split(",")).map(Sweep::one).toList();
+    }
+
+    private static Sweep one(String name) {
+        return Arrays.stream(values())
                 .filter(sweep -> sweep.key().equals(name))
                 .findFirst()
                 .orElseThrow(() -> new ConfigException("--sweep: " + name + " is none of "
-                        + Arrays.stream(values()).map(Sweep::key).collect(Collectors.joining(", ")) + ", all, none")));
+                        + Arrays.stream(values()).map(Sweep::key).collect(Collectors.joining(", ")) + ", all, none"));
     }
 }
--- a/src/main/java/barrowshore/capacity/TaskKind.java
+++ b/src/main/java/barrowshore/capacity/TaskKind.java
@@ -22,8 +22,8 @@
     TaskKind(double share, double seconds, double worth, Effect effect, int priority) {
         this.share = share;
         this.work = seconds * Terms.MICROS;
-        this.jobClass = new JobClass(
-                (long) work, Terms.STRETCH, Terms.DEADLINE, worth, 0, effect, Scope.ALL, 0, -1, priority);
+        this.jobClass =
+                new JobClass((long) work, Terms.STRETCH, Terms.DEADLINE, worth, 0, effect, Scope.ALL, 0, -1, priority);
     }
 
     /** The classes as a module's settings name them, by ordinal. */
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -370,7 +370,7 @@
         @Option(name = "--counts", usage = "counts alone, one play: no times, the same on every machine")
         boolean counts;
 
-        @Option(name = "--sweep", metaVar = "NAME", usage = "one sweep, all (default), or none: the size itself alone")
+        @Option(name = "--sweep", metaVar = "NAME", usage = "sweeps, with commas between, all (default), or none")
         String sweep = "all";
 
         @Option(name = "--csv", metaVar = "FILE", usage = "writes every figure")
@@ -388,7 +388,7 @@
             PlayOptions options = new PlayOptions(
                     SizeOption.whole("--seconds", seconds),
                     SizeOption.whole("--seed", seed),
-                    counts ? 1 : SizeOption.whole("--plays", plays),
+                    SizeOption.whole("--plays", plays),
                     !counts,
                     loss,
                     doubled,
--- /dev/null
+++ b/src/test/java/barrowshore/capacity/FleetPlayTest.java
@@ -0,0 +1,96 @@
+package barrowshore.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import org.junit.jupiter.api.Test;
+
+/** A small fleet, played for its counts. */
+class FleetPlayTest {
+    private static final FleetSize SMALL = new FleetSize(24, 3, 10, 4, 0, 0);
+    private static final int SECONDS = 4;
+    private static final PlayOptions OPTIONS = PlayOptions.countsOnly(SECONDS, 7);
+
+    private static FleetCost play(FleetSize size, PlayOptions options) {
+        return new FleetPlay(size, options).play();
+    }
+
+    @Test
+    void theSameSeedGivesTheSameCounts() {
+        FleetCost first = play(SMALL, OPTIONS);
+        FleetCost again = play(SMALL, OPTIONS);
+        FleetCost other = play(SMALL, PlayOptions.countsOnly(SECONDS, 8));
+        for (Metric metric : Metric.values()) {
+            // Boxed, so that what was not measured equals itself.
+            assertThat((Double) again.get(metric)).as(metric.label).isEqualTo((Double) first.get(metric));
+        }
+        assertThat(other.get(Metric.BYTES_IN)).isNotEqualTo(first.get(Metric.BYTES_IN));
+    }
+
+    @Test
+    void asManyTasksStartAndRunAsTheSizeSays() {
+        FleetCost cost = play(SMALL.withWorkers(60).withStartsPerSecond(40), PlayOptions.countsOnly(10, 1));
+        double running = SMALL.withStartsPerSecond(40).runningTasks();
+        assertThat(cost.get(Metric.STARTED)).isCloseTo(40, within(6.0));
+        assertThat(cost.get(Metric.RUNNING)).isBetween(0.85 * running, 1.2 * running);
+        assertThat(cost.get(Metric.TURNED_DOWN) + cost.get(Metric.FAILED)).isLessThan(1);
+    }
+
+    @Test
+    void eachTellingIsHeardByAllOthersUnlessItIsLostOrDoubled() {
+        PlayOptions faulty = new PlayOptions(SECONDS, 7, 1, false, 0.5, 0, false, true);
+        PlayOptions doubling = new PlayOptions(SECONDS, 7, 1, false, 0, 0.5, false, true);
+        assertHeard(play(SMALL, OPTIONS), 1, 0.03);
+        assertHeard(play(SMALL, faulty), 0.5, 0.1);
+        assertHeard(play(SMALL, doubling), 1.5, 0.1);
+    }
+
+    private static void assertHeard(FleetCost cost, double share, double tolerance) {
+        assertThat(cost.get(Metric.DATAGRAMS_OUT)).isPositive();
+        assertThat(cost.get(Metric.DATAGRAMS_IN) / cost.get(Metric.DATAGRAMS_OUT_PER_PEER))
+                .isCloseTo(share, within(tolerance));
+    }
+
+    @Test
+    void bytesHaveTheHeadsInThem() {
+        DatagramCount count = new DatagramCount();
+        count.out(new byte[10]);
+        count.in(new byte[200]);
+        count.in(new byte[0]);
+        assertThat(count.sentBytes()).isEqualTo(10 + 20 + 8);
+        assertThat(count.receivedBytes()).isEqualTo(200 + 2 * (20 + 8));
+        assertThat(count.received()).isEqualTo(2);
+    }
+
+    @Test
+    void theModulesBytesAreCountedWithTheHeads() {
+        FleetCost cost = play(SMALL, OPTIONS);
+        int peers = SMALL.schedulers() - 1;
+        assertThat(cost.get(Metric.BYTES_OUT))
+                .isGreaterThan(DatagramCount.HEADER_BYTES * cost.get(Metric.DATAGRAMS_OUT));
+        assertThat(cost.get(Metric.BYTES_OUT_PER_PEER)).isEqualTo(peers * cost.get(Metric.BYTES_OUT));
+        assertThat(cost.get(Metric.CONTROL_BYTES)).isEqualTo(cost.get(Metric.BYTES_OUT) + cost.get(Metric.BYTES_IN));
+    }
+
+    @Test
+    void changesOfListAndConfigurationReachEveryScheduler() {
+        FleetCost still = play(SMALL, OPTIONS);
+        FleetCost changing = play(SMALL.withListChangesPerSecond(1).withSettingsChangesPerSecond(5), OPTIONS);
+        assertThat(still.get(Metric.LIST_ENTRIES)).isZero();
+        assertThat(still.get(Metric.SETTINGS_CHANGES)).isZero();
+        // One entry as a machine drains; two as it goes and another comes.
+        assertThat(changing.get(Metric.LIST_ENTRIES)).isCloseTo(3, within(0.75));
+        assertThat(changing.get(Metric.SETTINGS_CHANGES)).isCloseTo(5, within(0.5));
+    }
+
+    @Test
+    void onlyATimedPlayHasTimes() {
+        FleetCost counted = play(SMALL, OPTIONS);
+        FleetCost timed = play(SMALL, new PlayOptions(SECONDS, 7, 1, true, 0, 0, false, true));
+        assertThat(counted.get(Metric.CONTROL_TIME)).isNaN();
+        assertThat(counted.get(Metric.HEAP_HELD)).isNaN();
+        assertThat(timed.get(Metric.CONTROL_TIME)).isPositive();
+        assertThat(timed.get(Metric.MICROS_PER_REFRESH)).isPositive();
+        assertThat(timed.get(Metric.DATAGRAMS_OUT)).isEqualTo(counted.get(Metric.DATAGRAMS_OUT));
+    }
+}
--- /dev/null
+++ b/src/test/java/barrowshore/capacity/FleetSizeTest.java
@@ -0,0 +1,73 @@
+package barrowshore.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatNoException;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import barrowshore.config.ConfigException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Which sizes can be played, and what follows from them. */
+class FleetSizeTest {
+    private static final long HEAP = 1L << 30;
+    private static final FleetSize TARGET = FleetSize.target();
+
+    @Test
+    void theTargetFillsFiveSlotsAWorkerToFourFifths() {
+        assertThat(TARGET.slotsPerWorker()).isEqualTo(5);
+        assertThat(TARGET.runningTasks() / (5 * TARGET.workers())).isBetween(0.75, 0.8);
+        assertThat(TARGET.withWorkers(96).slotsPerWorker()).isEqualTo(40);
+    }
+
+    @Test
+    void whatTheSweepsPlayFitsIntoAGigabyte() {
+        for (Sweep sweep : Sweep.values()) {
+            for (FleetSize fleet : sweep.fleets(TARGET)) {
+                assertThatNoException().isThrownBy(() -> fleet.check(HEAP));
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, -1, 100_001, Integer.MAX_VALUE, Integer.MIN_VALUE})
+    void aCountThatCannotBePlayedIsNamed(int count) {
+        assertRefused(TARGET.withWorkers(count), "--workers");
+        assertRefused(TARGET.withSchedulers(count), "--schedulers");
+        assertRefused(TARGET.withTenants(count), "--tenants");
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, -260, Double.NaN, Double.POSITIVE_INFINITY, 1e9})
+    void aRateThatCannotBePlayedIsNamed(double rate) {
+        assertRefused(TARGET.withStartsPerSecond(rate), "--starts");
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {-0.1, Double.NaN, Double.POSITIVE_INFINITY, 1e6})
+    void aRateOfChangesThatCannotBePlayedIsNamed(double rate) {
+        assertRefused(TARGET.withListChangesPerSecond(rate), "--list-changes");
+        assertRefused(TARGET.withSettingsChangesPerSecond(rate), "--config-changes");
+    }
+
+    @Test
+    void noChangesAtAllCanBePlayed() {
+        FleetSize still = TARGET.withListChangesPerSecond(0).withSettingsChangesPerSecond(0);
+        assertThatNoException().isThrownBy(() -> still.check(HEAP));
+    }
+
+    @Test
+    void aFleetBeyondTheMemoryIsRefusedByItsEstimate() {
+        FleetSize large = TARGET.withWorkers(100_000).withSchedulers(200);
+        assertThat(large.estimatedBytes()).isGreaterThan(HEAP);
+        assertRefused(large, "MiB");
+    }
+
+    private static void assertRefused(FleetSize size, String named) {
+        assertThatThrownBy(() -> size.check(HEAP))
+                .isInstanceOf(ConfigException.class)
+                .hasMessageContaining(named)
+                .hasMessageNotContaining("\n");
+    }
+}
