--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -302,7 +302,7 @@
             "Plays fleets of real decision modules in virtual time and prints what control costs each scheduler by size.")
     public static final class Capacity implements Command {
         private static final FleetSize TARGET = FleetSize.target();
-        private static final int SECONDS = 6, PLAYS = 3;
+        private static final int SECONDS = 20, PLAYS = 3;
 
         @Option(name = "--workers", metaVar = "COUNT", handler = SizeOption.class, usage = "default: the target's 770")
         double workers = TARGET.workers();
@@ -338,7 +338,7 @@
                 name = "--seconds",
                 metaVar = "COUNT",
                 handler = SizeOption.class,
-                usage = "virtual seconds that are measured (default 6)")
+                usage = "virtual seconds that are measured (default 20)")
         double seconds = SECONDS;
 
         @Option(name = "--seed", metaVar = "N", handler = SizeOption.class, usage = "of all chance (default 1)")
