--- a/src/main/java/barrowshore/fleet/Fleet.java
+++ b/src/main/java/barrowshore/fleet/Fleet.java
@@ -427,6 +427,7 @@
             csv.append('\n');
         }
         Files.writeString(folder.resolve("figures.csv"), csv);
+        Files.write(folder.resolve("jobs.csv"), jobs(asked));
         Files.writeString(folder.resolve("schedulers.csv"), members);
         events.addAll(broken.stream()
                 .map(line -> new JSON().toJSON(Map.of("event", "broken", "of", line)))
@@ -434,6 +435,22 @@
         Files.write(folder.resolve("events.jsonl"), events);
     }
 
+    /** A line for each job, so that times can be looked at by second, class and scheduler. */
+    private static List<String> jobs(List<Asked> asked) {
+        List<String> lines = new ArrayList<>(List.of("sent_ms,class,scheduler,answer,took_ms"));
+        for (Asked a : asked) {
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%.1f,%s,%d,%s,%.1f",
+                    a.sentAt() / 1e3,
+                    StandInConfig.CLASSES.get(a.unsafe() ? 1 : 0),
+                    a.scheduler(),
+                    a.answer().name().toLowerCase(Locale.ROOT),
+                    (a.answeredAt() - a.sentAt()) / 1e3));
+        }
+        return lines;
+    }
+
     @Override
     public void close() throws Exception {
         faults.shutdownNow();
