Add hollow schedulers and workers beside real processes (command hollow)

Need: the target is 770 workers and 10 schedulers; as many real processes with their requests need more than one machine. A hollow scheduler has the real decision module, peers' datagrams, discovery's watch and reload; an attempt is handed to the worker's model without a connection. One thread group each, so that processor time can be told apart. Ruled out: ModuleActor with a hollow Server (its servers are its connections); one selector for all hollow ones (their processor time could not be told apart). Fleet's Instance and PeerHub become public; the hub, the stand-in discovery and workers count what they carry or take a job without a socket; ServerList.Entry.member stands for two mappings. Bad sizes: one line, exit code 2, nothing started (eight command lines tried). SIGTERM to the command with two real schedulers: both had ended after 2 s.

--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -311,6 +311,7 @@
         @SubCommand(name = "demo", impl = Show.class),
         @SubCommand(name = "fleet", impl = RunFleet.class),
         @SubCommand(name = "emulate", impl = Emulate.class),
+        @SubCommand(name = "hollow", impl = HollowCommand.class),
         @SubCommand(name = "rehearse", impl = Rehearse.class),
         @SubCommand(name = "version", impl = Version.class)
     })
--- a/src/main/java/barrowshore/fleet/Instance.java
+++ b/src/main/java/barrowshore/fleet/Instance.java
@@ -21,7 +21,7 @@
  * from start to end, over restarts under the same name, and ends it by its id. It must never be left behind: the process
  * itself watches whoever started it.
  */
-final class Instance {
+public final class Instance {
     /** How long a start may take, on a machine that starts many at once. */
     private static final long READY_SECONDS = 90;
     /** The platform ends one that was told to end after the longest deadline and 0.7 s; a slow machine gets more. */
@@ -41,7 +41,7 @@
     volatile boolean inService;
 
     /** command: what runs `serve`, without its arguments. */
-    Instance(int number, Path folder, List<String> command) throws IOException {
+    public Instance(int number, Path folder, List<String> command) throws IOException {
         this.number = number;
         this.folder = folder;
         this.command = command;
@@ -53,7 +53,7 @@
      * The production command line's options for the JVM, of the deploy file's `run`, before this program's own jar or
      * classes.
      */
-    static List<String> command(Path deploy) {
+    public static List<String> command(Path deploy) {
         List<String> all =
                 new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
         if (deploy != null) {
@@ -79,17 +79,21 @@
         return all;
     }
 
-    InetSocketAddress address() {
+    public int number() {
+        return number;
+    }
+
+    public InetSocketAddress address() {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
 
-    Path log() {
+    public Path log() {
         return folder.resolve("n" + number + ".log");
     }
 
     /** Starts it with this configuration; its log goes on where there is one. */
-    void start(String config) throws IOException {
-        Path file = folder.resolve("n" + number + ".json"), temporary = folder.resolve("tmp" + number);
+    public void start(String config) throws IOException {
+        Path file = configuration(), temporary = folder.resolve("tmp" + number);
         Files.writeString(file, config);
         Files.createDirectories(temporary);
         ProcessBuilder builder = new ProcessBuilder(command)
@@ -104,8 +108,18 @@
         lives++;
     }
 
+    private Path configuration() {
+        return folder.resolve("n" + number + ".json");
+    }
+
+    /** Gives it another configuration while it runs. */
+    public void reload(String config) throws IOException, InterruptedException {
+        Files.writeString(configuration(), config);
+        signal("HUP");
+    }
+
     /** Waits until it says that it is ready; one that does not come up is an error that names its log. */
-    void awaitReady() throws IOException, InterruptedException {
+    public void awaitReady() throws IOException, InterruptedException {
         Process mine = process;
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
         // Whoever answers there must be ours: a process that has ended answers nothing.
@@ -141,15 +155,15 @@
         return lives;
     }
 
-    boolean alive() {
+    public boolean alive() {
         return process != null && process.isAlive();
     }
 
-    long pid() {
+    public long pid() {
         return process.pid();
     }
 
-    void kill() {
+    public void kill() {
         process.destroyForcibly();
     }
 
@@ -158,7 +172,7 @@
     }
 
     /** SIGSTOP or SIGCONT: there is no call for these in the JDK. */
-    void signal(String name) throws IOException, InterruptedException {
+    public void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
                 .inheritIO()
                 .start()
@@ -173,7 +187,7 @@
     }
 
     /** Ends it for good and waits until it is gone; whether it is. */
-    boolean end() throws InterruptedException, IOException {
+    public boolean end() throws InterruptedException, IOException {
         reserved.close();
         if (process == null) {
             return true;
--- a/src/main/java/barrowshore/fleet/PeerHub.java
+++ b/src/main/java/barrowshore/fleet/PeerHub.java
@@ -15,16 +15,23 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
  * The network between schedulers: one address for each, by which all others know it, and one for all of them. It owns
  * these sockets and the thread that carries datagrams between them, loses some and cuts parts off from one another. It
  * must never read what they say, nor carry one from an address that is no scheduler's.
  */
-final class PeerHub implements AutoCloseable {
+public final class PeerHub implements AutoCloseable {
     /** The platform's most, and one more to see a longer one. */
     private static final int MOST = 256;
 
+    /** Bytes of the IP and UDP heads of a datagram. */
+    public static final int HEADS = 28;
+
+    /** What one scheduler has sent, once for all others, and been brought; bytes with heads. */
+    public record Traffic(long sent, long sentBytes, long brought, long broughtBytes) {}
+
     private final List<DatagramChannel> doors = new ArrayList<>();
     private final DatagramChannel all;
     private final List<InetSocketAddress> schedulers = new ArrayList<>();
@@ -36,12 +43,17 @@
     /** The schedulers on one side of a cut; replaced as a whole, read by the carrier. */
     private volatile Set<Integer> apart = Set.of();
 
+    private final AtomicLongArray sent, sentBytes, brought, broughtBytes;
     private volatile long carried, lost, tooLong;
 
     /** So many schedulers, each at a free port of its own that it will listen on. */
-    PeerHub(int count, double loss, long seed) throws IOException {
+    public PeerHub(int count, double loss, long seed) throws IOException {
         this.loss = loss;
         this.chance = new SplittableRandom(seed);
+        sent = new AtomicLongArray(count);
+        sentBytes = new AtomicLongArray(count);
+        brought = new AtomicLongArray(count);
+        broughtBytes = new AtomicLongArray(count);
         selector = Selector.open();
         all = open(-1);
         List<DatagramChannel> held = new ArrayList<>();
@@ -75,17 +87,17 @@
     }
 
     /** Where a scheduler listens. */
-    InetSocketAddress listen(int scheduler) {
+    public InetSocketAddress listen(int scheduler) {
         return schedulers.get(scheduler);
     }
 
     /** Where the others know a scheduler. */
-    InetSocketAddress door(int scheduler) throws IOException {
+    public InetSocketAddress door(int scheduler) throws IOException {
         return (InetSocketAddress) doors.get(scheduler).getLocalAddress();
     }
 
     /** Where a datagram to all others goes. */
-    InetSocketAddress all() throws IOException {
+    public InetSocketAddress all() throws IOException {
         return (InetSocketAddress) all.getLocalAddress();
     }
 
@@ -94,6 +106,12 @@
         apart = Set.copyOf(side);
     }
 
+    /** What a scheduler has sent and been brought so far. */
+    public Traffic traffic(int scheduler) {
+        return new Traffic(
+                sent.get(scheduler), sentBytes.get(scheduler), brought.get(scheduler), broughtBytes.get(scheduler));
+    }
+
     long carried() {
         return carried;
     }
@@ -118,6 +136,8 @@
                     Integer from = source == null ? null : bySource.get(source);
                     if (from != null) {
                         in.flip();
+                        sent.incrementAndGet(from);
+                        sentBytes.addAndGet(from, in.remaining() + HEADS);
                         tooLong += in.remaining() > MOST ? 1 : 0;
                         int to = (Integer) key.attachment();
                         for (int k = 0; k < doors.size(); k++) {
@@ -142,7 +162,10 @@
             lost++;
             return;
         }
+        int bytes = message.remaining() + HEADS;
         doors.get(from).send(message, schedulers.get(to));
+        brought.incrementAndGet(to);
+        broughtBytes.addAndGet(to, bytes);
         carried++;
     }
 
--- a/src/main/java/barrowshore/list/ServerList.java
+++ b/src/main/java/barrowshore/list/ServerList.java
@@ -1,5 +1,7 @@
 package barrowshore.list;
 
+import barrowshore.module.DispatchApi.Health;
+import barrowshore.module.DispatchApi.Member;
 import barrowshore.wire.Json;
 import barrowshore.wire.SettingsReader;
 import java.net.InetSocketAddress;
@@ -33,7 +35,18 @@
             int cell,
             State state,
             double hint,
-            long bootMicros) {}
+            long bootMicros) {
+        /** The entry as the decision module takes it. */
+        public Member member() {
+            Health health =
+                    switch (state) {
+                        case READY -> Health.READY;
+                        case TERMINATING -> Health.DRAINING;
+                        case GONE -> Health.GONE;
+                    };
+            return new Member(uid, health, hint, cell, kind, zone, bootMicros);
+        }
+    }
 
     /**
      * A version of the list: all of it, or what changed; unknown: the servers left out, of no known model. One that
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -5,7 +5,6 @@
 import barrowshore.halls.HallRules;
 import barrowshore.list.ServerList;
 import barrowshore.module.DispatchApi;
-import barrowshore.module.DispatchApi.Health;
 import barrowshore.module.DispatchApi.ListKind;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Member;
@@ -392,18 +391,7 @@
         for (ServerList.Entry e : update.entries()) {
             named.add(e.uid());
             servers.computeIfAbsent(e.uid(), newServer).update(e);
-            members.add(new Member(
-                    e.uid(),
-                    switch (e.state()) {
-                        case READY -> Health.READY;
-                        case TERMINATING -> Health.DRAINING;
-                        case GONE -> Health.GONE;
-                    },
-                    e.hint(),
-                    e.cell(),
-                    e.kind(),
-                    e.zone(),
-                    e.bootMicros()));
+            members.add(e.member());
         }
         if (kind != ListKind.CHANGES) {
             listed.stream().filter(uid -> !named.contains(uid)).forEach(uid -> servers.get(uid)
--- a/src/main/java/barrowshore/standin/StandInDiscovery.java
+++ b/src/main/java/barrowshore/standin/StandInDiscovery.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.ajax.JSON;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -20,6 +21,11 @@
  */
 public final class StandInDiscovery {
     private static final long EMPTY_LINE_MILLIS = 2000;
+    /** Bytes of a TCP segment's content, of its heads (IP 20, TCP 20, its time stamps 12), and what a request's line ends in. */
+    private static final int SEGMENT = 1448, HEADS = 52, LINE_END = 2;
+
+    /** What its connections have carried since the start: calls that came, and bytes both ways, with TCP's heads. */
+    public record Traffic(long calls, long bytes) {}
 
     private final Mailbox mailbox;
     private final Scheduler timers;
@@ -29,6 +35,7 @@
     private final Set<Link> watches = new HashSet<>();
     private long rev;
     private boolean stopped, silent;
+    private final AtomicLong calls = new AtomicLong(), bytes = new AtomicLong();
 
     /** Starts with an empty list, on a free port. */
     public StandInDiscovery(StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
@@ -89,6 +96,16 @@
         });
     }
 
+    /** What has been carried so far, as it would be on a network: each write in segments of its own, one answered by one. */
+    public Traffic traffic() {
+        return new Traffic(calls.get(), bytes.get());
+    }
+
+    private void carried(int content) {
+        int segments = (content + SEGMENT - 1) / SEGMENT;
+        bytes.addAndGet(content + 2L * HEADS * segments);
+    }
+
     /** It answers nothing and tells nothing, or tells all of its list to whoever watches. */
     public void silent(boolean on) {
         mailbox.post(() -> {
@@ -121,8 +138,19 @@
             super(endPoint, StandInDiscovery.this.mailbox, timers);
         }
 
+        @Override
+        void sent(int content) {
+            carried(content);
+        }
+
         @Override
         void asked(String method, String target, Map<String, String> headers, String body) {
+            calls.incrementAndGet();
+            int head = (method + " " + target + " HTTP/1.1").length() + 2 * LINE_END;
+            for (Map.Entry<String, String> header : headers.entrySet()) {
+                head += (header.getKey() + ": " + header.getValue()).length() + LINE_END;
+            }
+            carried(head + body.length());
             if (silent) {
                 return; // it is down: nothing is said, and the connection stays
             }
--- a/src/main/java/barrowshore/standin/StandInLink.java
+++ b/src/main/java/barrowshore/standin/StandInLink.java
@@ -67,11 +67,16 @@
         mailbox.post(this::read);
     }
 
+    /** So many bytes are on their way to the peer, in one write. */
+    void sent(int bytes) {}
+
     private void send(String text) {
         if (isClosed()) {
             return;
         }
-        unsent.add(text.getBytes(StandardCharsets.UTF_8));
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        unsent.add(bytes);
+        sent(bytes.length);
         flush();
     }
 
--- a/src/main/java/barrowshore/standin/StandInNode.java
+++ b/src/main/java/barrowshore/standin/StandInNode.java
@@ -2,6 +2,7 @@
 
 import barrowshore.model.NodeModel;
 import barrowshore.model.Timeline;
+import barrowshore.module.DispatchApi.Load;
 import barrowshore.net.Clock;
 import barrowshore.net.Mailbox;
 import java.io.IOException;
@@ -131,6 +132,22 @@
         mailbox.post(() -> nothingNewAfter = clock.micros() + millis * 1000);
     }
 
+    /** Hands in a job by another way than its socket, as the last byte of a request would. */
+    public void offer(NodeModel.Job job) {
+        mailbox.post(() -> model.offer(job));
+    }
+
+    /** The load that it would report over its socket; no answer while it hangs or is down. */
+    public CompletableFuture<Load> load() {
+        CompletableFuture<Load> told = new CompletableFuture<>();
+        mailbox.post(() -> {
+            if (model.up() && !model.hung()) {
+                told.complete(new Load(model.held(), Double.NaN, (int) model.freeSlots()));
+            }
+        });
+        return told;
+    }
+
     /** What it has counted. */
     public CompletableFuture<Count> count() {
         CompletableFuture<Count> count = new CompletableFuture<>();
