--- a/src/main/java/barrowshore/capacity/hollow/HollowFleet.java
+++ b/src/main/java/barrowshore/capacity/hollow/HollowFleet.java
@@ -42,6 +42,7 @@
     private static final double SHORTEST = 0.5, LONGEST = 1.5;
 
     private final HollowPlan plan;
+    private final double taskSeconds;
     private final SplittableRandom chance;
     private final ExecutorService pool = Executors.newFixedThreadPool(STAND_IN_THREADS, run -> {
         Thread thread = new Thread(run, "stand-ins");
@@ -59,18 +60,27 @@
     private final HollowScheduler[] hollow;
     private final int[] lives;
     private final long[] starts;
+    /** Processor time of a replaced scheduler's former lives: all of it, and that for requests. */
+    private final long[] formerNanos, formerRequestNanos;
+
     private final Role[] roles;
     private final Thread ending = new Thread(this::endProcesses, "end of the real schedulers");
     private Thread load;
     private int edition;
 
-    /** Starts workers, discovery and the network; folder: for the real schedulers' logs and configurations. */
-    HollowFleet(HollowPlan plan, Path folder, Path deploy, long seed) throws Exception {
+    /**
+     * Starts workers, discovery and the network. folder: for the real schedulers' logs and configurations; taskSeconds: mean
+     * length of a task.
+     */
+    HollowFleet(HollowPlan plan, Path folder, Path deploy, long seed, double taskSeconds) throws Exception {
         this.plan = plan;
+        this.taskSeconds = taskSeconds;
         chance = new SplittableRandom(seed);
         hollow = new HollowScheduler[plan.schedulers()];
         lives = new int[plan.schedulers()];
         starts = new long[plan.schedulers()];
+        formerNanos = new long[plan.schedulers()];
+        formerRequestNanos = new long[plan.schedulers()];
         roles = new Role[plan.schedulers()];
         for (int k = 0; k < plan.schedulers(); k++) {
             roles[k] = k >= plan.real() ? Role.HOLLOW : k == 0 && plan.real() >= SOME_REAL ? Role.QUIET : Role.REAL;
@@ -85,7 +95,13 @@
         }
         for (int w = 0; w < plan.workers(); w++) {
             StandInNode node = new StandInNode(
-                    "w-" + w, TargetSite.worker(), TargetSite.falling(), TargetSite.PROGRESS, front, pool, timers);
+                    "w-" + w,
+                    TargetSite.worker(),
+                    TargetSite.falling(taskSeconds),
+                    TargetSite.PROGRESS,
+                    front,
+                    pool,
+                    timers);
             workers.put(node.uid(), node);
             workerList.add(node);
             tell(w, "Ready", 0);
@@ -177,7 +193,7 @@
     private void arrive(int scheduler, int number, SplittableRandom draws) {
         int jobClass = number % TargetSite.CLASSES.size();
         int tenant = draws.nextInt(TargetSite.TENANTS);
-        double seconds = TargetSite.TASK_SECONDS * (SHORTEST + (LONGEST - SHORTEST) * draws.nextDouble());
+        double seconds = taskSeconds * (SHORTEST + (LONGEST - SHORTEST) * draws.nextDouble());
         String id = "t-" + number;
         starts[scheduler]++;
         if (scheduler < real.size()) {
@@ -201,22 +217,28 @@
 
     void replaceHollow(int k) throws Exception {
         roles[k] = Role.HOLLOW_REPLACED;
-        lives[k]++;
+        endLife(k);
         hollow[k].close();
         startHollow(k);
     }
 
     private void replaceReal(int k) throws Exception {
         roles[k] = Role.REAL_REPLACED;
-        lives[k]++;
+        endLife(k);
         real.get(k).end();
         real.get(k).start(configuration(k));
         real.get(k).awaitReady();
     }
 
-    /** A share of the workers crash, are told of as gone, and come back cold under their names. */
-    void replaceWorkers(double share) {
-        int count = (int) Math.ceil(share * plan.workers());
+    private void endLife(int k) {
+        Sums last = sums(k);
+        formerNanos[k] = last.nanos();
+        formerRequestNanos[k] = last.requestNanos();
+        lives[k]++;
+    }
+
+    /** So many workers crash, are told of as gone, and come back cold under their names. */
+    void replaceWorkers(int count) {
         List<Integer> chosen =
                 chance.ints(0, plan.workers()).distinct().limit(count).boxed().toList();
         chosen.forEach(w -> workerList.get(w).crash().join());
@@ -258,8 +280,8 @@
                 k < real.size() ? real.get(k).pid() : ProcessHandle.current().pid());
         ProcessorMeter meter = k < real.size() ? null : hollow[k].meter();
         return new Sums(
-                meter == null ? process.nanos() : meter.allNanos(),
-                meter == null ? 0 : meter.nanos(Part.REQUESTS) + meter.nanos(Part.PROBES),
+                formerNanos[k] + (meter == null ? process.nanos() : meter.allNanos()),
+                formerRequestNanos[k] + (meter == null ? 0 : meter.nanos(Part.REQUESTS) + meter.nanos(Part.PROBES)),
                 process,
                 hub.traffic(k),
                 discoveries.get(k).traffic(),
@@ -293,12 +315,17 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() throws IOException {
         if (load != null) {
             load.interrupt();
         }
-        for (Instance one : real) {
-            one.end();
+        endProcesses();
+        try {
+            for (Instance one : real) {
+                one.end();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt(); // they have been killed and go by themselves
         }
         for (HollowScheduler one : hollow) {
             if (one != null) {
--- a/src/main/java/barrowshore/capacity/hollow/HollowRun.java
+++ b/src/main/java/barrowshore/capacity/hollow/HollowRun.java
@@ -22,7 +22,7 @@
 public final class HollowRun {
     /** From the last scheduler's start until the figures count: compilers and first lists are done. */
     private static final int SETTLE_SECONDS = 15;
-    /** Workers replaced while it is measured. */
+    /** Share of the workers replaced while it is measured. */
     private static final double WORKERS_REPLACED = 0.01;
 
     private final HollowPlan plan;
@@ -44,7 +44,7 @@
         }
         Path folder = Files.createTempDirectory("hollow");
         out.println("logs of the real schedulers in " + folder);
-        try (HollowFleet fleet = new HollowFleet(plan, folder, deploy, seed)) {
+        try (HollowFleet fleet = new HollowFleet(plan, folder, deploy, seed, TargetSite.TASK_SECONDS)) {
             List<HollowRow> rows = new HollowRun(plan, out).run(fleet);
             if (csv != null) {
                 write(csv, rows);
@@ -75,7 +75,7 @@
         List<Long> partsFrom = parts(fleet);
         long end = fromNanos + TimeUnit.SECONDS.toNanos(plan.seconds());
         sleepUntil(fromNanos + TimeUnit.SECONDS.toNanos(plan.seconds()) / 3);
-        fleet.replaceWorkers(WORKERS_REPLACED);
+        fleet.replaceWorkers((int) Math.ceil(WORKERS_REPLACED * plan.workers()));
         fleet.replaceSchedulers();
         sleepUntil(fromNanos + TimeUnit.SECONDS.toNanos(plan.seconds()) * 2 / 3);
         fleet.reload();
--- a/src/main/java/barrowshore/capacity/hollow/HollowScheduler.java
+++ b/src/main/java/barrowshore/capacity/hollow/HollowScheduler.java
@@ -45,9 +45,15 @@
     /** Threads and outgoing connections: as a scheduler on one core has, and the watch's alone. */
     private static final int THREADS = 4, CONNECTIONS = 4;
 
-    /** What it has counted so far. whole: lists that came whole; heard: datagrams by their sender; entered: those that the module took. */
+    private static final int LAST_MESSAGE_SECONDS = 2;
+
+    /**
+     * What it has counted so far. fresh: listed workers of whom a start is told; wholeLists, listChanges: lists by how they
+     * came; heard: datagrams by their sender; entered: those that the module took.
+     */
     record Count(
             int listed,
+            int fresh,
             long wholeLists,
             long listChanges,
             long reloads,
@@ -76,7 +82,8 @@
     private final AtomicLong opened = new AtomicLong(), served = new AtomicLong();
     private final AtomicLong refused = new AtomicLong(), failed = new AtomicLong();
     private final Map<String, DispatchApi.Member> listed = new HashMap<>();
-    private volatile int listedNow;
+    private volatile int listedNow, freshNow;
+    private volatile boolean closed;
     private Config config;
     private long lastNow;
 
@@ -151,6 +158,7 @@
     Count count() {
         return new Count(
                 listedNow,
+                freshNow,
                 wholeLists.get(),
                 listChanges.get(),
                 reloads.get(),
@@ -173,7 +181,11 @@
     // What it is told.
 
     private void call(Part part, Runnable run) {
-        mailbox.post(() -> meter.run(part, run));
+        mailbox.post(() -> {
+            if (!closed) {
+                meter.run(part, run);
+            }
+        });
     }
 
     private long now() {
@@ -195,6 +207,7 @@
             }
         }
         listedNow = listed.size();
+        freshNow = (int) listed.values().stream().filter(m -> m.startedAt() > 0).count();
         (update.all() ? wholeLists : listChanges).incrementAndGet();
         meter.run(Part.LIST, () -> module.list(now(), update.all() ? ListKind.WHOLE : ListKind.CHANGES, members));
         ready.complete(null);
@@ -416,9 +429,16 @@
     /** Stops at once; its threads end, and its port is free for one under the same name. */
     @Override
     public void close() throws IOException {
+        closed = true;
         peers.stop();
-        LifeCycle.stop(timers);
         LifeCycle.stop(dialer);
         pool.shutdownNow();
+        try {
+            // A message that is still under way may want a timer.
+            pool.awaitTermination(LAST_MESSAGE_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LifeCycle.stop(timers);
     }
 }
--- a/src/main/java/barrowshore/capacity/hollow/TargetSite.java
+++ b/src/main/java/barrowshore/capacity/hollow/TargetSite.java
@@ -45,8 +45,8 @@
         return new NodeModel.Spec(SLOTS, 1, QUEUE, true, START_CAPACITY, COLD);
     }
 
-    static NodeModel.Falling falling() {
-        return new NodeModel.Falling(FALL_MULTIPLE, FALL, TASK_SECONDS * SECOND);
+    static NodeModel.Falling falling(double taskSeconds) {
+        return new NodeModel.Falling(FALL_MULTIPLE, FALL, taskSeconds * SECOND);
     }
 
     static String tenant(int number) {
