Let a stand-in's port go at once where its selector has nothing else to do

A worker that came back under its port waited for ever on an idle selector: the closed channel's key goes only in the selector's next turn.

--- a/src/main/java/barrowshore/standin/StandInFront.java
+++ b/src/main/java/barrowshore/standin/StandInFront.java
@@ -12,6 +12,7 @@
 import java.util.function.Function;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -64,6 +65,8 @@
         if (door != null) {
             try {
                 door.channel.close();
+                // The selector lets go only in its next turn, and where nothing else happens there is none.
+                dialer.getBean(ManagedSelector.class).submit(keys -> {});
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
