--- a/src/main/java/barrowshore/capacity/hollow/HollowFleet.java
+++ b/src/main/java/barrowshore/capacity/hollow/HollowFleet.java
@@ -302,6 +302,7 @@
                 apart ? requests : Double.NaN,
                 to.process().residentMib(),
                 to.process().mostResidentMib(),
+                to.process().files(),
                 (to.peers().sent() - from.peers().sent()) / seconds,
                 (to.peers().sentBytes() - from.peers().sentBytes()) / seconds,
                 (to.peers().brought() - from.peers().brought()) / seconds,
--- a/src/main/java/barrowshore/capacity/hollow/HollowRow.java
+++ b/src/main/java/barrowshore/capacity/hollow/HollowRow.java
@@ -4,8 +4,8 @@
 
 /**
  * What one scheduler used while it was measured, a second. percent: of a core; control and requests NaN where they cannot
- * be told apart by it alone; bytes with the heads of IP and UDP or TCP. Memory of a hollow one is its process's, which is
- * all of them together.
+ * be told apart by it alone; bytes with the heads of IP and UDP or TCP. Memory and open files of a hollow
+ * one are its process's, which holds all of them and the workers.
  */
 record HollowRow(
         int scheduler,
@@ -15,6 +15,7 @@
         double requestsPercent,
         double residentMib,
         double mostResidentMib,
+        int files,
         double datagramsOut,
         double bytesOut,
         double datagramsIn,
@@ -38,13 +39,13 @@
         }
     }
 
-    static final String HEAD = "scheduler,role,core_percent,control_percent,requests_percent,rss_mib,hwm_mib,"
+    static final String HEAD = "scheduler,role,core_percent,control_percent,requests_percent,rss_mib,hwm_mib,files,"
             + "datagrams_out,bytes_out,datagrams_in,bytes_in,discovery_bytes,starts";
 
     String csv() {
         return String.format(
                 Locale.ROOT,
-                "%d,%s,%.3f,%.3f,%.3f,%.1f,%.1f,%.1f,%.0f,%.1f,%.0f,%.0f,%.2f",
+                "%d,%s,%.3f,%.3f,%.3f,%.1f,%.1f,%d,%.1f,%.0f,%.1f,%.0f,%.0f,%.2f",
                 scheduler,
                 role.text(),
                 percent,
@@ -52,6 +53,7 @@
                 requestsPercent,
                 residentMib,
                 mostResidentMib,
+                files,
                 datagramsOut,
                 bytesOut,
                 datagramsIn,
--- a/src/main/java/barrowshore/capacity/hollow/ProcessUsage.java
+++ b/src/main/java/barrowshore/capacity/hollow/ProcessUsage.java
@@ -5,9 +5,10 @@
 import java.nio.file.Path;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
-/** What a process has used, as the system tells it: processor time since its start, memory now and at most. */
-record ProcessUsage(long nanos, double residentMib, double mostResidentMib) {
+/** What a process has used, as the system tells it: processor time since its start, memory now and at most, open files. */
+record ProcessUsage(long nanos, double residentMib, double mostResidentMib, int files) {
     private static final double KIB_PER_MIB = 1024;
     private static final long NANOS_PER_TICK = 1_000_000_000L / 100;
     /** Where the ticks in user and system mode stand after the command's name. */
@@ -15,20 +16,20 @@
 
     /** Of a process that runs; zeros where the system does not tell. */
     static ProcessUsage of(long pid) {
-        try {
-            return parse(
-                    Files.readString(Path.of("/proc/" + pid + "/stat")),
-                    Files.readString(Path.of("/proc/" + pid + "/status")));
+        Path folder = Path.of("/proc/" + pid);
+        try (Stream<Path> files = Files.list(folder.resolve("fd"))) {
+            return parse(Files.readString(folder.resolve("stat")), Files.readString(folder.resolve("status")), (int)
+                    files.count());
         } catch (IOException e) {
-            return new ProcessUsage(0, 0, 0);
+            return new ProcessUsage(0, 0, 0, 0);
         }
     }
 
-    static ProcessUsage parse(String stat, String status) {
+    static ProcessUsage parse(String stat, String status, int files) {
         // The name stands in brackets and may hold anything, brackets too.
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         long ticks = Long.parseLong(fields[USER]) + Long.parseLong(fields[SYSTEM]);
-        return new ProcessUsage(ticks * NANOS_PER_TICK, mib(status, "VmRSS"), mib(status, "VmHWM"));
+        return new ProcessUsage(ticks * NANOS_PER_TICK, mib(status, "VmRSS"), mib(status, "VmHWM"), files);
     }
 
     private static double mib(String status, String field) {
--- a/src/test/java/barrowshore/capacity/hollow/HollowPlanTest.java
+++ b/src/test/java/barrowshore/capacity/hollow/HollowPlanTest.java
@@ -55,8 +55,8 @@
     @Test
     void whatAProcessHasUsedIsReadPastItsName() {
         ProcessUsage usage = ProcessUsage.parse(
-                "7 (a) b) S 1 2 3 4 5 6 7 8 9 10 150 50 0 0 20", "Name:\ta\nVmHWM:\t  2048 kB\nVmRSS:\t  1024 kB\n");
-        assertThat(usage).isEqualTo(new ProcessUsage(2_000_000_000L, 1, 2));
+                "7 (a) b) S 1 2 3 4 5 6 7 8 9 10 150 50 0 0 20", "Name:\ta\nVmHWM:\t  2048 kB\nVmRSS:\t  1024 kB\n", 3);
+        assertThat(usage).isEqualTo(new ProcessUsage(2_000_000_000L, 1, 2, 3));
     }
 
     @Test
