Give real schedulers of a hollow run the descriptors that 770 workers need

Cause: idle connections, up to four to each worker for half of keepalive, use up the outgoing part of 2048; then attempts end as not sent.

--- a/src/main/java/barrowshore/capacity/hollow/TargetSite.java
+++ b/src/main/java/barrowshore/capacity/hollow/TargetSite.java
@@ -37,7 +37,8 @@
 
     private static final long COLD = 20 * SECOND, FALL = 2 * SECOND;
     private static final double FALL_MULTIPLE = 3, START_CAPACITY = 0.3, QUEUE = 40;
-    private static final int DESCRIPTORS = 2048;
+    /** Enough for the idle connections that a scheduler keeps to each worker; 2048 are not, see docs/measurements/hollow.md. */
+    private static final int DESCRIPTORS = 4096;
 
     private TargetSite() {}
 
