--- a/src/main/java/barrowshore/budget/ColdTurns.java
+++ b/src/main/java/barrowshore/budget/ColdTurns.java
@@ -57,7 +57,7 @@
             return new Terms(schedulers, me, window, Math.max(1, tracks));
         }
 
-        /** Whether this scheduler has a turn at the worker of that name, it is not in its quiet end, and it began with this process up. */
+        /** Whether this scheduler has a turn at that worker, not in its quiet end, begun with this process up. */
         public boolean turn(long now, int name) {
             long period = (long) (TURN * window);
             for (int track = 0; track < tracks; track++) {
--- a/src/main/java/barrowshore/capacity/Arrivals.java
+++ b/src/main/java/barrowshore/capacity/Arrivals.java
@@ -7,7 +7,7 @@
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import org.apache.commons.rng.simple.RandomSource;
 
-/** What clients ask for, from a source of chance of its own: whatever the schedulers do, one seed gives the same requests. */
+/** What clients ask for, by chance of its own: whatever the schedulers do, one seed gives the same requests. */
 final class Arrivals {
     private static final double MICROS = 1e6;
     /** The spread of a task's work: its standard deviation over its mean. */
--- a/src/main/java/barrowshore/capacity/DatagramCount.java
+++ b/src/main/java/barrowshore/capacity/DatagramCount.java
@@ -21,7 +21,10 @@
     }
 
     void reset() {
-        sent = sentBytes = received = receivedBytes = 0;
+        sent = 0;
+        sentBytes = 0;
+        received = 0;
+        receivedBytes = 0;
     }
 
     /** Datagrams told, each counted once however many schedulers it goes to. */
--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -420,6 +420,7 @@
         @SubCommand(name = "fleet", impl = RunFleet.class),
         @SubCommand(name = "emulate", impl = Emulate.class),
         @SubCommand(name = "capacity", impl = Capacity.class),
+        @SubCommand(name = "hollow", impl = HollowCommand.class),
         @SubCommand(name = "rehearse", impl = Rehearse.class),
         @SubCommand(name = "version", impl = Version.class)
     })
--- a/src/main/java/barrowshore/exchange/PeerSlots.java
+++ b/src/main/java/barrowshore/exchange/PeerSlots.java
@@ -60,7 +60,10 @@
             malformed++;
             return false;
         }
-        Peer peer = peers[from] == null ? peers[from] = new Peer() : peers[from];
+        if (peers[from] == null) {
+            peers[from] = new Peer();
+        }
+        Peer peer = peers[from];
         if (!inOrder(now, peer, snapshot)) {
             return false;
         }
@@ -77,7 +80,7 @@
         return true;
     }
 
-    /** Whether the datagram is later than all before; one of a silent peer always is, since its clock may have been set back. */
+    /** Whether the datagram is later than all before. One of a silent peer always is: its clock may have been set back. */
     private boolean inOrder(long now, Peer peer, SlotSnapshot snapshot) {
         if (!peer.known || isSilent(now, peer)) {
             return true;
--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -63,7 +63,8 @@
         kinds = new Kind[set.kinds];
         Arrays.setAll(kinds, k -> new Kind(mean.work));
         peers = new Peers(set.dispatchers, set.me, roster, effort);
-        fleet = new FleetView(set, mean, kinds, ledger, roster, halls, peers, shared, rng, effort);
+        fleet = new FleetView(
+                set, new FleetView.Records(mean, kinds, ledger, roster), halls, peers, shared, rng, effort);
         quotas = new Quotas(set);
         terms();
     }
--- a/src/main/java/barrowshore/module/FleetView.java
+++ b/src/main/java/barrowshore/module/FleetView.java
@@ -56,6 +56,9 @@
         }
     }
 
+    /** What the dispatcher has counted itself: traffic, kinds of machines, open jobs, the list. */
+    record Records(Traffic mean, Kind[] kinds, Ledger ledger, Roster roster) {}
+
     private record Shape(int kind, IndexTable table) {}
 
     /** A worker to look at again; void if its view names another time. */
@@ -83,22 +86,12 @@
     private boolean high, visitAll;
     private long refreshes, visits;
 
-    FleetView(
-            Settings set,
-            Traffic mean,
-            Kind[] kinds,
-            Ledger ledger,
-            Roster roster,
-            HallSide halls,
-            Peers peers,
-            IndexTables tables,
-            Rng rng,
-            Effort effort) {
+    FleetView(Settings set, Records records, HallSide halls, Peers peers, IndexTables tables, Rng rng, Effort effort) {
         this.set = set;
-        this.mean = mean;
-        this.kinds = kinds;
-        this.ledger = ledger;
-        this.roster = roster;
+        this.mean = records.mean;
+        this.kinds = records.kinds;
+        this.ledger = records.ledger;
+        this.roster = records.roster;
         this.halls = halls;
         this.peers = peers;
         this.tables = tables;
--- a/src/main/java/barrowshore/module/Worker.java
+++ b/src/main/java/barrowshore/module/Worker.java
@@ -41,9 +41,13 @@
 
     /** What was held against a worker is void once it has restarted. */
     void restarted(long now) {
-        downUntil = fullUntil = reportedAt = 0;
+        downUntil = 0;
+        fullUntil = 0;
+        reportedAt = 0;
         cold.clear();
-        seen.errors = seen.ends = strikes = 0;
+        seen.errors = 0;
+        seen.ends = 0;
+        strikes = 0;
         heardAt = now;
         silent = false;
     }
@@ -52,7 +56,8 @@
     void served(long now) {
         heardAt = now;
         seen.ends++;
-        downUntil = strikes = 0;
+        downUntil = 0;
+        strikes = 0;
     }
 
     /** Evidence of speed: a job's expected work at speed 1, and how long it ran. */
