--- a/src/main/java/barrowshore/module/LoadReader.java
+++ b/src/main/java/barrowshore/module/LoadReader.java
@@ -20,9 +20,9 @@
     }
 
     /**
-     * Enters a report; one without in-flight, free slots or a queue says nothing of use. What it shows is of a while ago, and
-     * so is our part in it: that is taken as what we usually hold. Less what we hold now, a worker would look the emptier
-     * the more we have just sent it, and get still more.
+     * Enters a report; one without in-flight, free slots or a queue says nothing of use. What it shows is of a while ago,
+     * and so is our part in it: that is taken as what we usually hold. Less what we hold now, a worker would look the
+     * emptier the more we have just sent it, and get still more.
      */
     static void enter(long now, Worker w, Kind k, Load load, double slotsOfAJob, double halfLife) {
         boolean free = load.freeSlots() >= 0, count = load.inFlight() >= 0;
