--- a/src/main/java/barrowshore/capacity/hollow/HollowScheduler.java
+++ b/src/main/java/barrowshore/capacity/hollow/HollowScheduler.java
@@ -136,7 +136,6 @@
                 timers,
                 update -> mailbox.post(() -> list(update)),
                 () -> {},
-                () -> {},
                 config.known(),
                 config.grace());
         peers = new PeerSide(
