--- a/src/main/java/barrowshore/exchange/SnapshotSender.java
+++ b/src/main/java/barrowshore/exchange/SnapshotSender.java
@@ -30,7 +30,7 @@
     private static final double LONG_JOB_MICROS = 10e6, MOST_MULTIPLE = 10;
     /** Changes are gathered for this share of a job's time: so much of the state may be out of date. */
     private static final double GATHER_SHARE = 0.02;
-    /** How far apart the parts of a large state may be: several have to be lost before this scheduler is taken for silent. */
+    /** How far apart the parts of a large state may be: several must be lost before this scheduler seems silent. */
     static final double PART_SECONDS = 0.6;
     /** The longest datagram of a sender with the least budget. */
     private static final int LEAST_PART_BYTES = 96;
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -5,7 +5,6 @@
 import barrowshore.halls.HallRules;
 import barrowshore.list.ServerList;
 import barrowshore.module.DispatchApi;
-import barrowshore.module.DispatchApi.Health;
 import barrowshore.module.DispatchApi.ListKind;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Member;
@@ -76,7 +75,7 @@
 
     private final List<Runnable> whenReady = new ArrayList<>();
     private final List<Runnable> whenIdle = new ArrayList<>();
-    private boolean told, discoveryBusy;
+    private boolean told;
     private long lastNow;
 
     ModuleActor(
@@ -199,13 +198,12 @@
     }
 
     /**
-     * Discovery is silent, as it may be at a restart, or has nothing against the list known from before: that has to do.
-     * Where it answers with no list, it is up and what it has to tell counts as told; the known list may be from long
-     * before, so we wait.
+     * Discovery has told no list for long enough, or has nothing against the list known from before: that has to do. How
+     * long is enough, {@link barrowshore.servers.ServiceDiscovery} decides.
      */
     void discoverySilent(ServerList.Update known) {
         mailbox.post(() -> {
-            if (!told && !discoveryBusy) {
+            if (!told) {
                 list(known, ListKind.INITIAL);
                 told = !listed.isEmpty();
                 tellIfReady();
@@ -213,11 +211,6 @@
         });
     }
 
-    /** Discovery answered, but with no list. */
-    void discoveryBusy() {
-        mailbox.post(() -> discoveryBusy = true);
-    }
-
     void update(ServerList.Update update) {
         mailbox.post(() -> {
             list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
@@ -410,18 +403,7 @@
         for (ServerList.Entry e : update.entries()) {
             named.add(e.uid());
             servers.computeIfAbsent(e.uid(), newServer).update(e);
-            members.add(new Member(
-                    e.uid(),
-                    switch (e.state()) {
-                        case READY -> Health.READY;
-                        case TERMINATING -> Health.DRAINING;
-                        case GONE -> Health.GONE;
-                    },
-                    e.hint(),
-                    e.cell(),
-                    e.kind(),
-                    e.zone(),
-                    e.bootMicros()));
+            members.add(e.member());
         }
         if (kind != ListKind.CHANGES) {
             listed.stream().filter(uid -> !named.contains(uid)).forEach(uid -> servers.get(uid)
--- a/src/main/java/barrowshore/node/Node.java
+++ b/src/main/java/barrowshore/node/Node.java
@@ -146,7 +146,6 @@
                 dialer,
                 timers,
                 keeper == null ? module::update : keeper::discovered,
-                module::discoveryBusy,
                 () -> module.discoverySilent(config.known()),
                 config.known(),
                 config.grace());
@@ -175,6 +174,10 @@
             module.startPublishing();
             ops = new OpsDoor(listen(config.ops(), "ops", false), timers, new Door());
         }
+        logStart(setup);
+    }
+
+    private void logStart(Setup setup) {
         LOG.log(
                 Level.INFO,
                 config.summary()
--- a/src/test/java/barrowshore/servers/ServerTest.java
+++ b/src/test/java/barrowshore/servers/ServerTest.java
@@ -220,7 +220,7 @@
         assertThat(carried()).isEmpty();
     }
 
-    /** The connection at the worker, once an attempt has gone over it and the next has taken it and has its client checked. */
+    /** The connection at the worker, once an attempt has gone over it, and the next has taken it and checks its client. */
     private Socket keptConnectionFor(Attempt next) throws Exception {
         Attempt first = new Attempt("a1");
         server.send(first);
