--- a/src/main/java/barrowshore/cli/Main.java
+++ b/src/main/java/barrowshore/cli/Main.java
@@ -1,15 +1,20 @@
 package barrowshore.cli;
 
+import barrowshore.capacity.CapacityRun;
+import barrowshore.capacity.FleetSize;
+import barrowshore.capacity.PlayOptions;
+import barrowshore.capacity.SizeOption;
+import barrowshore.capacity.Sweep;
 import barrowshore.config.ConfigException;
 import barrowshore.emulate.Matrix;
 import barrowshore.emulate.Rehearsal;
 import barrowshore.emulate.Scenario;
 import barrowshore.files.FileMac;
 import barrowshore.files.ServersFile;
-import barrowshore.list.Guard;
-import barrowshore.list.HandList;
 import barrowshore.fleet.Fleet;
 import barrowshore.fleet.FleetScenario;
+import barrowshore.list.Guard;
+import barrowshore.list.HandList;
 import barrowshore.node.Node;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
@@ -72,7 +77,9 @@
         public void run() throws Exception {
             if (with > 0) {
                 // Whoever started it for a while may be killed: nobody else would end it then.
-                ProcessHandle.of(with).orElseThrow(() -> new ConfigException("--with: there is no process " + with)).onExit()
+                ProcessHandle.of(with)
+                        .orElseThrow(() -> new ConfigException("--with: there is no process " + with))
+                        .onExit()
                         .thenRun(() -> Runtime.getRuntime().halt(1));
             }
             Node.serve(files(config, operator));
@@ -109,7 +116,9 @@
             }
             Setup setup = files(config, operator).read();
             System.out.println(setup.config().summary()
-                    + (operator == null ? "" : "\n" + operator + ": " + setup.operator().summary()));
+                    + (operator == null
+                            ? ""
+                            : "\n" + operator + ": " + setup.operator().summary()));
         }
     }
 
@@ -122,14 +131,18 @@
         @Override
         public void run() throws IOException {
             Operator read = operator == null ? Operator.NONE : Operator.read(operator);
-            new WireHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out),
-                    (zones, settings) -> settings.halls = read.halls() == null ? null
-                            : read.halls().rules(zones, settings.zone)).run();
+            new WireHost(
+                            new FileInputStream(FileDescriptor.in),
+                            new FileOutputStream(FileDescriptor.out),
+                            (zones, settings) -> settings.halls =
+                                    read.halls() == null ? null : read.halls().rules(zones, settings.zone))
+                    .run();
         }
     }
 
     /** A fleet of real processes with faults between them. */
-    @About("Starts a fleet of real schedulers before stand-in workers, with load and faults, and checks what must hold.")
+    @About(
+            "Starts a fleet of real schedulers before stand-in workers, with load and faults, and checks what must hold.")
     public static final class RunFleet implements Command {
         @Argument(index = 0, required = true, metaVar = "SCENARIO", usage = "the fleet's XML file")
         Path scenario;
@@ -137,7 +150,10 @@
         @Option(name = "--folder", metaVar = "DIR", usage = "for logs, events and figures (default: a new one)")
         Path folder;
 
-        @Option(name = "--deploy", metaVar = "FILE", usage = "whose run line has the JVM's options (default: none are set)")
+        @Option(
+                name = "--deploy",
+                metaVar = "FILE",
+                usage = "whose run line has the JVM's options (default: none are set)")
         Path deploy;
 
         @Override
@@ -175,10 +191,16 @@
         @Argument(index = 2, metaVar = "FILE", usage = "for diff: the one that would follow")
         Path other;
 
-        @Option(name = "--most-lost", metaVar = "SHARE", usage = "the share of capacity that may go at once (default 0.5)")
+        @Option(
+                name = "--most-lost",
+                metaVar = "SHARE",
+                usage = "the share of capacity that may go at once (default 0.5)")
         double mostLost = 0.5;
 
-        @Option(name = "--keys", metaVar = "DIR", usage = "the directory of keys, ID.key each: check verifies, sign signs")
+        @Option(
+                name = "--keys",
+                metaVar = "DIR",
+                usage = "the directory of keys, ID.key each: check verifies, sign signs")
         Path keys;
 
         @Option(name = "--key", metaVar = "ID", usage = "for sign: a key's id; may be given twice")
@@ -222,14 +244,22 @@
         @Argument(index = 0, metaVar = "SCENARIO", usage = "the scenario's XML file")
         Path scenario;
 
-        @Option(name = "--deployments", metaVar = "COUNT", forbids = {"--operator", "--json", "--compare", "--seeds"},
-                usage = "in place of a scenario: so many deployments drawn by seeds, a day on each; where it loses, worst first")
+        @Option(
+                name = "--deployments",
+                metaVar = "COUNT",
+                forbids = {"--operator", "--json", "--compare", "--seeds"},
+                usage = "in place of a scenario: so many deployments drawn by seeds, a day on each; "
+                        + "where it loses, worst first")
         int deployments;
 
         @Option(name = "--rivals", depends = "--deployments", usage = "and the same days by textbook policies")
         boolean rivals;
 
-        @Option(name = "--csv", metaVar = "FILE", depends = "--deployments", usage = "writes every deployment's figures")
+        @Option(
+                name = "--csv",
+                metaVar = "FILE",
+                depends = "--deployments",
+                usage = "writes every deployment's figures")
         Path csv;
 
         @Option(name = "--seed", metaVar = "N", usage = "the first seed (default 1)")
@@ -256,8 +286,117 @@
                 Matrix.run(System.out, deployments, seed, rivals, csv);
                 return;
             }
-            Rehearsal.run(System.out, Scenario.read(scenario), operator == null ? Operator.NONE : Operator.read(operator),
-                    seed, seeds, compare, json);
+            Rehearsal.run(
+                    System.out,
+                    Scenario.read(scenario),
+                    operator == null ? Operator.NONE : Operator.read(operator),
+                    seed,
+                    seeds,
+                    compare,
+                    json);
+        }
+    }
+
+    /** Measures what a scheduler spends on control, against the fleet's size. */
+    @About(
+            "Plays fleets of real decision modules in virtual time and prints what control costs each scheduler by size.")
+    public static final class Capacity implements Command {
+        private static final FleetSize TARGET = FleetSize.target();
+        private static final int SECONDS = 20, PLAYS = 3;
+
+        @Option(name = "--workers", metaVar = "COUNT", handler = SizeOption.class, usage = "default: the target's 770")
+        double workers = TARGET.workers();
+
+        @Option(name = "--schedulers", metaVar = "COUNT", handler = SizeOption.class, usage = "default: 10")
+        double schedulers = TARGET.schedulers();
+
+        @Option(
+                name = "--starts",
+                metaVar = "RATE",
+                handler = SizeOption.class,
+                usage = "task starts a second, all schedulers (default: the target's 260)")
+        double starts = TARGET.startsPerSecond();
+
+        @Option(name = "--tenants", metaVar = "COUNT", handler = SizeOption.class, usage = "default: the target's 43")
+        double tenants = TARGET.tenants();
+
+        @Option(
+                name = "--list-changes",
+                metaVar = "RATE",
+                handler = SizeOption.class,
+                usage = "machines replaced a second (default: the target's)")
+        double listChanges = TARGET.listChangesPerSecond();
+
+        @Option(
+                name = "--config-changes",
+                metaVar = "RATE",
+                handler = SizeOption.class,
+                usage = "changes of configuration a second (default: the target's)")
+        double configChanges = TARGET.settingsChangesPerSecond();
+
+        @Option(
+                name = "--seconds",
+                metaVar = "COUNT",
+                handler = SizeOption.class,
+                usage = "virtual seconds that are measured (default 20)")
+        double seconds = SECONDS;
+
+        @Option(name = "--seed", metaVar = "N", handler = SizeOption.class, usage = "of all chance (default 1)")
+        double seed = 1;
+
+        @Option(
+                name = "--plays",
+                metaVar = "COUNT",
+                handler = SizeOption.class,
+                usage = "plays of each size, for the spread of the times (default 3)")
+        double plays = PLAYS;
+
+        @Option(name = "--loss", metaVar = "SHARE", handler = SizeOption.class, usage = "of datagrams lost (default 0)")
+        double loss;
+
+        @Option(
+                name = "--doubled",
+                metaVar = "SHARE",
+                handler = SizeOption.class,
+                usage = "of datagrams that come twice (default 0)")
+        double doubled;
+
+        @Option(name = "--reports", usage = "workers report their load in answers")
+        boolean reports;
+
+        @Option(name = "--no-guesses", usage = "tasks come without a guess at their work")
+        boolean noGuesses;
+
+        @Option(name = "--counts", usage = "counts alone, one play: no times, the same on every machine")
+        boolean counts;
+
+        @Option(name = "--sweep", metaVar = "NAME", usage = "sweeps, with commas between, all (default), or none")
+        String sweep = "all";
+
+        @Option(name = "--csv", metaVar = "FILE", usage = "writes every figure")
+        Path csv;
+
+        @Override
+        public void run() throws Exception {
+            FleetSize size = new FleetSize(
+                    SizeOption.whole("--workers", workers),
+                    SizeOption.whole("--schedulers", schedulers),
+                    starts,
+                    SizeOption.whole("--tenants", tenants),
+                    listChanges,
+                    configChanges);
+            PlayOptions options = new PlayOptions(
+                    SizeOption.whole("--seconds", seconds),
+                    SizeOption.whole("--seed", seed),
+                    SizeOption.whole("--plays", plays),
+                    !counts,
+                    loss,
+                    doubled,
+                    reports,
+                    !noGuesses);
+            if (!CapacityRun.run(System.out, size, options, Sweep.named(sweep), csv)) {
+                throw new Broken();
+            }
         }
     }
 
@@ -271,14 +410,20 @@
         }
     }
 
-    @Argument(index = 0, required = true, metaVar = "COMMAND",
-            usage = "what to do", handler = SubCommandHandler.class)
+    @Argument(index = 0, required = true, metaVar = "COMMAND", usage = "what to do", handler = SubCommandHandler.class)
     @SubCommands({
-        @SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "check", impl = Check.class),
+        @SubCommand(name = "serve", impl = Serve.class),
+        @SubCommand(name = "check", impl = Check.class),
         @SubCommand(name = "drill", impl = Drill.class),
         @SubCommand(name = "servers", impl = Servers.class),
-        @SubCommand(name = "demo", impl = Show.class), @SubCommand(name = "fleet", impl = RunFleet.class), @SubCommand(name = "emulate", impl = Emulate.class),
-        @SubCommand(name = "rehearse", impl = Rehearse.class), @SubCommand(name = "version", impl = Version.class)})
+        @SubCommand(name = "demo", impl = Show.class),
+        @SubCommand(name = "fleet", impl = RunFleet.class),
+        @SubCommand(name = "emulate", impl = Emulate.class),
+        @SubCommand(name = "capacity", impl = Capacity.class),
+        @SubCommand(name = "hollow", impl = HollowCommand.class),
+        @SubCommand(name = "rehearse", impl = Rehearse.class),
+        @SubCommand(name = "version", impl = Version.class)
+    })
     Command command;
 
     private static SetupFiles files(Path file, Path operator) {
@@ -299,7 +444,10 @@
 
     /** What a command is for, and its options: of the one that the words begin with, or of all. */
     private static int help(List<String> args) throws ReflectiveOperationException {
-        SubCommand[] all = Main.class.getDeclaredField("command").getAnnotation(SubCommands.class).value();
+        SubCommand[] all = Main.class
+                .getDeclaredField("command")
+                .getAnnotation(SubCommands.class)
+                .value();
         for (SubCommand one : all) {
             if (!args.isEmpty() && one.name().equals(args.get(0))) {
                 System.out.println("usage: barrowshore " + one.name() + " [options]\n"
@@ -314,7 +462,9 @@
         }
         System.out.println("usage: barrowshore COMMAND [options]; barrowshore COMMAND --help says more");
         for (SubCommand one : all) {
-            System.out.printf("  %-10s %s%n", one.name(), one.impl().getAnnotation(About.class).value());
+            System.out.printf(
+                    "  %-10s %s%n",
+                    one.name(), one.impl().getAnnotation(About.class).value());
         }
         return 0;
     }
@@ -327,7 +477,9 @@
     static int run(String... args) throws Exception {
         if (args.length == 0 || Arrays.asList(args).contains("--help") || args[0].equals("help")) {
             List<String> words = Arrays.asList(args);
-            return args.length == 0 ? usage() : help(words.get(0).equals("help") ? words.subList(1, words.size()) : words);
+            return args.length == 0
+                    ? usage()
+                    : help(words.get(0).equals("help") ? words.subList(1, words.size()) : words);
         }
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
--- a/src/main/java/barrowshore/emulate/Rehearsal.java
+++ b/src/main/java/barrowshore/emulate/Rehearsal.java
@@ -21,11 +21,12 @@
  * played side by side, each in a world of its own, so their order does not show. It owns what is printed and written.
  */
 public final class Rehearsal {
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** Plays; json null: nothing is written. */
-    public static void run(PrintStream out, Scenario scenario, Operator operator, long seed, int seeds, boolean compare,
-                           Path json) throws IOException {
+    public static void run(
+            PrintStream out, Scenario scenario, Operator operator, long seed, int seeds, boolean compare, Path json)
+            throws IOException {
         if (seeds < 1) {
             throw new ConfigException("--seeds must be at least 1");
         }
@@ -43,11 +44,11 @@
             row(out, "worth served (least)", Report::kept, false, on, off);
             row(out, "less deductions (least)", Report::priced, false, on, off);
             row(out, "worst 10 s (least)", Report::worst, false, on, off);
-            for (int h = 0; h < scenario.halls().size(); h++) {
-                int hall = h;
-                String name = scenario.halls().get(h).name();
-                row(out, "diners of " + name + " (least)", r -> r.diners(hall), false, on, off);
-                row(out, "spilled into " + name + " (most)", r -> r.mostSpillShare(hall), true, on, off);
+            for (int z = 0; z < scenario.zones().size(); z++) {
+                int zone = z;
+                String name = scenario.zones().get(z).name();
+                row(out, "diners of " + name + " (least)", r -> r.servedShare(zone), false, on, off);
+                row(out, "spilled into " + name + " (most)", r -> r.mostSpillShare(zone), true, on, off);
             }
             row(out, "to a dark hall after 2 s (most)", Report::toDark, true, on, off);
             row(out, "trials of a dark hall (most)", Report::trials, true, on, off);
@@ -73,13 +74,19 @@
 
     private static List<Report> play(Scenario scenario, Operator operator, long seed, int seeds) {
         Report[] reports = new Report[seeds];
-        LongStream.range(0, seeds).parallel().forEach(k ->
-                reports[(int) k] = Emulator.play(scenario, operator, seed + k));
+        LongStream.range(0, seeds)
+                .parallel()
+                .forEach(k -> reports[(int) k] = Emulator.play(scenario, operator, seed + k));
         return Arrays.asList(reports);
     }
 
-    private static void row(PrintStream out, String name, ToDoubleFunction<Report> figure, boolean most,
-                            List<Report> on, List<Report> off) {
+    private static void row(
+            PrintStream out,
+            String name,
+            ToDoubleFunction<Report> figure,
+            boolean most,
+            List<Report> on,
+            List<Report> off) {
         out.printf(Locale.ROOT, "%-34s %10.4f %10.4f", name, mean(on, figure), extreme(on, figure, most));
         if (!off.isEmpty()) {
             out.printf(Locale.ROOT, " %10.4f %10.4f", mean(off, figure), extreme(off, figure, most));
--- a/src/main/java/barrowshore/fleet/Instance.java
+++ b/src/main/java/barrowshore/fleet/Instance.java
@@ -21,7 +21,7 @@
  * from start to end, over restarts under the same name, and ends it by its id. It must never be left behind: the process
  * itself watches whoever started it.
  */
-final class Instance {
+public final class Instance {
     /** How long a start may take, on a machine that starts many at once. */
     private static final long READY_SECONDS = 90;
     /** The platform ends one that was told to end after the longest deadline and 0.7 s; a slow machine gets more. */
@@ -33,6 +33,7 @@
     private final List<String> command;
     /** Holds the port until the first start: another program on this machine must not get it meanwhile. */
     private final ServerSocket reserved;
+
     private volatile Process process;
     /** How often it has been started: what is noticed late must not be laid to a later life. */
     private volatile int lives;
@@ -40,7 +41,7 @@
     volatile boolean inService;
 
     /** command: what runs `serve`, without its arguments. */
-    Instance(int number, Path folder, List<String> command) throws IOException {
+    public Instance(int number, Path folder, List<String> command) throws IOException {
         this.number = number;
         this.folder = folder;
         this.command = command;
@@ -52,38 +53,51 @@
      * The production command line's options for the JVM, of the deploy file's `run`, before this program's own jar or
      * classes.
      */
-    static List<String> command(Path deploy) {
-        List<String> all = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
+    public static List<String> command(Path deploy) {
+        List<String> all =
+                new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
         if (deploy != null) {
             try {
-                Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar \\S+ serve\"").matcher(Files.readString(deploy));
+                Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar \\S+ serve\"")
+                        .matcher(Files.readString(deploy));
                 if (!run.find()) {
                     throw new ConfigException(deploy + ": no line run = \"exec java ... -jar ... serve\"");
                 }
                 all.addAll(List.of(run.group(1).split("\\s+")));
             } catch (IOException e) {
-                throw new ConfigException(deploy + " cannot be read: " + e.getClass().getSimpleName());
+                throw new ConfigException(
+                        deploy + " cannot be read: " + e.getClass().getSimpleName());
             }
         }
-        all.addAll(List.of("-cp", System.getProperty("java.class.path"), "barrowshore.cli.Main", "serve", "--with",
+        all.addAll(List.of(
+                "-cp",
+                System.getProperty("java.class.path"),
+                "barrowshore.cli.Main",
+                "serve",
+                "--with",
                 String.valueOf(ProcessHandle.current().pid())));
         return all;
     }
 
-    InetSocketAddress address() {
+    public int number() {
+        return number;
+    }
+
+    public InetSocketAddress address() {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
 
-    Path log() {
+    public Path log() {
         return folder.resolve("n" + number + ".log");
     }
 
     /** Starts it with this configuration; its log goes on where there is one. */
-    void start(String config) throws IOException {
-        Path file = folder.resolve("n" + number + ".json"), temporary = folder.resolve("tmp" + number);
+    public void start(String config) throws IOException {
+        Path file = configuration(), temporary = folder.resolve("tmp" + number);
         Files.writeString(file, config);
         Files.createDirectories(temporary);
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
         builder.environment().put("GW_CONFIG", file.toString());
         builder.environment().put("GW_NAME", "n" + number);
@@ -94,15 +108,28 @@
         lives++;
     }
 
+    private Path configuration() {
+        return folder.resolve("n" + number + ".json");
+    }
+
+    /** Gives it another configuration while it runs. */
+    public void reload(String config) throws IOException, InterruptedException {
+        Files.writeString(configuration(), config);
+        signal("HUP");
+    }
+
     /** Waits until it says that it is ready; one that does not come up is an error that names its log. */
-    void awaitReady() throws IOException, InterruptedException {
+    public void awaitReady() throws IOException, InterruptedException {
         Process mine = process;
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
         // Whoever answers there must be ours: a process that has ended answers nothing.
         while (!ready() || !mine.isAlive()) {
             if (mine.waitFor(20, TimeUnit.MILLISECONDS) || System.nanoTime() > until) {
-                throw new ConfigException("scheduler " + number + (mine.isAlive() ? " was not ready in " + READY_SECONDS + " s"
-                        : " ended with exit code " + mine.exitValue() + " before it was ready") + "; see " + log());
+                throw new ConfigException("scheduler " + number
+                        + (mine.isAlive()
+                                ? " was not ready in " + READY_SECONDS + " s"
+                                : " ended with exit code " + mine.exitValue() + " before it was ready")
+                        + "; see " + log());
             }
         }
         inService = true;
@@ -112,13 +139,15 @@
         try (Socket socket = new Socket()) {
             socket.connect(address(), 1000);
             socket.setSoTimeout(2000);
-            socket.getOutputStream().write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-                    .getBytes(StandardCharsets.ISO_8859_1));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1).startsWith("HTTP/1.1 200");
+            socket.getOutputStream()
+                    .write("GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1)
+                    .startsWith("HTTP/1.1 200");
         } catch (ConnectException e) {
             return false;
         } catch (IOException e) {
-            return false;   // it is coming up, or going
+            return false; // it is coming up, or going
         }
     }
 
@@ -126,15 +155,15 @@
         return lives;
     }
 
-    boolean alive() {
+    public boolean alive() {
         return process != null && process.isAlive();
     }
 
-    long pid() {
+    public long pid() {
         return process.pid();
     }
 
-    void kill() {
+    public void kill() {
         process.destroyForcibly();
     }
 
@@ -143,8 +172,11 @@
     }
 
     /** SIGSTOP or SIGCONT: there is no call for these in the JDK. */
-    void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).inheritIO().start().waitFor();
+    public void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
+                .inheritIO()
+                .start()
+                .waitFor();
     }
 
     /** Waits for one that was told to end, which still answers what it holds; one that does not go is ended. */
@@ -155,7 +187,7 @@
     }
 
     /** Ends it for good and waits until it is gone; whether it is. */
-    boolean end() throws InterruptedException, IOException {
+    public boolean end() throws InterruptedException, IOException {
         reserved.close();
         if (process == null) {
             return true;
@@ -168,11 +200,15 @@
     double[] use() {
         double memory = 0;
         try {
-            Matcher rss = Pattern.compile("VmHWM:\\s+(\\d+) kB").matcher(Files.readString(Path.of("/proc/" + pid() + "/status")));
+            Matcher rss = Pattern.compile("VmHWM:\\s+(\\d+) kB")
+                    .matcher(Files.readString(Path.of("/proc/" + pid() + "/status")));
             memory = rss.find() ? Double.parseDouble(rss.group(1)) / 1024 : 0;
         } catch (IOException e) {
-            memory = 0;   // it has ended, or this system has no such file
+            memory = 0; // it has ended, or this system has no such file
         }
-        return new double[] {memory, process.info().totalCpuDuration().map(d -> d.toMillis() / 1000.0).orElse(0.0)};
+        return new double[] {
+            memory,
+            process.info().totalCpuDuration().map(d -> d.toMillis() / 1000.0).orElse(0.0)
+        };
     }
 }
--- a/src/main/java/barrowshore/module/Kind.java
+++ b/src/main/java/barrowshore/module/Kind.java
@@ -6,7 +6,8 @@
     boolean named;
 
     Kind(double meanWork) {
-        work = took = meanWork;
+        work = meanWork;
+        took = meanWork;
     }
 
     /** Averages in a job's work at speed 1 and how long it ran. */
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -1,6 +1,10 @@
 package barrowshore.node;
 
-import barrowshore.module.DispatchApi.Health;
+import barrowshore.duty.Figures;
+import barrowshore.duty.Tally;
+import barrowshore.halls.HallRules;
+import barrowshore.list.ServerList;
+import barrowshore.module.DispatchApi;
 import barrowshore.module.DispatchApi.ListKind;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Member;
@@ -8,14 +12,9 @@
 import barrowshore.module.DispatchApi.Request;
 import barrowshore.module.DispatchApi.Settings;
 import barrowshore.module.DispatchApi.Status;
-import barrowshore.module.DispatchApi;
-import barrowshore.duty.Figures;
-import barrowshore.duty.Tally;
-import barrowshore.request.JobRequest;
-import barrowshore.halls.HallRules;
-import barrowshore.list.ServerList;
 import barrowshore.net.Clock;
 import barrowshore.net.Mailbox;
+import barrowshore.request.JobRequest;
 import barrowshore.servers.Server;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -62,23 +61,32 @@
     private final Set<String> listed = new HashSet<>();
     /** Ids of requests lately served, oldest first: an id is new with every request, so these are taken too. */
     private final Set<String> served = new LinkedHashSet<>();
+
     private int mostAttempts;
     private final Tally tally = new Tally();
     /** Figures as of the last change, for whoever reads them; written here alone. */
     private volatile Figures figures = Figures.NONE;
+
     private boolean publishing;
     private int openRequests;
     private int skipped;
     /** Those listed that want nothing new. */
     private final Set<String> draining = new HashSet<>();
+
     private final List<Runnable> whenReady = new ArrayList<>();
     private final List<Runnable> whenIdle = new ArrayList<>();
-    private boolean told, discoveryBusy;
+    private boolean told;
     private long lastNow;
 
-    ModuleActor(Clock clock, Executor pool, Scheduler timers, List<String> classes, int mostAttempts,
-                Function<String, Server> newServer, Consumer<byte[]> tell,
-                Function<DispatchApi.Actions, DispatchApi> newModule) {
+    ModuleActor(
+            Clock clock,
+            Executor pool,
+            Scheduler timers,
+            List<String> classes,
+            int mostAttempts,
+            Function<String, Server> newServer,
+            Consumer<byte[]> tell,
+            Function<DispatchApi.Actions, DispatchApi> newModule) {
         this.clock = clock;
         this.timers = timers;
         this.newServer = newServer;
@@ -96,7 +104,8 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         Scheduler.Task timer;
         int out;
-        boolean answered;
+        /** Written by the actor alone; read by servers, as they are about to begin an attempt. */
+        volatile boolean answered;
 
         OpenRequest(JobRequest request, JobRequest.Client client) {
             this.request = request;
@@ -112,8 +121,11 @@
         final long sentAt;
         /** When its first byte must have gone, by the window of an earlier one that may have run. */
         final long beginBy;
+
         Scheduler.Task timer;
-        boolean ended;
+        /** Written by the actor alone; read by its server, as it is about to begin. */
+        volatile boolean ended;
+
         boolean neverRan;
 
         Attempt(OpenRequest open, int number, Server server, long sentAt) {
@@ -143,7 +155,15 @@
         @Override
         public boolean mayBegin() {
             long now = clock.micros();
-            return now < beginBy && now < open.request.deadline();
+            // What the actor knows may wait for its turn at the server: an end since counts from the moment it is
+            // known.
+            boolean awaited = !ended && !open.answered && !open.client.isGone();
+            return awaited && now < beginBy && now < open.request.deadline();
+        }
+
+        @Override
+        public void checkClient(Runnable then) {
+            open.client.checkConnection(then);
         }
 
         @Override
@@ -178,13 +198,12 @@
     }
 
     /**
-     * Discovery is silent, as it may be at a restart, or has nothing against the list known from before: that has to do.
-     * Where it answers with no list, it is up and what it has to tell counts as told; the known list may be from long
-     * before, so we wait.
+     * Discovery has told no list for long enough, or has nothing against the list known from before: that has to do. How
+     * long is enough, {@link barrowshore.servers.ServiceDiscovery} decides.
      */
     void discoverySilent(ServerList.Update known) {
         mailbox.post(() -> {
-            if (!told && !discoveryBusy) {
+            if (!told) {
                 list(known, ListKind.INITIAL);
                 told = !listed.isEmpty();
                 tellIfReady();
@@ -192,11 +211,6 @@
         });
     }
 
-    /** Discovery answered, but with no list. */
-    void discoveryBusy() {
-        mailbox.post(() -> discoveryBusy = true);
-    }
-
     void update(ServerList.Update update) {
         mailbox.post(() -> {
             list(update, update.all() ? ListKind.WHOLE : ListKind.CHANGES);
@@ -302,7 +316,9 @@
 
     /** Answers every open request that is not answered by so many milliseconds from now: the process ends after that. */
     void endsIn(long millis) {
-        timers.schedule(() -> mailbox.post(() -> List.copyOf(requests.values()).forEach(this::lastWord)), millis,
+        timers.schedule(
+                () -> mailbox.post(() -> List.copyOf(requests.values()).forEach(this::lastWord)),
+                millis,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -312,7 +328,8 @@
      */
     private void lastWord(OpenRequest open) {
         if (!open.answered) {
-            boolean harmless = open.request.window() == JobRequest.ALWAYS || open.attempts.stream().allMatch(a -> a.neverRan);
+            boolean harmless = open.request.window() == JobRequest.ALWAYS
+                    || open.attempts.stream().allMatch(a -> a.neverRan);
             answer(open, harmless ? new JobRequest.Rejection(LAST_DELAY) : new JobRequest.Failed(false));
             guarded(open, () -> module.clientGone(now(), open.request.id()));
             List.copyOf(open.attempts).forEach(a -> giveUp(a, Status.TIMEOUT));
@@ -340,10 +357,19 @@
             openRequests++;
             publish();
             long now = now();
-            open.timer = timers.schedule(() -> mailbox.post(() -> expire(open)), request.deadline() - now,
-                    TimeUnit.MICROSECONDS);
-            guarded(open, () -> module.request(now, new Request(request.id(), request.jobClass(), request.tenant(),
-                    request.slots(), request.hint(), request.deadline() - now)));
+            open.timer = timers.schedule(
+                    () -> mailbox.post(() -> expire(open)), request.deadline() - now, TimeUnit.MICROSECONDS);
+            guarded(
+                    open,
+                    () -> module.request(
+                            now,
+                            new Request(
+                                    request.id(),
+                                    request.jobClass(),
+                                    request.tenant(),
+                                    request.slots(),
+                                    request.hint(),
+                                    request.deadline() - now)));
         });
     }
 
@@ -351,14 +377,21 @@
     public void clientGone(JobRequest request) {
         mailbox.post(() -> {
             OpenRequest open = requests.get(request.id());
-            if (open != null && open.request == request && !open.answered) {
-                close(open);
-                guarded(open, () -> module.clientGone(now(), request.id()));
-                forget(open);
+            if (open != null && open.request == request) {
+                leave(open);
             }
         });
     }
 
+    /** The client waits no more: nothing that has not begun is to begin. */
+    private void leave(OpenRequest open) {
+        if (!open.answered) {
+            close(open);
+            guarded(open, () -> module.clientGone(now(), open.request.id()));
+            forget(open);
+        }
+    }
+
     private long now() {
         lastNow = Math.max(lastNow, clock.micros());
         return lastNow;
@@ -370,14 +403,11 @@
         for (ServerList.Entry e : update.entries()) {
             named.add(e.uid());
             servers.computeIfAbsent(e.uid(), newServer).update(e);
-            members.add(new Member(e.uid(), switch (e.state()) {
-                case READY -> Health.READY;
-                case TERMINATING -> Health.DRAINING;
-                case GONE -> Health.GONE;
-            }, e.hint(), e.cell(), e.kind(), e.zone(), e.bootMicros()));
+            members.add(e.member());
         }
         if (kind != ListKind.CHANGES) {
-            listed.stream().filter(uid -> !named.contains(uid)).forEach(uid -> servers.get(uid).gone());
+            listed.stream().filter(uid -> !named.contains(uid)).forEach(uid -> servers.get(uid)
+                    .gone());
             listed.retainAll(named);
         }
         update.entries().forEach(e -> {
@@ -432,6 +462,9 @@
             a.timer.cancel();
         }
         OpenRequest open = a.open;
+        if (open.client.isGone()) {
+            leave(open); // before the module hears of the end, and repeats what nobody waits for
+        }
         open.out--;
         if (status == Status.OK && !open.answered) {
             answer(open, new JobRequest.Served(result));
@@ -470,8 +503,11 @@
 
     private void answer(OpenRequest open, JobRequest.Answer answer) {
         if (!open.answered) {
-            tally.ended(open.request.jobClass(), answer instanceof JobRequest.Served ? Tally.End.PASSED
-                    : answer instanceof JobRequest.Rejection ? Tally.End.DROPPED : Tally.End.BAD_GATEWAY);
+            tally.ended(
+                    open.request.jobClass(),
+                    answer instanceof JobRequest.Served
+                            ? Tally.End.PASSED
+                            : answer instanceof JobRequest.Rejection ? Tally.End.DROPPED : Tally.End.BAD_GATEWAY);
             close(open);
             open.client.answer(answer);
         }
@@ -509,8 +545,8 @@
             return;
         }
         if (timeout > 0) {
-            a.timer = timers.schedule(() -> mailbox.post(() -> giveUp(a, Status.TIMEOUT)), timeout,
-                    TimeUnit.MICROSECONDS);
+            a.timer = timers.schedule(
+                    () -> mailbox.post(() -> giveUp(a, Status.TIMEOUT)), timeout, TimeUnit.MICROSECONDS);
         }
         server.send(a);
     }
@@ -547,10 +583,12 @@
         Server server = servers.get(worker);
         if (server != null) {
             long sentAt = now();
-            server.probe(PROBE_MILLIS, (status, load) -> mailbox.post(() -> {
-                long now = now();
-                guarded(null, () -> module.probed(now, worker, status, now - sentAt, load));
-            }));
+            server.probe(
+                    PROBE_MILLIS,
+                    (status, load) -> mailbox.post(() -> {
+                        long now = now();
+                        guarded(null, () -> module.probed(now, worker, status, now - sentAt, load));
+                    }));
         }
     }
 
@@ -561,8 +599,10 @@
 
     @Override
     public void timer(long delay, String token) {
-        timers.schedule(() -> mailbox.post(() -> guarded(null, () -> module.timer(now(), token))),
-                Math.max(1, delay), TimeUnit.MICROSECONDS);
+        timers.schedule(
+                () -> mailbox.post(() -> guarded(null, () -> module.timer(now(), token))),
+                Math.max(1, delay),
+                TimeUnit.MICROSECONDS);
     }
 
     @Override
--- a/src/main/java/barrowshore/standin/StandInDiscovery.java
+++ b/src/main/java/barrowshore/standin/StandInDiscovery.java
@@ -1,15 +1,16 @@
 package barrowshore.standin;
 
 import barrowshore.net.Mailbox;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.io.IOException;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.ajax.JSON;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -20,6 +21,11 @@
  */
 public final class StandInDiscovery {
     private static final long EMPTY_LINE_MILLIS = 2000;
+    /** Bytes of a TCP segment's content, of its heads (IP 20, TCP 20, its time stamps 12), and a line's end. */
+    private static final int SEGMENT = 1448, HEADS = 52, LINE_END = 2;
+
+    /** What its connections have carried since the start: calls that came, and bytes both ways, with TCP's heads. */
+    public record Traffic(long calls, long bytes) {}
 
     private final Mailbox mailbox;
     private final Scheduler timers;
@@ -29,6 +35,7 @@
     private final Set<Link> watches = new HashSet<>();
     private long rev;
     private boolean stopped, silent;
+    private final AtomicLong calls = new AtomicLong(), bytes = new AtomicLong();
 
     /** Starts with an empty list, on a free port. */
     public StandInDiscovery(StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
@@ -40,14 +47,17 @@
     }
 
     private void beat() {
-        timers.schedule(() -> mailbox.post(() -> {
-            if (!stopped) {
-                if (!silent) {
-                    watches.forEach(w -> w.line(""));
-                }
-                beat();
-            }
-        }), EMPTY_LINE_MILLIS, TimeUnit.MILLISECONDS);
+        timers.schedule(
+                () -> mailbox.post(() -> {
+                    if (!stopped) {
+                        if (!silent) {
+                            watches.forEach(w -> w.line(""));
+                        }
+                        beat();
+                    }
+                }),
+                EMPTY_LINE_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     public InetSocketAddress address() {
@@ -55,8 +65,14 @@
     }
 
     /** Tells of a node; state: Ready, Terminating or Gone. bootMillis 0: long ago. */
-    public void tell(String uid, InetSocketAddress endpoint, String hall, String model, double capacity, String state,
-                     long bootMillis) {
+    public void tell(
+            String uid,
+            InetSocketAddress endpoint,
+            String hall,
+            String model,
+            double capacity,
+            String state,
+            long bootMillis) {
         mailbox.post(() -> {
             Map<String, Object> entry = new LinkedHashMap<>();
             entry.put("uid", uid);
@@ -80,6 +96,16 @@
         });
     }
 
+    /** What has been carried so far, as it would be on a network: each write in segments of its own, one answered by one. */
+    public Traffic traffic() {
+        return new Traffic(calls.get(), bytes.get());
+    }
+
+    private void carried(int content) {
+        int segments = (content + SEGMENT - 1) / SEGMENT;
+        bytes.addAndGet(content + 2L * HEADS * segments);
+    }
+
     /** It answers nothing and tells nothing, or tells all of its list to whoever watches. */
     public void silent(boolean on) {
         mailbox.post(() -> {
@@ -112,10 +138,21 @@
             super(endPoint, StandInDiscovery.this.mailbox, timers);
         }
 
+        @Override
+        void sent(int content) {
+            carried(content);
+        }
+
         @Override
         void asked(String method, String target, Map<String, String> headers, String body) {
+            calls.incrementAndGet();
+            int head = (method + " " + target + " HTTP/1.1").length() + 2 * LINE_END;
+            for (Map.Entry<String, String> header : headers.entrySet()) {
+                head += (header.getKey() + ": " + header.getValue()).length() + LINE_END;
+            }
+            carried(head + body.length());
             if (silent) {
-                return;   // it is down: nothing is said, and the connection stays
+                return; // it is down: nothing is said, and the connection stays
             }
             if (!target.startsWith("/api/targets")) {
                 answer(404, "", "");
@@ -125,7 +162,7 @@
                 stream();
                 watches.add(this);
                 if (!target.endsWith("after=" + rev)) {
-                    line(list(true, targets.values().toArray()));   // what changed since is not kept: all of it
+                    line(list(true, targets.values().toArray())); // what changed since is not kept: all of it
                 }
             }
         }
--- a/src/main/java/barrowshore/standin/StandInNode.java
+++ b/src/main/java/barrowshore/standin/StandInNode.java
@@ -2,6 +2,7 @@
 
 import barrowshore.model.NodeModel;
 import barrowshore.model.Timeline;
+import barrowshore.module.DispatchApi.Load;
 import barrowshore.net.Clock;
 import barrowshore.net.Mailbox;
 import java.io.IOException;
@@ -30,7 +31,8 @@
     private static final long AGAIN_MILLIS = 20;
 
     /** What a node counts; runs: how often each id started; late: jobs that came after {@link #nothingNewAfter}. */
-    public record Count(Map<String, Integer> runs, long served, double coldUse, boolean fallen, int connections, int late) { }
+    public record Count(
+            Map<String, Integer> runs, long served, double coldUse, boolean fallen, int connections, int late) {}
 
     private final String uid;
     private final StandInFront front;
@@ -45,23 +47,34 @@
     private int late;
 
     /** Starts a node that has been up for long, on a free port. */
-    public StandInNode(String uid, NodeModel.Spec spec, NodeModel.Falling falling, long progressEvery,
-                       StandInFront front, ExecutorService pool, Scheduler timers) throws IOException {
+    public StandInNode(
+            String uid,
+            NodeModel.Spec spec,
+            NodeModel.Falling falling,
+            long progressEvery,
+            StandInFront front,
+            ExecutorService pool,
+            Scheduler timers)
+            throws IOException {
         this.uid = uid;
         this.front = front;
         this.timers = timers;
         this.mailbox = new Mailbox("stand-in " + uid, pool);
-        this.model = new NodeModel(new Timeline() {
-            @Override
-            public long now() {
-                return clock.micros();
-            }
-
-            @Override
-            public void at(long time, Runnable run) {
-                timers.schedule(() -> mailbox.post(run), Math.max(1, time - now()), TimeUnit.MICROSECONDS);
-            }
-        }, spec, falling, progressEvery);
+        this.model = new NodeModel(
+                new Timeline() {
+                    @Override
+                    public long now() {
+                        return clock.micros();
+                    }
+
+                    @Override
+                    public void at(long time, Runnable run) {
+                        timers.schedule(() -> mailbox.post(run), Math.max(1, time - now()), TimeUnit.MICROSECONDS);
+                    }
+                },
+                spec,
+                falling,
+                progressEvery);
         port = front.open(0, Link::new);
     }
 
@@ -119,11 +132,27 @@
         mailbox.post(() -> nothingNewAfter = clock.micros() + millis * 1000);
     }
 
+    /** Hands in a job by another way than its socket, as the last byte of a request would. */
+    public void offer(NodeModel.Job job) {
+        mailbox.post(() -> model.offer(job));
+    }
+
+    /** The load that it would report over its socket; no answer while it hangs or is down. */
+    public CompletableFuture<Load> load() {
+        CompletableFuture<Load> told = new CompletableFuture<>();
+        mailbox.post(() -> {
+            if (model.up() && !model.hung()) {
+                told.complete(new Load(model.held(), Double.NaN, (int) model.freeSlots()));
+            }
+        });
+        return told;
+    }
+
     /** What it has counted. */
     public CompletableFuture<Count> count() {
         CompletableFuture<Count> count = new CompletableFuture<>();
-        mailbox.post(() -> count.complete(new Count(Map.copyOf(runs), model.served(), model.coldUse(), model.fallen(),
-                links.size(), late)));
+        mailbox.post(() -> count.complete(
+                new Count(Map.copyOf(runs), model.served(), model.coldUse(), model.fallen(), links.size(), late)));
         return count;
     }
 
@@ -198,7 +227,7 @@
 
         @Override
         protected void onEnd(Throwable cause) {
-            links.remove(this);   // what runs for it runs on: nothing is cancelled
+            links.remove(this); // what runs for it runs on: nothing is cancelled
         }
     }
 
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -3,10 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import barrowshore.config.Config;
 import barrowshore.module.DispatchApi;
 import barrowshore.module.Dispatcher;
-import barrowshore.config.Config;
 import barrowshore.net.Clock;
+import barrowshore.net.ManualTime;
 import barrowshore.operator.Operator;
 import barrowshore.operator.Setup;
 import barrowshore.operator.SetupFiles;
@@ -27,12 +28,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import org.eclipse.jetty.util.component.AbstractLifeCycle;
-import org.eclipse.jetty.util.thread.Scheduler;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -73,52 +71,14 @@
         CountDownLatch heard = new CountDownLatch(1);
         Node.onHangUp(heard::countDown);
         Class<?> signal = Class.forName("sun.misc.Signal");
-        signal.getMethod("raise", signal).invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
+        signal.getMethod("raise", signal)
+                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
         heard.await();
     }
 
-    /** Time that moves only when told; timers run in the mover's thread. */
-    private static final class GivenTime extends AbstractLifeCycle implements Scheduler {
-        private record Entry(long at, long order, Runnable run) { }
-
-        private final PriorityQueue<Entry> entries = new PriorityQueue<>((a, b) ->
-                a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
-        private long nanos;
-        private long order;
-
-        @Override
-        public synchronized Task schedule(Runnable run, long delay, TimeUnit unit) {
-            Entry entry = new Entry(nanos + unit.toNanos(delay), order++, run);
-            entries.add(entry);
-            return () -> {
-                synchronized (this) {
-                    return entries.remove(entry);
-                }
-            };
-        }
-
-        synchronized long nanos() {
-            return nanos;
-        }
-
-        void advance(long millis) {
-            long until = nanos() + TimeUnit.MILLISECONDS.toNanos(millis);
-            for (Entry due = next(until); due != null; due = next(until)) {
-                due.run.run();
-            }
-        }
-
-        private synchronized Entry next(long until) {
-            Entry due = entries.peek();
-            boolean now = due != null && due.at <= until;
-            nanos = now ? Math.max(nanos, due.at) : until;
-            return now ? entries.poll() : null;
-        }
-    }
-
     /** The scheduler and its scripted peers. */
     private static final class Stage implements AutoCloseable {
-        private final GivenTime time = new GivenTime();
+        private final ManualTime time = new ManualTime();
         private final ServerSocket servers = new ServerSocket(0, 50, LOOPBACK);
         private final ServerSocket discovery = new ServerSocket(0, 50, LOOPBACK);
         private final ServerSocket elsewhere = new ServerSocket(0, 50, LOOPBACK);
@@ -128,10 +88,11 @@
         private Node node;
         /** The process that the node follows, once it does. */
         private Node former;
+
         private final Path folder = Files.createTempDirectory("twin");
         private CountDownLatch draining;
 
-        Stage() throws IOException { }
+        Stage() throws IOException {}
 
         void play(String script) throws Exception {
             for (String block : script.split("(?m)^== ")) {
@@ -145,11 +106,17 @@
                     }
                 }
                 if (words[0].startsWith("#")) {
-                    continue;   // the opening remark
+                    continue; // the opening remark
                 }
-                step(words, named(text.replace("\n", "\r\n").replace("\\\r\n", "").replace("\\n", "\n")
-                        .replace("$64K", "x".repeat(65536)).replace("$16K", "k".repeat(16384))
-                        .replace("$2000LINES", "\n".repeat(2000))), text);
+                step(
+                        words,
+                        named(text.replace("\n", "\r\n")
+                                .replace("\\\r\n", "")
+                                .replace("\\n", "\n")
+                                .replace("$64K", "x".repeat(65536))
+                                .replace("$16K", "k".repeat(16384))
+                                .replace("$2000LINES", "\n".repeat(2000))),
+                        text);
             }
         }
 
@@ -168,25 +135,14 @@
                     String file = config;
                     node.reload(() -> new Setup(Config.parse(file), Operator.NONE));
                 }
-                case "look-again" -> {
-                    Path file = folder.resolve("config.json");
-                    Files.writeString(file, config);
-                    SetupFiles files = new SetupFiles(file, null, null);
-                    files.read();
-                    node.lookAgain(files);   // it is as it was
-                    config = config.replace(named(words[1]), named(words[2]));
-                    // Put in its place whole: a look between the truncation and the bytes would find a bad file.
-                    Path next = folder.resolve("config.next");
-                    Files.writeString(next, config);
-                    Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
-                    node.lookAgain(files);
-                    node.lookAgain(files);
-                }
+                case "look-again" -> lookAgain(named(words[1]), named(words[2]));
                 case "module" -> module = words[1];
                 case "start" -> start();
                 case "follow" -> {
                     former = node;
-                    config = config.replace("127.0.0.1:0\",\"discovery", "127.0.0.1:" + node.address().getPort() + "\",\"discovery");
+                    config = config.replace(
+                            "127.0.0.1:0\",\"discovery",
+                            "127.0.0.1:" + node.address().getPort() + "\",\"discovery");
                     start();
                 }
                 case "followed" -> {
@@ -235,17 +191,31 @@
                 case "time" -> time.advance(Long.parseLong(words[1]));
                 case "no-more" -> {
                     servers.setSoTimeout(1);
-                    assertThatThrownBy(servers::accept)
-                            .isInstanceOf(SocketTimeoutException.class);
+                    assertThatThrownBy(servers::accept).isInstanceOf(SocketTimeoutException.class);
                 }
                 default -> act(words[0], words[1], words.length > 2 ? words[2] : "", bytes, text);
             }
         }
 
+        private void lookAgain(String part, String instead) throws Exception {
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, config);
+            SetupFiles files = new SetupFiles(file, null, null);
+            files.read();
+            node.lookAgain(files); // it is as it was
+            config = config.replace(part, instead);
+            // Put in its place whole: a look between the truncation and the bytes would find a bad file.
+            Path next = folder.resolve("config.next");
+            Files.writeString(next, config);
+            Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
+            node.lookAgain(files);
+            node.lookAgain(files);
+        }
+
         private void act(String who, String does, String status, String bytes, String text) throws Exception {
             Socket peer = peer(who, does.equals("reopens"));
             switch (does) {
-                case "connects", "reopens" -> { }
+                case "connects", "reopens" -> {}
                 case "ends-in-time", "gets-in-time" -> {
                     // Time moves on until there is something to read, since nothing else shows that a timer is set.
                     PushbackInputStream in = new PushbackInputStream(peer.getInputStream());
@@ -269,7 +239,8 @@
                 }
                 case "sends" -> send(peer, bytes);
                 case "sends-unheard" -> {
-                    // A socket that was closed answers the first with a reset, and then the second fails. Another's call in
+                    // A socket that was closed answers the first with a reset, and then the second fails. Another's
+                    // call in
                     // between takes the selector through its rounds, in which it closes what was given to it to close.
                     for (int k = 0; k < 2; k++) {
                         try (Socket asker = new Socket(LOOPBACK, node.address().getPort())) {
@@ -290,11 +261,15 @@
                 }
                 case "lists" -> list(who, text.strip());
                 case "ends-in-answer" -> {
-                    assertThat(message(peer.getInputStream())).as(who).startsWith("HTTP/1.1 " + status + " ")
+                    assertThat(message(peer.getInputStream()))
+                            .as(who)
+                            .startsWith("HTTP/1.1 " + status + " ")
                             .contains("Connection: close");
                     assertThat(atEnd(peer)).as(who + " ends").isTrue();
                 }
-                case "gets" -> assertThat(message(peer.getInputStream())).as(who + " gets").isEqualTo(bytes);
+                case "gets" -> assertThat(message(peer.getInputStream()))
+                        .as(who + " gets")
+                        .isEqualTo(bytes);
                 case "ends" -> assertThat(atEnd(peer)).as(who + " ends").isTrue();
                 case "closes" -> peer.close();
                 case "resets" -> {
@@ -308,17 +283,22 @@
         private void start() throws Exception {
             config = named(config);
             Config read = Config.parse(config);
-            node = new Node(new Setup(read, Operator.NONE), new Clock(1_700_000_000_000L, time::nanos), time, folder.resolve("t"), actions -> switch (module) {
-                case "silent" -> faulty(false);
-                case "broken" -> faulty(true);
-                default -> new Dispatcher(read.settings(), actions);
-            });
+            node = new Node(
+                    new Setup(read, Operator.NONE),
+                    new Clock(1_700_000_000_000L, time::nanos),
+                    time,
+                    folder.resolve("t"),
+                    actions -> switch (module) {
+                        case "silent" -> faulty(false);
+                        case "broken" -> faulty(true);
+                        default -> new Dispatcher(read.settings(), actions);
+                    });
         }
 
         /** A module that never orders anything, or throws at each request. */
         private static DispatchApi faulty(boolean throwing) {
-            return (DispatchApi) Proxy.newProxyInstance(DispatchApi.class.getClassLoader(),
-                    new Class<?>[] {DispatchApi.class}, (proxy, method, args) -> {
+            return (DispatchApi) Proxy.newProxyInstance(
+                    DispatchApi.class.getClassLoader(), new Class<?>[] {DispatchApi.class}, (proxy, method, args) -> {
                         if (throwing && method.getName().equals("request")) {
                             throw new IllegalStateException("broken on purpose");
                         }
@@ -356,7 +336,7 @@
             }
         }
 
-        /** Tells the whole list, by itself or as a watch's first line, whichever is asked for; or (+) a line of the watch. */
+        /** Tells the whole list, by itself or as a watch's first line, as it is asked for; or (+) a line of the watch. */
         private void list(String who, String line) throws IOException {
             Socket watch = peer(who, false);
             if (!line.startsWith("+")) {
@@ -375,8 +355,10 @@
             String json = named(line.substring(1)) + "\n";
             // In two chunks that end mid-line: boundaries may fall anywhere.
             String one = json.substring(0, json.length() / 2), two = json.substring(json.length() / 2);
-            send(watch, Integer.toHexString(one.length()) + "\r\n" + one + "\r\n"
-                    + Integer.toHexString(two.length()) + "\r\n" + two + "\r\n");
+            send(
+                    watch,
+                    Integer.toHexString(one.length()) + "\r\n" + one + "\r\n" + Integer.toHexString(two.length())
+                            + "\r\n" + two + "\r\n");
         }
 
         /** Each time by a new connection: one that is told no while clients are sent away ends with that. */
@@ -419,8 +401,11 @@
                 head.append((char) b);
             }
             List<String> lines = new ArrayList<>(List.of(head.toString().split("\r\n")));
-            int length = lines.stream().filter(l -> l.startsWith("Content-Length: "))
-                    .mapToInt(l -> Integer.parseInt(l.substring(16))).findFirst().orElse(0);
+            int length = lines.stream()
+                    .filter(l -> l.startsWith("Content-Length: "))
+                    .mapToInt(l -> Integer.parseInt(l.substring(16)))
+                    .findFirst()
+                    .orElse(0);
             String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
             return head.toString().replaceAll("Retry-After: (0\\.0*[1-9][0-9]*|[1-9][0-9.]*)", "Retry-After: ~") + body;
         }
@@ -429,7 +414,7 @@
             try {
                 return peer.getInputStream().read() < 0;
             } catch (SocketException e) {
-                return true;   // a reset ends a connection too
+                return true; // a reset ends a connection too
             }
         }
 
