--- a/src/test/java/barrowshore/node/LateConnectionTest.java
+++ b/src/test/java/barrowshore/node/LateConnectionTest.java
@@ -3,14 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import barrowshore.config.Config;
-import barrowshore.request.JobRequest;
 import barrowshore.list.ServerList;
 import barrowshore.module.Dispatcher;
 import barrowshore.net.Clock;
 import barrowshore.net.Dialer;
+import barrowshore.net.HeldSelector;
+import barrowshore.net.HttpText;
+import barrowshore.request.JobRequest;
 import barrowshore.servers.Server;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -20,11 +21,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
-import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -45,7 +44,7 @@
     private final Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
     private final AtomicLong nanos = new AtomicLong();
     private final Clock clock = new Clock(1_700_000_000_000L, nanos::get);
-    private final CountDownLatch free = new CountDownLatch(1);
+    private HeldSelector held;
     private final Dialer[] dialers = new Dialer[2];
     private final ServerSocket[] listening = new ServerSocket[2];
     private ModuleActor module;
@@ -60,24 +59,35 @@
             listening[k].setSoTimeout(1);
         }
         Config config = Config.parse(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
-                .replace("$D", "127.0.0.1:9").replace("$S", "127.0.0.1:" + listening[0].getLocalPort())
+                .replace("$D", "127.0.0.1:9")
+                .replace("$S", "127.0.0.1:" + listening[0].getLocalPort())
                 .replace("\"cancel\":true", "\"cancel\":false")
                 .replace("\"secondCopies\":true", "\"secondCopies\":false")
-                .replace("\"idempotency\":\"idempotent\",\"keyScope\":\"all\",\"repeatWindow\":5000000",
+                .replace(
+                        "\"idempotency\":\"idempotent\",\"keyScope\":\"all\",\"repeatWindow\":5000000",
                         "\"idempotency\":\"deduplicated\",\"keyScope\":\"all\",\"repeatWindow\":" + WINDOW)
-                .replace("\"all\":true,\"targets\":[", "\"all\":true,\"targets\":[{\"uid\":\"s-2\",\"endpoint\":\"127.0.0.1:"
-                        + listening[1].getLocalPort() + "\",\"az\":\"a\",\"model\":\"m\",\"state\":\"Ready\"},"));
+                .replace(
+                        "\"all\":true,\"targets\":[",
+                        "\"all\":true,\"targets\":[{\"uid\":\"s-2\",\"endpoint\":\"127.0.0.1:"
+                                + listening[1].getLocalPort()
+                                + "\",\"az\":\"a\",\"model\":\"m\",\"state\":\"Ready\"},"));
         // Messages run in the poster's stack: in the order in which the test does things.
-        module = new ModuleActor(clock, Runnable::run, timers, config.classes(), 5,
+        module = new ModuleActor(
+                clock,
+                Runnable::run,
+                timers,
+                config.classes(),
+                5,
                 uid -> new Server(uid, Runnable::run, dialers[uid.equals("s-1") ? 0 : 1], timers, 60_000_000, 1),
-                message -> { }, actions -> new Dispatcher(config.settings(), actions));
+                message -> {},
+                actions -> new Dispatcher(config.settings(), actions));
         module.start();
         module.update(config.known());
     }
 
     @AfterEach
     void stop() throws Exception {
-        free.countDown();
+        release();
         for (int k = 0; k < 2; k++) {
             listening[k].close();
             LifeCycle.stop(dialers[k]);
@@ -88,16 +98,13 @@
 
     /** Connections by this dialer are up for the kernel, but not for us. */
     private void hold(Dialer dialer) throws InterruptedException {
-        CountDownLatch held = new CountDownLatch(1);
-        dialer.getBean(ManagedSelector.class).submit(keys -> {
-            held.countDown();
-            try {
-                free.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        held.await();
+        held = new HeldSelector(dialer);
+    }
+
+    private void release() {
+        if (held != null) {
+            held.release();
+        }
     }
 
     /** The first connection to come, at either server; which one it is, the module chooses. */
@@ -112,30 +119,28 @@
     }
 
     private JobRequest keyed(String id) {
-        return new JobRequest(id, 0, 0, 1, 0, clock.micros() + 4_000_000, WINDOW, "POST", "/menu", "key", new byte[] {'a'});
-    }
-
-    private static String firstLine(InputStream in) throws Exception {
-        StringBuilder line = new StringBuilder();
-        for (int b = in.read(); b >= 0 && b != '\r'; b = in.read()) {
-            line.append((char) b);
-        }
-        return line.toString();
+        return new JobRequest(
+                id, 0, 0, 1, 0, clock.micros() + 4_000_000, WINDOW, "POST", "/menu", "key", new byte[] {'a'});
     }
 
     @Test
     void aRequestWhoseClientHasGoneIsNotSentOnWhenItsConnectionComesUp() throws Exception {
-        module.update(new ServerList.Update(6, false, List.of(new ServerList.Entry("s-2", "", null, 0, 0, 0,
-                ServerList.State.TERMINATING, 1, 0))));
+        module.update(new ServerList.Update(
+                6, false, List.of(new ServerList.Entry("s-2", "", null, 0, 0, 0, ServerList.State.TERMINATING, 1, 0))));
         hold(dialers[0]);
         JobRequest request = keyed("gone");
-        module.open(request, answer -> { });
+        module.open(request, answer -> {});
         module.clientGone(request);
         try (Socket accepted = accept()) {
-            free.countDown();
-            // There is one connection at most: it carries the one that has gone, or else one of these, once it is up.
+            held.release();
+            // There is one connection at most: once it is up it carries the one that has gone, or else one of these.
+            // Each waits for the answer to the one before: a mailbox that is never empty would run in its own stack.
             for (int k = 0; accepted.getInputStream().available() == 0; k++) {
-                module.open(keyed("a" + k), answer -> { });
+                CompletableFuture<JobRequest.Answer> answer = new CompletableFuture<>();
+                module.open(keyed("a" + k), answer::complete);
+                while (accepted.getInputStream().available() == 0 && !answer.isDone()) {
+                    Thread.onSpinWait();
+                }
             }
             byte[] head = new byte[200];
             int read = accepted.getInputStream().read(head);
@@ -148,14 +153,14 @@
         CompletableFuture<JobRequest.Answer> answer = new CompletableFuture<>();
         module.open(keyed("a1"), answer::complete);
         try (Socket first = accept()) {
-            assertThat(firstLine(first.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
+            assertThat(HttpText.firstLine(first.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
             hold(dialers[first.getLocalPort() == listening[0].getLocalPort() ? 1 : 0]);
-            first.getOutputStream().write("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"
-                    .getBytes(StandardCharsets.ISO_8859_1));
+            first.getOutputStream()
+                    .write("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
             // The repeat is on its way within the window; its connection comes up after that.
             try (Socket second = accept()) {
                 nanos.addAndGet(WINDOW * 1000);
-                free.countDown();
+                held.release();
                 assertThat(answer.get()).isInstanceOf(JobRequest.Rejection.class);
                 LifeCycle.stop(dialers[0]);
                 LifeCycle.stop(dialers[1]);
--- a/src/test/java/barrowshore/servers/ServerTest.java
+++ b/src/test/java/barrowshore/servers/ServerTest.java
@@ -2,12 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import barrowshore.request.JobRequest;
 import barrowshore.list.ServerList;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Status;
 import barrowshore.net.Dialer;
+import barrowshore.net.HeldSelector;
+import barrowshore.net.HttpText;
+import barrowshore.request.JobRequest;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -16,11 +18,11 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import org.eclipse.jetty.io.ManagedSelector;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -37,7 +39,7 @@
 class ServerTest {
     private final ExecutorService pool = Executors.newFixedThreadPool(4);
     private final Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
-    private final CountDownLatch free = new CountDownLatch(1);
+    private HeldSelector held;
     private Dialer dialer;
     private ServerSocket listening;
     private Server server;
@@ -47,8 +49,12 @@
         final CompletableFuture<Status> end = new CompletableFuture<>();
         private final String id;
         private volatile boolean mayBegin = true;
+        /** Whether it is for the test to say when it is known that its client is there. */
+        private volatile boolean checkedByTest;
+
+        private final BlockingQueue<Runnable> checks = new LinkedBlockingQueue<>();
         /** Run as its end is told, in the server's own turn. */
-        private volatile Runnable asItEnds = () -> { };
+        private volatile Runnable asItEnds = () -> {};
 
         Attempt(String id) {
             this.id = id;
@@ -56,7 +62,8 @@
 
         @Override
         public JobRequest request() {
-            return new JobRequest(id, 0, -1, 1, 0, Long.MAX_VALUE, JobRequest.ALWAYS, "POST", "/menu", null, new byte[] {'a'});
+            return new JobRequest(
+                    id, 0, -1, 1, 0, Long.MAX_VALUE, JobRequest.ALWAYS, "POST", "/menu", null, new byte[] {'a'});
         }
 
         @Override
@@ -70,10 +77,19 @@
         }
 
         @Override
-        public void written() { }
+        public void checkClient(Runnable then) {
+            if (checkedByTest) {
+                checks.add(then);
+            } else {
+                then.run();
+            }
+        }
+
+        @Override
+        public void written() {}
 
         @Override
-        public void noted(Note note, double share) { }
+        public void noted(Note note, double share) {}
 
         @Override
         public void ended(Status status, Load load, byte[] result) {
@@ -95,7 +111,7 @@
 
     @AfterEach
     void stop() throws Exception {
-        free.countDown();
+        release();
         listening.close();
         LifeCycle.stop(dialer);
         LifeCycle.stop(timers);
@@ -103,46 +119,40 @@
     }
 
     private void say(ServerList.State state) {
-        server.update(new ServerList.Entry("s-1", "", (InetSocketAddress) listening.getLocalSocketAddress(), 0, 0, 0, state, 1, 0));
+        server.update(entry(state, 1));
+    }
+
+    private ServerList.Entry entry(ServerList.State state, long bootMicros) {
+        InetSocketAddress address = (InetSocketAddress) listening.getLocalSocketAddress();
+        return new ServerList.Entry("s-1", "", address, 0, 0, 0, state, 1, bootMicros);
     }
 
     private void holdConnections() throws InterruptedException {
-        CountDownLatch held = new CountDownLatch(1);
-        dialer.getBean(ManagedSelector.class).submit(keys -> {
-            held.countDown();
-            try {
-                free.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        held.await();
+        held = new HeldSelector(dialer);
+    }
+
+    private void release() {
+        if (held != null) {
+            held.release();
+        }
     }
 
     /** The connection comes up now; what it carries, up to its end, if nothing but the connection's own end is to come. */
     private byte[] carried() throws Exception {
         try (Socket accepted = listening.accept()) {
-            free.countDown();
+            held.release();
             LifeCycle.stop(dialer);
             return accepted.getInputStream().readAllBytes();
         }
     }
 
-    private static String firstLine(InputStream in) throws Exception {
-        StringBuilder line = new StringBuilder();
-        for (int b = in.read(); b >= 0 && b != '\r'; b = in.read()) {
-            line.append((char) b);
-        }
-        return line.toString();
-    }
-
     @Test
     void whatWaitedForItsConnectionDoesNotGoToAServerThatLeavesSince() throws Exception {
         holdConnections();
         Attempt attempt = new Attempt("a1");
         server.send(attempt);
         say(ServerList.State.TERMINATING);
-        free.countDown();
+        held.release();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
         assertThat(carried()).isEmpty();
     }
@@ -153,7 +163,7 @@
         Attempt attempt = new Attempt("a1");
         server.send(attempt);
         server.gone();
-        free.countDown();
+        held.release();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
         assertThat(carried()).isEmpty();
     }
@@ -167,10 +177,15 @@
         server.withdraw(attempt);
         assertThat(attempt.end.get()).as("at once").isEqualTo(Status.NOT_SENT);
         try (Socket accepted = listening.accept()) {
-            free.countDown();
+            held.release();
             // There is one connection at most: once it is up it carries the one withdrawn, or else one of these.
+            // Each waits for the end of the one before: a mailbox that is never empty would run in its own stack.
             for (int k = 0; accepted.getInputStream().available() == 0; k++) {
-                server.send(new Attempt("next" + k));
+                Attempt next = new Attempt("next" + k);
+                server.send(next);
+                while (accepted.getInputStream().available() == 0 && !next.end.isDone()) {
+                    Thread.onSpinWait();
+                }
             }
             byte[] head = new byte[200];
             int read = accepted.getInputStream().read(head);
@@ -183,10 +198,12 @@
         Attempt attempt = new Attempt("a1");
         server.send(attempt);
         try (Socket accepted = listening.accept()) {
-            assertThat(firstLine(accepted.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
+            assertThat(HttpText.firstLine(accepted.getInputStream())).isEqualTo("POST /menu HTTP/1.1");
             server.withdraw(attempt);
-            accepted.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"
-                    + "{\"id\":\"a1\",\"state\":\"done\",\"result\":\"one\"} \n").getBytes(StandardCharsets.ISO_8859_1));
+            accepted.getOutputStream()
+                    .write(("HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"
+                                    + "{\"id\":\"a1\",\"state\":\"done\",\"result\":\"one\"} \n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             assertThat(attempt.end.get()).isEqualTo(Status.OK);
         }
     }
@@ -198,11 +215,72 @@
         Attempt attempt = new Attempt("a1");
         server.send(attempt);
         attempt.mayBegin = false;
-        free.countDown();
+        held.release();
         assertThat(attempt.end.get()).isEqualTo(Status.NOT_SENT);
         assertThat(carried()).isEmpty();
     }
 
+    /** The connection at the worker, once an attempt has gone over it and the next has taken it and has its client checked. */
+    private Socket keptConnectionFor(Attempt next) throws Exception {
+        Attempt first = new Attempt("a1");
+        server.send(first);
+        Socket accepted = listening.accept();
+        assertThat(HttpText.head(accepted.getInputStream())).contains("X-Request-ID: a1");
+        accepted.getInputStream().read();
+        accepted.getOutputStream()
+                .write(("HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"
+                                + "{\"id\":\"a1\",\"state\":\"done\",\"result\":\"one\"} \n")
+                        .getBytes(StandardCharsets.ISO_8859_1));
+        assertThat(first.end.get()).isEqualTo(Status.OK);
+        next.checkedByTest = true;
+        server.send(next);
+        return accepted;
+    }
+
+    @Test
+    void aServerThatLeavesWhileTheClientIsCheckedGetsNothing() throws Exception {
+        Attempt next = new Attempt("a2");
+        try (Socket accepted = keptConnectionFor(next)) {
+            Runnable clientIsThere = next.checks.take();
+            say(ServerList.State.TERMINATING);
+            clientIsThere.run();
+            assertThat(next.end.get()).isEqualTo(Status.NOT_SENT);
+            assertThat(accepted.getInputStream().readAllBytes()).isEmpty();
+        }
+    }
+
+    /** The connection is one to its former life. */
+    @Test
+    void aServerThatRestartsWhileTheClientIsCheckedGetsItOnAFreshConnection() throws Exception {
+        Attempt next = new Attempt("a2");
+        try (Socket accepted = keptConnectionFor(next)) {
+            Runnable clientIsThere = next.checks.take();
+            server.update(entry(ServerList.State.READY, 2));
+            clientIsThere.run();
+            assertThat(accepted.getInputStream().readAllBytes()).isEmpty();
+            try (Socket fresh = listening.accept()) {
+                next.checks.take().run();
+                assertThat(HttpText.head(fresh.getInputStream())).contains("X-Request-ID: a2");
+            }
+        }
+    }
+
+    @Test
+    void aKeptConnectionThatEndsWhileTheClientIsCheckedIsReplaced() throws Exception {
+        Attempt next = new Attempt("a2");
+        try (Socket accepted = keptConnectionFor(next)) {
+            Runnable clientIsThere = next.checks.take();
+            accepted.shutdownOutput();
+            try (Socket fresh = listening.accept()) {
+                clientIsThere.run(); // said for the connection that has ended
+                next.checks.take().run();
+                assertThat(HttpText.head(fresh.getInputStream())).contains("X-Request-ID: a2");
+                assertThat(fresh.getInputStream().read()).isEqualTo('a');
+                assertThat(fresh.getInputStream().available()).as("once").isZero();
+            }
+        }
+    }
+
     /** Told before the close, its repeat could overtake it, and be a second copy where settings allow none. */
     @Test
     void anAnswerToAnotherRequestEndsTheConnectionBeforeItsEndIsTold() throws Exception {
@@ -211,12 +289,14 @@
         server.send(attempt);
         try (Socket accepted = listening.accept()) {
             InputStream in = accepted.getInputStream();
-            assertThat(firstLine(in)).isEqualTo("POST /menu HTTP/1.1");
+            assertThat(HttpText.firstLine(in)).isEqualTo("POST /menu HTTP/1.1");
             in.skipNBytes(in.available());
             accepted.setSoTimeout(2_000);
             attempt.asItEnds = () -> closed.complete(ended(in));
-            accepted.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + "2b\r\n{\"id\":\"b2\",\"state\":\"done\",\"result\":\"one\"} \n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            accepted.getOutputStream()
+                    .write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    + "2b\r\n{\"id\":\"b2\",\"state\":\"done\",\"result\":\"one\"} \n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             assertThat(attempt.end.get()).isEqualTo(Status.RESET);
             assertThat(closed.get()).isTrue();
         }
@@ -233,7 +313,7 @@
         } catch (SocketTimeoutException e) {
             return false;
         } catch (IOException e) {
-            return true;   // a reset ends it too
+            return true; // a reset ends it too
         }
     }
 }
