--- a/src/main/java/barrowshore/emulate/Deployment.java
+++ b/src/main/java/barrowshore/emulate/Deployment.java
@@ -63,8 +63,8 @@
             double share, double speedFrom, double speedTo, int cores, double queueFrom, double queueTo) {}
 
     /**
-     * What schedulers are told of load, starts and machines; period and delay as ranges, noise a standard deviation; bySpeed:
-     * whether a machine's registered size is its cores by their usual speed, or its cores.
+     * What schedulers are told of load, starts and machines; period and delay as ranges, noise a standard deviation;
+     * bySpeed: whether a machine's registered size is its cores by their usual speed, or its cores.
      */
     public record Told(
             Reports reports,
@@ -81,6 +81,7 @@
             boolean listAsked,
             boolean bySpeed) {}
 
+    /** What the site allows its schedulers: talk to peers, second copies, cancelling, and how many attempts a job. */
     public record Allowed(boolean peers, boolean copies, boolean cancel, int attempts) {}
 
     /** What is certain of a cold machine, and what pushes it over. */
@@ -261,7 +262,8 @@
             double[] shares = new double[count];
             double sum = 0;
             for (int c = 0; c < count; c++) {
-                sum += shares[c] = in(0.15, 0.5);
+                shares[c] = in(0.15, 0.5);
+                sum += shares[c];
             }
             Scope scope = one(Scope.ALL, Scope.ZONE, Scope.CELL);
             boolean memory = chance(0.3);
@@ -326,12 +328,12 @@
 
         private Scenario day(Deployment d, int zones) {
             int schedulers = Math.max(zones, one(2, 3, 4, 6, 10)), nodes = Math.max(zones, 6 + random.nextInt(10));
-            List<Scenario.HallSpec> halls = new ArrayList<>();
+            List<Scenario.ZoneSpec> specs = new ArrayList<>();
             double rest = 1;
             for (int z = 0; z < zones; z++) {
                 double clients = z == zones - 1 ? rest : rest / (zones - z) * in(0.7, 1.3);
                 rest -= clients;
-                halls.add(new Scenario.HallSpec("z" + z, (nodes + z) / zones, (schedulers + z) / zones, clients));
+                specs.add(new Scenario.ZoneSpec("z" + z, (nodes + z) / zones, (schedulers + z) / zones, clients));
             }
             List<Scenario.Happening> happenings = new ArrayList<>();
             for (int k = random.nextInt(3); k > 0; k--) {
@@ -364,7 +366,7 @@
                     allowedLoss(d),
                     0,
                     d.told().reports() == Reports.PROBES,
-                    halls,
+                    specs,
                     happenings);
         }
 
--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -63,7 +63,8 @@
         kinds = new Kind[set.kinds];
         Arrays.setAll(kinds, k -> new Kind(mean.work));
         peers = new Peers(set.dispatchers, set.me, roster, effort);
-        fleet = new FleetView(set, mean, kinds, ledger, roster, halls, peers, shared, rng, effort);
+        fleet = new FleetView(
+                set, new FleetView.Records(mean, kinds, ledger, roster), halls, peers, shared, rng, effort);
         quotas = new Quotas(set);
         terms();
     }
@@ -74,11 +75,13 @@
         quotas.enter();
         double aim =
                 Arrays.stream(set.classes).mapToLong(JobClass::aim).average().orElse(0);
-        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, aim);
+        turns = ColdTurns.Terms.of(set.dispatchers, set.me, set.fall, set.fallMultiple, aim)
+                .after(turns);
     }
 
     @Override
     public void start(long now) {
+        turns = turns.startedAt(now);
         quotas.start(now);
         fleet.start(now);
         peers.start(now);
--- a/src/main/java/barrowshore/module/FleetLoad.java
+++ b/src/main/java/barrowshore/module/FleetLoad.java
@@ -7,7 +7,7 @@
  * nothing.
  */
 final class FleetLoad {
-    /** Up to so many dispatchers, each one's own jobs are a fair sample of what all have, and a fresher one than any report. */
+    /** Up to so many dispatchers, each one's own jobs are a fair sample, and a fresher one than any report. */
     private static final double FEW = 20;
     /** What is left of sums when all has been taken back, but for rounding. */
     private static final double NOTHING = 1e-9;
--- a/src/main/java/barrowshore/servers/Server.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -191,10 +191,10 @@
     }
 
     private void start(Work work) {
-        Link link;
         // Guards what must not run twice: a kept connection may be reset just as it is written to, which proves nothing
         // and fails the request. A fresh one that does not come up proves that it never ran.
-        if (work.mayReuse() && (link = idle.pollLast()) != null) {
+        Link link = work.mayReuse() ? idle.pollLast() : null;
+        if (link != null) {
             link.reserve(work);
             return;
         }
@@ -373,7 +373,8 @@
             lines = null;
             body = null;
             persistent = true;
-            linesRead = bytesRead = 0;
+            linesRead = 0;
+            bytesRead = 0;
             limit(0);
             HttpFields.Mutable fields =
                     HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":" + address.getPort());
