--- a/src/main/java/barrowshore/exchange/PeerSlots.java
+++ b/src/main/java/barrowshore/exchange/PeerSlots.java
@@ -149,16 +149,6 @@
         return peers[number] == null || isSilent(now, peers[number]);
     }
 
-    /** The slots that peers have told for a full name: what a worker that is new to the caller begins with. */
-    public int told(int name) {
-        int sum = 0;
-        for (Peer peer : peers) {
-            Map.Entry<Integer, Figure> below = peer == null || !peer.counted ? null : peer.figures.floorEntry(name);
-            sum += below != null && name < below.getValue().to ? below.getValue().slots : 0;
-        }
-        return sum;
-    }
-
     /** The share of the other schedulers that is silent. */
     public double silentShare(long now) {
         int heard = 0;
