--- a/review/standin/Trial.java
+++ b/review/standin/Trial.java
@@ -305,11 +305,12 @@
         final String uid;
         final int port;
         private final WorkerBehaviour behaviour;
+        private final ServerSocket listener;
 
         Worker(String uid, WorkerBehaviour behaviour) throws IOException {
             this.uid = uid;
             this.behaviour = behaviour;
-            ServerSocket listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
+            listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
             port = listener.getLocalPort();
             inThread(uid, () -> {
                 while (true) {
@@ -338,6 +339,11 @@
             }
         }
 
+        /** Refuses new connections from now on: the process has ended. */
+        void stopListening() throws IOException {
+            listener.close();
+        }
+
         /** Its entry in discovery's list. */
         String entry(String state) {
             return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + port
