--- a/review/standin/Trial.java
+++ b/review/standin/Trial.java
@@ -33,6 +33,8 @@
     /** The longest start that the pages allow a scheduler. */
     private static final long READY_TIMEOUT_MILLIS = 30_000;
 
+    /** A new version beside the one in service says yes within this time. */
+    private static final long NEW_VERSION_TIMEOUT_MILLIS = 6000;
     private static final int MAX_LOG_LINES = 200;
 
     private final long startNanos = System.nanoTime();
@@ -94,31 +96,90 @@
         private final int peerPort;
         private final Path configFile;
         private final Path log;
+        private final Path ownTemporary;
         private Process process;
+        /** The operators' address of the process started last; 0: none is configured. */
+        private int opsPort;
 
         SchedulerUnderTest() throws IOException {
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                    DatagramSocket freeUdp = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-                port = free.getLocalPort();
+            try (DatagramSocket freeUdp = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
                 peerPort = freeUdp.getLocalPort();
             }
+            port = freePort();
+            ownTemporary = Files.createDirectory(temporaryFolder.resolve("tmp"));
             configFile = temporaryFolder.resolve("config.json");
             log = temporaryFolder.resolve("log.txt");
         }
 
+        private int freePort() throws IOException {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            }
+        }
+
+        /** Gives operators an address; to be called before the configuration is written. */
+        void openToOperators() throws IOException {
+            opsPort = freePort();
+        }
+
         /** Writes the configuration; known: the list that it had last, in discovery's form. */
         void configure(int discoveryPort, String known, String settings) throws IOException {
             String peer = "127.0.0.1:" + peerPort;
             Files.writeString(
                     configFile,
                     "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discoveryPort
-                            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                            + "\"" + (opsPort == 0 ? "" : ",\"ops\":\"127.0.0.1:" + opsPort + "\"")
+                            + ",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                             + "\"peer_listen\":\"" + peer + "\",\"peers\":[\"" + peer + "\"],\"peers_all\":\"" + peer
                             + "\",\"known\":" + known + ",\"settings\":" + settings + "}");
         }
 
         /** Starts it and waits until it says that it is ready. */
         void start() throws IOException {
+            launch();
+            long limit = millis() + READY_TIMEOUT_MILLIS;
+            while (true) {
+                try (ClientConnection client = new ClientConnection(port)) {
+                    if (client.ask("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n", 2000).status == 200) {
+                        break;
+                    }
+                } catch (IOException e) {
+                    // not listening yet
+                }
+                if (millis() > limit || !process.isAlive()) {
+                    throw new IOException("the scheduler was not ready in time");
+                }
+                sleep(20);
+            }
+            say("scheduler is ready");
+        }
+
+        /**
+         * Starts a new version beside the one in service, as the platform does: `run` once more, a new address for operators,
+         * all else the same. Returns the old process once the new one has said yes.
+         */
+        Process startNewVersion() throws IOException {
+            Process old = process;
+            opsPort = freePort();
+            launch();
+            long limit = millis() + NEW_VERSION_TIMEOUT_MILLIS;
+            while (true) {
+                try (ClientConnection operator = new ClientConnection(opsPort)) {
+                    if (operator.ask("GET /v1/readyz HTTP/1.1\r\nHost: ops\r\n\r\n", 1000).status == 200) {
+                        say("the new version says yes");
+                        return old;
+                    }
+                } catch (IOException e) {
+                    // not up yet
+                }
+                if (millis() > limit) {
+                    throw new IOException("the new version did not say yes in time");
+                }
+                sleep(20);
+            }
+        }
+
+        private void launch() throws IOException {
             Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$")
                     .matcher(Files.readString(root.resolve("deploy/balancer.toml")));
             if (!run.find()) {
@@ -128,37 +189,28 @@
                     .directory(root.toFile())
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-            Path ownTemporary = Files.createDirectory(temporaryFolder.resolve("tmp" + processes.size()));
             builder.environment()
                     .putAll(Map.of(
                             "GW_CONFIG", configFile.toString(),
                             "GW_NAME", "n1",
                             "GW_LISTEN", "127.0.0.1:" + port,
                             "TMPDIR", ownTemporary.toString()));
+            if (opsPort != 0) {
+                builder.environment().put("GW_OPS", "127.0.0.1:" + opsPort);
+            }
             process = builder.start();
             processes.add(process);
             say("scheduler started by `run`, clients at 127.0.0.1:" + port);
-            long limit = millis() + READY_TIMEOUT_MILLIS;
-            while (true) {
-                try (ClientConnection client = new ClientConnection(port)) {
-                    if (client.ask("GET /-/ready HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n", 2000).status == 200) {
-                        break;
-                    }
-                } catch (IOException e) {
-                    // not listening yet
-                }
-                if (millis() > limit || !process.isAlive()) {
-                    throw new IOException("the scheduler was not ready in time");
-                }
-                sleep(20);
-            }
-            say("scheduler is ready");
         }
 
         void signal(String name) throws IOException {
+            signal(process, name);
+        }
+
+        void signal(Process target, String name) throws IOException {
             say("SIG" + name + " to the scheduler");
             try {
-                new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+                new ProcessBuilder("kill", "-" + name, String.valueOf(target.pid())).start().waitFor();
             } catch (InterruptedException e) {
                 throw new IOException(e);
             }
