--- a/src/main/java/barrowshore/client/ClientConnections.java
+++ b/src/main/java/barrowshore/client/ClientConnections.java
@@ -1,15 +1,17 @@
 package barrowshore.client;
 
 import barrowshore.config.Config;
-import barrowshore.module.DispatchApi;
+import barrowshore.memory.CountedBytes;
+import barrowshore.memory.GrowableBuffer;
+import barrowshore.memory.MemoryBudget;
+import barrowshore.memory.MemoryReservation;
 import barrowshore.net.Clock;
 import barrowshore.net.ConnectionManager;
+import barrowshore.net.HeadMemory;
 import barrowshore.net.HttpLink;
 import barrowshore.net.Mailbox;
 import barrowshore.request.JobRequest;
 import barrowshore.status.ServiceState;
-import barrowshore.wire.SettingsReader;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
@@ -21,9 +23,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
-import java.util.concurrent.Semaphore;
 import java.util.function.Supplier;
-import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
@@ -44,8 +44,6 @@
 public final class ClientConnections {
     private static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int MAX_REQUEST_HEADER_BYTES = 16 * 1024;
-    /** A request is answered this long before the client's deadline, to leave time for the answer's way back. */
-    private static final long ANSWER_MARGIN_MICROS = 25_000;
     /** For connections on which a job has been answered. */
     private static final long IDLE_TIMEOUT_MILLIS = 120_000;
     /**
@@ -64,22 +62,10 @@
     /** Requests that begin this long or longer after SIGTERM must be answered before the process is killed. */
     private static final long SHUTDOWN_GRACE_MILLIS = 600;
 
-    private static final double MAX_JOB_SLOTS = 64;
-    private static final double MAX_WORK_HINT_MICROS = 1e9;
-    private static final long MAX_TIMEOUT_MILLIS = 3_600_000;
-
-    private static final Pattern REQUEST_ID_PATTERN = Pattern.compile("[0-9A-Za-z._-]{1,64}");
-    private static final Pattern INTEGER = Pattern.compile("[0-9]{1,9}");
-    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,10}(\\.[0-9]{1,9})?");
-    /** The key is forwarded unchanged, so it must not hold anything that a server could read as the end of a line. */
-    private static final Pattern KEY_PATTERN = Pattern.compile("[!-~]([ -~]*[!-~])?");
-
-    private static final Pattern TARGET_PATTERN = Pattern.compile("/[A-Za-z0-9._~:/?\\[\\]@!$&'()*+,;=%-]{0,4095}");
-    /** Headers that decide how a request is handled; a repeated one is ambiguous and rejected. */
-    private static final List<String> SINGLE_VALUE_HEADERS =
-            List.of("X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout-Ms", "X-Attrs", "Idempotency-Key");
-    /** Limit on the request bodies in memory over all connections: a quarter of the heap. */
-    private static final int MAX_BUFFERED_BODY_BYTES = 14 << 20;
+    /** The part of a request's body that the number of connections bounds, so that no budget counts it. */
+    private static final int UNCOUNTED_BODY_BYTES = 4096;
+    /** Where a body's length is not told, its buffer begins with this size. */
+    private static final int INITIAL_BODY_BYTES = 256;
 
     private static final byte[] NO_BYTES = new byte[0];
 
@@ -87,7 +73,8 @@
     private final Executor pool;
     private final Scheduler timers;
     private final JobRequest.RequestHandler requestHandler;
-    private final Semaphore bodyBytePermits = new Semaphore(MAX_BUFFERED_BODY_BYTES);
+    /** For what requests hold: long heads and bodies. */
+    private final MemoryBudget requestMemory;
     /** Replaced as a whole when the configuration changes. */
     private volatile JobRules jobRules;
 
@@ -116,7 +103,8 @@
             Scheduler timers,
             JobRequest.RequestHandler requestHandler,
             Supplier<ServiceState> serviceState,
-            int maxConnections) {
+            int maxConnections,
+            MemoryBudget requestMemory) {
         this.clock = clock;
         this.pool = pool;
         this.timers = timers;
@@ -124,6 +112,7 @@
         this.serviceState = serviceState;
         this.jobRules = JobRules.of(config);
         this.maxConnections = maxConnections;
+        this.requestMemory = requestMemory;
         this.mailbox = new Mailbox("the client connections", pool);
     }
 
@@ -132,15 +121,6 @@
         jobRules = JobRules.of(config);
     }
 
-    /** The part of the configuration that requests are checked against; classes and tenants by number. */
-    private record JobRules(
-            List<String> classes, Set<String> accepted, List<String> tenants, DispatchApi.JobClass[] types) {
-        static JobRules of(Config config) {
-            return new JobRules(
-                    config.classes(), config.acceptedClasses(), config.tenants(), config.settings().classes);
-        }
-    }
-
     public Connection accept(EndPoint endPoint) {
         return new ClientConnection(endPoint);
     }
@@ -238,24 +218,19 @@
         }
     }
 
-    /** An HTTP request that is answered with an error status before it becomes a job request. */
-    private static final class BadRequest extends Exception {
-        private static final long serialVersionUID = 1;
-        final int status;
-
-        BadRequest(int status, String reason) {
-            super(reason, null, false, false);
-            this.status = status;
-        }
-    }
-
     /** One client's connection; an actor that owns its open request. */
     final class ClientConnection extends HttpLink
             implements HttpParser.RequestHandler, ConnectionManager.AcceptedConnection, JobRequest.Client {
         private String method;
         private String target;
         private HttpFields.Mutable headers;
-        private ByteArrayOutputStream body;
+        private GrowableBuffer body;
+        /** What the body holds until the request is submitted, which takes it over. */
+        private MemoryReservation bodyMemory = requestMemory.newReservation(UNCOUNTED_BODY_BYTES);
+
+        private final HeadMemory headMemory = new HeadMemory(requestMemory);
+        /** The result that is being written; else null. */
+        private CountedBytes resultInFlight;
         /** The job request without its body; null: the request is a readiness check. */
         private JobRequest requestHead;
         /** A request is being handled or the connection is closing; nothing more is parsed. */
@@ -282,14 +257,17 @@
         private long capFromMicros = Long.MAX_VALUE;
         private long capMicros = Long.MAX_VALUE;
         private long firstByteMicros;
-        private int bufferedBytes;
         private JobRequest openRequest;
         /** The connection has ended; read from other threads before an attempt is started. */
         private volatile boolean gone;
 
         ClientConnection(EndPoint endPoint) {
             super(endPoint, new Mailbox("a client connection", pool), timers);
-            parser = new HttpParser((HttpParser.RequestHandler) this, MAX_REQUEST_HEADER_BYTES, HttpCompliance.RFC9110);
+            parser = newParser();
+        }
+
+        private HttpParser newParser() {
+            return new HttpParser((HttpParser.RequestHandler) this, MAX_REQUEST_HEADER_BYTES, HttpCompliance.RFC9110);
         }
 
         @Override
@@ -423,14 +401,24 @@
             this.target = target;
             persistent = version == HttpVersion.HTTP_1_1;
             headers = HttpFields.build();
-            body = new ByteArrayOutputStream();
+            requestHead = null;
             firstByteMicros = clock.micros();
         }
 
         @Override
         public void parsedHeader(HttpField field) {
             super.parsedHeader(field);
-            headers.add(field);
+            RequestHeadParser.keepIfRead(field, headers);
+        }
+
+        @Override
+        protected boolean reserveForParsing(int bytes) {
+            boolean inBody = body != null && !parser.isState(HttpParser.State.TRAILER);
+            if (inBody || headMemory.tryAdd(bytes)) {
+                return true;
+            }
+            rejectOverload();
+            return false;
         }
 
         /** Rejects a bad head before its body arrives, so that no body is awaited that would not be used. */
@@ -440,7 +428,10 @@
                 if (headers.getLongField(HttpHeader.CONTENT_LENGTH) > MAX_BODY_BYTES) {
                     throw tooLarge();
                 }
-                requestHead = target.equals("/-/ready") ? null : parseHead();
+                requestHead = target.equals("/-/ready")
+                        ? null
+                        : new RequestHeadParser(jobRules, method, target, headers)
+                                .parse(firstByteMicros, firstByteMicros >= capFromMicros ? capMicros : Long.MAX_VALUE);
             } catch (BadRequest e) {
                 reject(e.status, e.getMessage());
                 return true;
@@ -449,6 +440,14 @@
                 rejectOverload();
                 return true;
             }
+            int length = (int) headers.getLongField(HttpHeader.CONTENT_LENGTH);
+            if (!bodyMemory.fits(length)) {
+                rejectOverload(); // before the body arrives in vain
+                return true;
+            }
+            body = length >= 0
+                    ? new GrowableBuffer(UNCOUNTED_BODY_BYTES, length)
+                    : new GrowableBuffer(INITIAL_BODY_BYTES, MAX_BODY_BYTES);
             if (headers.contains(HttpHeader.EXPECT, "100-continue")) {
                 writingContinue = true;
                 write(
@@ -470,21 +469,23 @@
                 reject(e.status, e.getMessage());
                 return true;
             }
-            if (!bodyBytePermits.tryAcquire(pieceBytes)) {
+            if (!bodyMemory.tryGrowTo(body.capacityFor(pieceBytes))) {
                 // Rejected before many large bodies at once fill the heap.
                 rejectOverload();
                 return true;
             }
-            bufferedBytes += pieceBytes;
-            byte[] copy = new byte[pieceBytes];
-            piece.get(copy);
-            body.writeBytes(copy);
+            body.append(piece, pieceBytes);
             return false;
         }
 
-        private void releaseBufferedBytes() {
-            bodyBytePermits.release(bufferedBytes);
-            bufferedBytes = 0;
+        /** Forgets the request that was being received; what has been submitted is the request handler's. */
+        private void releaseReceived() {
+            method = null;
+            target = null;
+            headers = null;
+            requestHead = null;
+            body = null;
+            bodyMemory.release();
         }
 
         private static BadRequest tooLarge() {
@@ -515,123 +516,22 @@
                 }));
                 return true;
             }
-            openRequest = requestHead.withBody(body.toByteArray());
+            byte[] content = body.toArray();
+            int attributeBytes = requestHead.target().length()
+                    + (requestHead.key() == null ? 0 : requestHead.key().length());
+            MemoryReservation reservation = bodyMemory;
+            bodyMemory = requestMemory.newReservation(UNCOUNTED_BODY_BYTES);
+            if (!reservation.tryGrowTo(content.length + attributeBytes)) {
+                reservation.release();
+                rejectOverload();
+                return true;
+            }
+            openRequest = requestHead.withBody(new CountedBytes(content, attributeBytes, reservation));
+            releaseReceived();
             requestHandler.submit(openRequest, this);
             return true;
         }
 
-        /** Requires a POST with a body to a known path, and no repeated header that decides about the job. */
-        private void checkRequestForm(JobRules rules, String jobClass) throws BadRequest {
-            if (!rules.accepted().contains(jobClass)) {
-                throw new BadRequest(404, "no such path");
-            }
-            if (!method.equals("POST")) {
-                throw new BadRequest(405, "jobs come by POST");
-            }
-            if (!headers.contains(HttpHeader.CONTENT_LENGTH) && !headers.contains(HttpHeader.TRANSFER_ENCODING)) {
-                throw new BadRequest(411, "Content-Length is missing");
-            }
-            for (String name : SINGLE_VALUE_HEADERS) {
-                if (headers.getValuesList(name).size() > 1) {
-                    throw new BadRequest(400, name + " is there twice");
-                }
-            }
-        }
-
-        private JobRequest parseHead() throws BadRequest {
-            if (!TARGET_PATTERN.matcher(target).matches()) {
-                throw new BadRequest(400, "the target cannot be read");
-            }
-            String className = target.substring(1).split("[/?;]", 2)[0];
-            JobRules rules = ClientConnections.this.jobRules;
-            List<String> tenants = rules.tenants();
-            checkRequestForm(rules, className);
-            String requestId = required("X-Request-ID");
-            if (!REQUEST_ID_PATTERN.matcher(requestId).matches()) {
-                throw new BadRequest(400, "X-Request-ID is not a word of at most 64 letters and digits");
-            }
-            if (!required("X-Priority-Class").equals(className)) {
-                throw new BadRequest(400, "X-Priority-Class is not the path's class");
-            }
-            int tenant =
-                    tenants.isEmpty() ? -1 : tenants.indexOf(SettingsReader.normalizeName(required("X-Tenant-Id")));
-            if (tenant < 0 && !tenants.isEmpty()) {
-                throw new BadRequest(400, "X-Tenant-Id is not known");
-            }
-            long timeoutMicros =
-                    1000 * (long) parsePositive("X-Timeout-Ms", required("X-Timeout-Ms"), INTEGER, MAX_TIMEOUT_MILLIS);
-            double slots = 1;
-            double workHintMicros = parseWorkHint();
-            String attrs = headers.get("X-Attrs");
-            for (String pair : attrs == null || attrs.isBlank() ? new String[0] : attrs.split(",")) {
-                int separator = pair.indexOf('=');
-                if (separator < 0) {
-                    throw new BadRequest(400, "X-Attrs is not name=value,name=value");
-                }
-                String value = pair.substring(separator + 1).strip();
-                switch (pair.substring(0, separator).strip()) {
-                    case "slots" -> slots = parsePositive("X-Attrs slots", value, DECIMAL, MAX_JOB_SLOTS);
-                    case "hint" -> workHintMicros = parsePositive("X-Attrs hint", value, DECIMAL, MAX_WORK_HINT_MICROS);
-                    default -> {}
-                }
-            }
-            long deadlineMicros = firstByteMicros + timeoutMicros - Math.min(ANSWER_MARGIN_MICROS, timeoutMicros / 4);
-            int jobClass = rules.classes().indexOf(className);
-            DispatchApi.RepeatSafety repeatSafety = rules.types()[jobClass].safety();
-            // Without the key, servers could not recognize repeats of a keyed job.
-            String key = repeatSafety == DispatchApi.RepeatSafety.KEYED
-                    ? required("Idempotency-Key")
-                    : headers.get("Idempotency-Key");
-            if (key != null && !KEY_PATTERN.matcher(key).matches()) {
-                throw new BadRequest(400, "Idempotency-Key is not plain text");
-            }
-            return new JobRequest(
-                    requestId,
-                    jobClass,
-                    tenant,
-                    slots,
-                    workHintMicros,
-                    firstByteMicros >= capFromMicros ? Math.min(deadlineMicros, capMicros) : deadlineMicros,
-                    switch (repeatSafety) {
-                        case SAFE -> JobRequest.NO_REPEAT_LIMIT;
-                        case KEYED -> rules.types()[jobClass].repeatWindowMicros();
-                        case UNSAFE -> 0;
-                    },
-                    method,
-                    target,
-                    key,
-                    NO_BYTES);
-        }
-
-        /** The client's estimate of the work, in microseconds; 0 if missing or unreadable, since it is optional. */
-        private double parseWorkHint() {
-            List<String> values = headers.getValuesList("X-Cost");
-            double value =
-                    values.size() == 1 && DECIMAL.matcher(values.get(0).strip()).matches()
-                            ? Double.parseDouble(values.get(0).strip())
-                            : 0;
-            return value <= MAX_WORK_HINT_MICROS ? value : 0;
-        }
-
-        private String required(String name) throws BadRequest {
-            String value = headers.get(name);
-            if (value == null || value.isBlank()) {
-                throw new BadRequest(400, name + " is missing");
-            }
-            return value;
-        }
-
-        /** Parses plain digits only; other forms that Java's parser takes, such as NaN or 1e9, are rejected. */
-        private static double parsePositive(String name, String text, Pattern pattern, double max) throws BadRequest {
-            if (pattern.matcher(text).matches()) {
-                double value = Double.parseDouble(text);
-                if (value > 0 && value <= max) {
-                    return value;
-                }
-            }
-            throw new BadRequest(400, name + " is not a positive number" + (pattern == DECIMAL ? " in range" : ""));
-        }
-
         @Override
         public void answer(JobRequest.Answer answer) {
             mailbox.post(() -> sendAnswer(answer));
@@ -654,10 +554,16 @@
             openRequest = null;
             jobAnswered |= !(answer instanceof JobRequest.IdInUse);
             if (answer instanceof JobRequest.Served served) {
+                if (isClosed()) {
+                    served.result().release();
+                    return;
+                }
+                resultInFlight = served.result();
+                resultInFlight.setReclaimer(() -> mailbox.post(this::closeUnreadAnswer));
                 respond(
                         200,
                         HttpFields.build().add(HttpHeader.CONTENT_TYPE, "application/octet-stream"),
-                        served.result());
+                        resultInFlight.get());
             } else if (answer instanceof JobRequest.Rejection rejection) {
                 HttpFields.Mutable extra = HttpFields.build();
                 if (rejection.retryAfterMicros() > 0) {
@@ -691,7 +597,7 @@
         }
 
         private void respond(int status, HttpFields.Mutable extraHeaders, byte[] content) {
-            releaseBufferedBytes();
+            releaseReceived();
             if (isClosed()) {
                 return;
             }
@@ -718,17 +624,50 @@
                 return;
             }
             writingAnswer = false;
+            releaseResult();
             if (closeAfterAnswer || isFlooded()) {
                 linger();
                 return;
             }
             busy = false;
-            parser.reset();
+            resetParser();
             setTimeLimit(jobAnswered ? IDLE_TIMEOUT_MILLIS : REQUEST_TIMEOUT_MILLIS);
             setEvictionGroup(this, jobAnswered ? idle : unanswered);
             read();
         }
 
+        /** Others wait for the memory of a result that this client has not taken. */
+        private void closeUnreadAnswer() {
+            if (resultInFlight != null) {
+                closeNow();
+            }
+        }
+
+        private void releaseResult() {
+            if (resultInFlight != null) {
+                resultInFlight.release();
+                resultInFlight = null;
+            }
+        }
+
+        /** After a long head the parser is replaced, since it keeps its buffers at the size that they have reached. */
+        private void resetParser() {
+            if (headMemory.isLong()) {
+                parser = newParser();
+            } else {
+                parser.reset();
+            }
+            headMemory.release();
+        }
+
+        /** The body cannot be parsed, such as in a chunk of no valid size. */
+        @Override
+        public void earlyEOF() {
+            if (!isEndOfStream() && !busy && !isClosed()) {
+                reject(400, "the body cannot be read");
+            }
+        }
+
         @Override
         public void badMessage(HttpException failure) {
             if (!busy && !isClosed()) {
@@ -740,7 +679,9 @@
         protected void onClosed(Throwable cause) {
             gone = true;
             removeConnection(this);
-            releaseBufferedBytes();
+            releaseReceived();
+            headMemory.release();
+            releaseResult();
             if (openRequest != null) {
                 requestHandler.clientGone(openRequest);
                 openRequest = null;
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -22,7 +22,7 @@
  * reads at most one buffer ahead.
  */
 public abstract class HttpLink extends AbstractConnection implements HttpParser.HttpHandler {
-    private static final int READ_BUFFER_BYTES = 4096;
+    static final int READ_BUFFER_BYTES = 4096;
     private static final int INITIAL_HEADER_BUFFER_BYTES = 2048;
     /** Longest accepted head of a request or a response. */
     protected static final int MAX_HEADER_BYTES = 16384;
@@ -35,6 +35,8 @@
     private static final int FLOOD_READ_BYTES = 64 * 1024;
 
     private static final long FLOOD_PAUSE_MILLIS = 10;
+    /** Time until the next try to parse after {@link #reserveForParsing} has refused. */
+    protected static final long MEMORY_RETRY_MILLIS = 10;
 
     protected final Mailbox mailbox;
     private final Scheduler timers;
@@ -57,6 +59,11 @@
     private boolean flooded;
 
     private int discardedBytes;
+    /** Whether reading goes on when a timer fires, after {@link #reserveForParsing} has refused. */
+    private boolean waitingForMemory;
+
+    /** Whether the peer has ended its stream, so that a message which is not whole never will be. */
+    private boolean endOfStream;
 
     protected HttpLink(EndPoint endPoint, Mailbox mailbox, Scheduler timers) {
         super(endPoint, Runnable::run);
@@ -114,47 +121,92 @@
     /** Reads and parses until no bytes are left or {@link #isParsingEnabled} stops it. */
     protected void read() {
         try {
-            while (!closed) {
-                if (!discarding && !flooded && BufferUtil.space(readBuffer) == 0 && !isParsingEnabled()) {
-                    flooded = discardsOverflow();
-                }
-                if (discarding || flooded) {
-                    discardedBytes += readBuffer.remaining();
-                    BufferUtil.clear(readBuffer);
-                    if (discardedBytes > MAX_DISCARDED_BYTES + FLOOD_READ_BYTES) {
-                        discardedBytes = MAX_DISCARDED_BYTES;
-                        timers.schedule(() -> mailbox.post(this::read), FLOOD_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
-                        return;
-                    }
-                }
-                boolean parse = !discarding && !flooded && isParsingEnabled();
-                if (parse && BufferUtil.hasContent(readBuffer)) {
-                    parser.parseNext(readBuffer);
-                    continue;
-                }
-                int filled = getEndPoint().fill(readBuffer);
-                if (filled < 0) {
-                    if (parse) {
-                        parser.atEOF();
-                        parser.parseNext(BufferUtil.EMPTY_BUFFER);
-                    }
-                    end(null);
-                } else if (filled == 0) {
-                    // With a full buffer and nobody to take it, stop reading: TCP flow control makes the peer wait.
-                    if ((BufferUtil.space(readBuffer) > 0 || parse) && !isFillInterested()) {
-                        fillInterested(Callback.from(
-                                Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onFillInterestedFailed));
-                    }
-                    return;
-                }
+            boolean goOn = true;
+            while (goOn && !closed) {
+                goOn = discardUnwanted() && (canParse() && BufferUtil.hasContent(readBuffer) ? parse() : fill());
             }
-        } catch (IOException | RuntimeException | AssertionError e) {
+        } catch (IOException | RuntimeException | AssertionError | OutOfMemoryError e) {
             // Whatever a peer sends may cost at most its own connection. With assertions enabled, the parser throws an
             // AssertionError on an error within a response with status 200.
             end(e);
         }
     }
 
+    private boolean canParse() {
+        return !discarding && !flooded && isParsingEnabled();
+    }
+
+    /** Discards what nobody wants any more; false: so much that reading pauses. */
+    private boolean discardUnwanted() {
+        if (!discarding && !flooded && BufferUtil.space(readBuffer) == 0 && !isParsingEnabled()) {
+            flooded = discardsOverflow();
+        }
+        if (discarding || flooded) {
+            discardedBytes += readBuffer.remaining();
+            BufferUtil.clear(readBuffer);
+            if (discardedBytes > MAX_DISCARDED_BYTES + FLOOD_READ_BYTES) {
+                discardedBytes = MAX_DISCARDED_BYTES;
+                timers.schedule(() -> mailbox.post(this::read), FLOOD_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Parses what is in the buffer; false: it has to wait for memory. */
+    private boolean parse() {
+        if (reserveForParsing(readBuffer.remaining())) {
+            parser.parseNext(readBuffer);
+        } else if (!closed && isParsingEnabled()) {
+            retryReadLater();
+            return false;
+        }
+        return true;
+    }
+
+    /** Fills the buffer from the socket; false: there was nothing to read. */
+    private boolean fill() throws IOException {
+        boolean parse = canParse();
+        int filled = getEndPoint().fill(readBuffer);
+        if (filled < 0) {
+            endOfStream = true;
+            if (parse) {
+                parser.atEOF();
+                parser.parseNext(BufferUtil.EMPTY_BUFFER);
+            }
+            end(null);
+        } else if (filled == 0) {
+            // With a full buffer and nobody to take it, stop reading: TCP flow control makes the peer wait.
+            if ((BufferUtil.space(readBuffer) > 0 || parse) && !isFillInterested()) {
+                fillInterested(Callback.from(
+                        Invocable.InvocationType.NON_BLOCKING, this::onFillable, this::onFillInterestedFailed));
+            }
+            return false;
+        }
+        return true;
+    }
+
+    /**
+     * Reserves memory for what parsing so many bytes may make this connection keep. False: not now; unless the subclass has
+     * stopped parsing, it is tried again after {@link #MEMORY_RETRY_MILLIS}, and meanwhile nothing more is read.
+     */
+    protected boolean reserveForParsing(int bytes) {
+        return true;
+    }
+
+    private void retryReadLater() {
+        if (!waitingForMemory) {
+            waitingForMemory = true;
+            timers.schedule(
+                    () -> mailbox.post(() -> {
+                        waitingForMemory = false;
+                        read();
+                    }),
+                    MEMORY_RETRY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Whether bytes go to the parser now; if not, one buffer of them is kept, and the end of the stream is noticed. */
     protected boolean isParsingEnabled() {
         return true;
@@ -294,6 +346,19 @@
         }
     }
 
+    /**
+     * The message cannot be parsed to its end: the stream has ended within it, or it is invalid behind its head. The parser
+     * reports an exception of this class's methods in the same way, and as such only where assertions are enabled.
+     */
     @Override
-    public void earlyEOF() {}
+    public void earlyEOF() {
+        if (!endOfStream) {
+            end(new IOException("the rest of a message is invalid"));
+        }
+    }
+
+    /** Whether the peer has ended its stream. */
+    protected boolean isEndOfStream() {
+        return endOfStream;
+    }
 }
--- a/src/main/java/barrowshore/net/LineBuffer.java
+++ b/src/main/java/barrowshore/net/LineBuffer.java
@@ -1,8 +1,8 @@
 package barrowshore.net;
 
+import barrowshore.memory.GrowableBuffer;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.function.Consumer;
 
 /**
@@ -10,36 +10,49 @@
  * on complete lines only.
  */
 public final class LineBuffer {
+    private static final int INITIAL_BYTES = 256;
+
     private final int maxLineBytes;
-    private byte[] buffer = new byte[256];
-    private int length;
+    private final GrowableBuffer line;
 
     public LineBuffer(int maxLineBytes) {
         this.maxLineBytes = maxLineBytes;
+        this.line = new GrowableBuffer(INITIAL_BYTES, maxLineBytes);
+    }
+
+    /** The size of the buffer's array once so many bytes more have been added without the end of the line. */
+    public int capacityFor(int additionalBytes) {
+        return line.capacityFor(additionalBytes);
     }
 
     /** Adds bytes and passes each completed line, without its terminator, to the consumer. */
     public void add(ByteBuffer bytes, Consumer<String> consumer) {
         while (bytes.hasRemaining()) {
-            byte b = bytes.get();
-            if (b == '\n') {
+            int count = bytesBeforeTerminator(bytes);
+            boolean terminated = count < bytes.remaining();
+            if (!line.append(bytes, count)) {
+                throw new IllegalStateException("line exceeds " + maxLineBytes + " bytes");
+            }
+            if (terminated) {
+                bytes.get();
                 end(consumer);
-            } else {
-                if (length == maxLineBytes) {
-                    throw new IllegalStateException("line exceeds " + maxLineBytes + " bytes");
-                }
-                if (length == buffer.length) {
-                    buffer = Arrays.copyOf(buffer, Math.min(maxLineBytes, 2 * length));
-                }
-                buffer[length++] = b;
             }
         }
     }
 
+    private static int bytesBeforeTerminator(ByteBuffer bytes) {
+        int start = bytes.position();
+        int end = start;
+        while (end < bytes.limit() && bytes.get(end) != '\n') {
+            end++;
+        }
+        return end - start;
+    }
+
     /** Passes on the buffered bytes as a line; for a message that ends without a line terminator. */
     public void end(Consumer<String> consumer) {
-        String line = new String(buffer, 0, length, StandardCharsets.UTF_8);
-        length = 0;
-        consumer.accept(line);
+        String text = new String(line.array(), 0, line.size(), StandardCharsets.UTF_8);
+        line.clear();
+        consumer.accept(text);
     }
 }
--- a/src/main/java/barrowshore/net/Mailbox.java
+++ b/src/main/java/barrowshore/net/Mailbox.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * The mailbox of an actor: runs messages posted by any thread one at a time and in order, so that only one thread
@@ -19,7 +19,8 @@
     private final String name;
     private final Executor pool;
     private final ConcurrentLinkedQueue<Runnable> messages = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger pendingCount = new AtomicInteger();
+    /** Whether a run is queued or under way. */
+    private final AtomicBoolean scheduled = new AtomicBoolean();
 
     public Mailbox(String name, Executor pool) {
         this.name = name;
@@ -28,37 +29,49 @@
 
     public void post(Runnable message) {
         messages.add(message);
-        if (pendingCount.getAndIncrement() == 0) {
-            submitRun();
-        }
+        scheduleRun();
     }
 
-    /** The pool rejects only after its shutdown, when the whole scheduler has stopped and the message can be dropped. */
-    private void submitRun() {
-        try {
-            pool.execute(this);
-        } catch (RejectedExecutionException e) {
-            LOG.log(Level.DEBUG, "mailbox of " + name + ": message dropped, the pool has been shut down", e);
+    private void scheduleRun() {
+        if (scheduled.compareAndSet(false, true)) {
+            boolean submitted = false;
+            try {
+                pool.execute(this);
+                submitted = true;
+            } catch (RejectedExecutionException e) {
+                // The pool rejects only after its shutdown, when the whole scheduler has stopped.
+                LOG.log(Level.DEBUG, "mailbox of " + name + ": message dropped, the pool has been shut down", e);
+            } finally {
+                if (!submitted) {
+                    scheduled.set(false); // after an error such as lack of memory, the next message tries again
+                }
+            }
         }
     }
 
     @Override
     public void run() {
-        int processed = 0;
-        while (processed < MAX_MESSAGES_PER_RUN) {
+        try {
+            processMessages();
+        } finally {
+            scheduled.set(false);
+            if (!messages.isEmpty()) {
+                scheduleRun();
+            }
+        }
+    }
+
+    private void processMessages() {
+        for (int processed = 0; processed < MAX_MESSAGES_PER_RUN; processed++) {
             Runnable message = messages.poll();
             if (message == null) {
-                break;
+                return;
             }
-            processed++;
             try {
                 message.run();
             } catch (Throwable e) { // a failing message must not block the mailbox
                 LOG.log(Level.ERROR, "mailbox of " + name + ": message failed; continuing with the next", e);
             }
         }
-        if (pendingCount.addAndGet(-processed) > 0) {
-            submitRun();
-        }
     }
 }
--- a/src/main/java/barrowshore/node/JobScheduler.java
+++ b/src/main/java/barrowshore/node/JobScheduler.java
@@ -5,6 +5,7 @@
 import barrowshore.config.ConfigException;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
+import barrowshore.memory.MemoryBudget;
 import barrowshore.module.DispatchApi;
 import barrowshore.module.Dispatcher;
 import barrowshore.net.Clock;
@@ -64,6 +65,11 @@
     /** Share of the clients' descriptors up to which no idle connection is closed. */
     private static final double CLIENT_CONNECTION_SHARE = 0.9;
 
+    /** The part of the heap for what requests hold, and for what answers hold until their clients have them. */
+    private static final int REQUEST_MEMORY_DIVISOR = 6, ANSWER_MEMORY_DIVISOR = 8;
+    /** The most of what is free that one request, or one answer, may hold. */
+    private static final int REQUEST_THRESHOLD_DIVISOR = 16, ANSWER_THRESHOLD_DIVISOR = 4;
+
     private static final int LISTEN_BACKLOG = 512;
     /** After SIGTERM or a drain order, the last new connections come within this time. Idle ones are closed this often. */
     private static final long SETTLE_MILLIS = 500;
@@ -108,6 +114,11 @@
 
     private final int clientDescriptors;
     private boolean limitsShared;
+    private final long heapBytes = Runtime.getRuntime().maxMemory();
+    private final MemoryBudget requestMemory =
+            new MemoryBudget(heapBytes / REQUEST_MEMORY_DIVISOR, REQUEST_THRESHOLD_DIVISOR);
+    private final MemoryBudget answerMemory =
+            new MemoryBudget(heapBytes / ANSWER_MEMORY_DIVISOR, ANSWER_THRESHOLD_DIVISOR);
     /** Null: no operators' address is configured. */
     private final OpsServer opsServer;
     /** Set by orders from operators and by SIGTERM, read by the clients' connections. */
@@ -154,12 +165,18 @@
                 timers,
                 config.classes(),
                 config.settings().maxAttempts,
-                uid -> new Server(
-                        uid, pool, this.connectionManager, timers, config.keepAliveMicros(), serverDescriptors / 2),
+                this::newServer,
                 this::broadcastToPeers,
                 newModule);
         clients = new ClientConnections(
-                config, clock, pool, timers, module, serviceState::get, maxClientConnections(clientDescriptors));
+                config,
+                clock,
+                pool,
+                timers,
+                module,
+                serviceState::get,
+                maxClientConnections(clientDescriptors),
+                requestMemory);
         serverList = schedulerConfig.operatorSettings().serversFile() == null
                 ? null
                 : new ServerListActor(
@@ -186,6 +203,18 @@
         module.start();
         discovery.open();
         upgrade = upgradeSocket == null ? null : new UpgradeCoordinator(upgradeSocket, pool, new UpgradeHost());
+        beginToListen();
+        if (config.ops() == null) {
+            opsServer = null;
+        } else {
+            module.startPublishing();
+            opsServer = new OpsServer(openListener(config.ops(), "ops", false), timers, new OpsControl());
+        }
+        logStart(schedulerConfig);
+    }
+
+    /** Accepts clients now; beside a predecessor, only once they can be served. */
+    private void beginToListen() throws IOException {
         if (upgrade != null && upgrade.hasPredecessor()) {
             shareLimits(true);
             if (peers != null) {
@@ -198,13 +227,11 @@
         if (upgrade != null) {
             upgrade.start();
         }
-        if (config.ops() == null) {
-            opsServer = null;
-        } else {
-            module.startPublishing();
-            opsServer = new OpsServer(openListener(config.ops(), "ops", false), timers, new OpsControl());
-        }
-        logStart(schedulerConfig);
+    }
+
+    private Server newServer(String uid) {
+        return new Server(
+                uid, pool, connectionManager, timers, config.keepAliveMicros(), serverDescriptors / 2, answerMemory);
     }
 
     private void logStart(SchedulerConfig schedulerConfig) {
@@ -263,13 +290,19 @@
         return (int) (descriptors * CLIENT_CONNECTION_SHARE);
     }
 
-    /** Sets whether two processes share the scheduler's limits; each then keeps two fifths of the descriptors. */
+    /**
+     * Sets whether two processes share the scheduler's limits; each then keeps two fifths of the descriptors and half of
+     * the memory for requests and answers.
+     */
     private void shareLimits(boolean twoProcesses) {
         if (twoProcesses != limitsShared) {
             limitsShared = twoProcesses;
             int sign = twoProcesses ? -1 : 1,
                     serverCut = serverDescriptors - serverDescriptors * 2 / 5,
                     clientCut = clientDescriptors - clientDescriptors * 2 / 5;
+            int memoryShares = twoProcesses ? 2 : 1;
+            requestMemory.setCapacity(heapBytes / REQUEST_MEMORY_DIVISOR / memoryShares);
+            answerMemory.setCapacity(heapBytes / ANSWER_MEMORY_DIVISOR / memoryShares);
             connectionManager.addPermits(sign * serverCut, sign * clientCut);
             clients.setMaxConnections(
                     maxClientConnections(twoProcesses ? clientDescriptors - clientCut : clientDescriptors));
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -2,6 +2,7 @@
 
 import barrowshore.halls.HallRules;
 import barrowshore.list.ServerList;
+import barrowshore.memory.CountedBytes;
 import barrowshore.module.DispatchApi;
 import barrowshore.module.DispatchApi.ListKind;
 import barrowshore.module.DispatchApi.Load;
@@ -26,6 +27,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -127,6 +129,12 @@
         volatile boolean ended;
 
         boolean neverRan;
+        /** Owned by the server's actor. */
+        private boolean startPosted;
+        /** Written by the server's actor. */
+        private volatile double latestShare;
+        /** Whether a message about progress waits in the mailbox. */
+        private final AtomicBoolean progressPosted = new AtomicBoolean();
 
         Attempt(OpenRequest openRequest, int number, Server server, long sentMicros) {
             this.openRequest = openRequest;
@@ -173,18 +181,31 @@
             });
         }
 
+        /** Only the latest progress is kept, so that a server that reports it often cannot fill the mailbox. */
         @Override
         public void noteReceived(Note note, double share) {
-            mailbox.post(() -> {
-                if (!ended) {
-                    callModule(
-                            openRequest, () -> module.note(nowMicros(), openRequest.request.id(), number, note, share));
+            if (note == Note.PROGRESS) {
+                latestShare = share;
+                if (!progressPosted.getAndSet(true)) {
+                    mailbox.post(() -> {
+                        progressPosted.set(false);
+                        passOnNote(note, latestShare);
+                    });
                 }
-            });
+            } else if (!startPosted) {
+                startPosted = true;
+                mailbox.post(() -> passOnNote(note, share));
+            }
+        }
+
+        private void passOnNote(Note note, double share) {
+            if (!ended) {
+                callModule(openRequest, () -> module.note(nowMicros(), openRequest.request.id(), number, note, share));
+            }
         }
 
         @Override
-        public void ended(Status status, Load load, byte[] result) {
+        public void ended(Status status, Load load, CountedBytes result) {
             mailbox.post(() -> finishAttempt(this, status, load, result));
         }
     }
@@ -351,6 +372,8 @@
     public void submit(JobRequest request, JobRequest.Client client) {
         mailbox.post(() -> {
             if (requests.containsKey(request.id()) || servedIds.contains(request.id())) {
+                request.body().release();
+                request.body().forget();
                 client.answer(new JobRequest.IdInUse("the id is in use"));
                 return;
             }
@@ -456,8 +479,9 @@
         }
     }
 
-    private void finishAttempt(Attempt attempt, Status status, Load load, byte[] result) {
+    private void finishAttempt(Attempt attempt, Status status, Load load, CountedBytes result) {
         if (attempt.ended) {
+            releaseResult(result);
             return;
         }
         attempt.ended = true;
@@ -476,6 +500,8 @@
             if (servedIds.size() > MAX_SERVED_IDS) {
                 servedIds.remove(servedIds.iterator().next());
             }
+        } else {
+            releaseResult(result);
         }
         long now = nowMicros();
         boolean answeredBefore = openRequest.answered;
@@ -492,6 +518,12 @@
         forgetIfFinished(openRequest);
     }
 
+    private static void releaseResult(CountedBytes result) {
+        if (result != null) {
+            result.release();
+        }
+    }
+
     /** Calls the module; an exception fails at most the request that the call was about. */
     private void callModule(OpenRequest openRequest, Runnable call) {
         try {
@@ -515,6 +547,7 @@
                 .filter(attempt -> !attempt.ended && attempt.server != null)
                 .forEach(attempt -> attempt.server.cancelIfUnsent(attempt));
         openRequestCount--;
+        openRequest.request.body().release(); // a write under way holds it for itself
         openRequest.deadlineTimer.cancel();
         publish();
     }
@@ -535,7 +568,9 @@
 
     private void forgetIfFinished(OpenRequest openRequest) {
         if (openRequest.answered && openRequest.pendingAttempts == 0) {
-            requests.remove(openRequest.request.id(), openRequest);
+            if (requests.remove(openRequest.request.id(), openRequest)) {
+                openRequest.request.body().forget();
+            }
             notifyIfIdle();
         }
     }
--- a/src/main/java/barrowshore/request/JobRequest.java
+++ b/src/main/java/barrowshore/request/JobRequest.java
@@ -1,5 +1,6 @@
 package barrowshore.request;
 
+import barrowshore.memory.CountedBytes;
 import java.util.function.Consumer;
 
 /**
@@ -9,6 +10,7 @@
  * @param repeatWindowMicros for how long after an attempt that may have run the request may be sent again, because
  *     repeats are harmless or servers drop them; {@link #NO_REPEAT_LIMIT} for ever, 0 not at all
  * @param key the key by which servers recognize repeats, or null
+ * @param body released by the {@link RequestHandler} once the request has its answer, so that senders must retain it
  */
 public record JobRequest(
         String id,
@@ -21,7 +23,7 @@
         String method,
         String target,
         String key,
-        byte[] body) {
+        CountedBytes body) {
     /** Value of {@code repeatWindowMicros} for requests whose repeats are always harmless. */
     public static final long NO_REPEAT_LIMIT = Long.MAX_VALUE;
 
@@ -31,7 +33,7 @@
     }
 
     /** Returns a copy of this request with the given body. */
-    public JobRequest withBody(byte[] newBody) {
+    public JobRequest withBody(CountedBytes newBody) {
         return new JobRequest(
                 id,
                 jobClass,
@@ -49,8 +51,8 @@
     /** The final answer to a request. */
     public sealed interface Answer permits Served, Rejection, Failed, IdInUse {}
 
-    /** The job ran; carries the server's result. */
-    public record Served(byte[] result) implements Answer {}
+    /** The job ran; carries the server's result, which the client releases. */
+    public record Served(CountedBytes result) implements Answer {}
 
     /** No result; submitting the request again after the given time is harmless. */
     public record Rejection(long retryAfterMicros) implements Answer {}
--- a/src/main/java/barrowshore/servers/Server.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -1,10 +1,14 @@
 package barrowshore.servers;
 
 import barrowshore.list.ServerList;
+import barrowshore.memory.CountedBytes;
+import barrowshore.memory.MemoryBudget;
+import barrowshore.memory.MemoryReservation;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Status;
 import barrowshore.net.ConnectionManager;
+import barrowshore.net.HeadMemory;
 import barrowshore.net.HttpLink;
 import barrowshore.net.LineBuffer;
 import barrowshore.net.Mailbox;
@@ -20,6 +24,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -55,6 +60,13 @@
     /** Room for a result of 64 KiB with every byte escaped, plus the JSON fields around it. */
     private static final int MAX_LINE_BYTES = 400 * 1024;
 
+    /** Room for a load report, the only body of an answer without a result that is read. */
+    private static final int MAX_LOAD_REPORT_BYTES = 4096;
+    /** The part of an answer's line that the number of connections bounds, so that no budget counts it. */
+    private static final int UNCOUNTED_LINE_BYTES = 4096;
+    /** How often an answer tries to get memory before another one has to give it up. */
+    private static final int MAX_MEMORY_RETRIES = 50;
+
     /** Upper bound of a plausible load value: more requests or free slots than any machine has. */
     private static final double MAX_LOAD_VALUE = 1e5;
 
@@ -79,7 +91,8 @@
 
         void noteReceived(Note note, double share);
 
-        void ended(Status status, Load load, byte[] result);
+        /** result: null unless the status is {@link Status#OK}; the attempt becomes its holder. */
+        void ended(Status status, Load load, CountedBytes result);
     }
 
     /** Receives the outcome of a probe, once. */
@@ -93,6 +106,7 @@
     private final Mailbox mailbox;
     private final long idleTimeoutMillis;
     private final int maxConnections;
+    private final MemoryBudget answerMemory;
     private final ArrayDeque<ServerConnection> idleConnections = new ArrayDeque<>();
     private final Set<ServerConnection> connections = new HashSet<>();
     private final Map<Attempt, Exchange> exchangesByAttempt = new HashMap<>();
@@ -107,8 +121,10 @@
             ConnectionManager connectionManager,
             Scheduler timers,
             long keepAliveMicros,
-            int maxConnections) {
+            int maxConnections,
+            MemoryBudget answerMemory) {
         this.uid = uid;
+        this.answerMemory = answerMemory;
         this.connectionManager = connectionManager;
         this.timers = timers;
         this.maxConnections = maxConnections;
@@ -258,8 +274,11 @@
             return probe != null || attempt.request().repeatable();
         }
 
-        void end(Status status, Load load, byte[] result) {
+        void end(Status status, Load load, CountedBytes result) {
             if (ended) {
+                if (result != null) {
+                    result.release();
+                }
                 return;
             }
             ended = true;
@@ -296,6 +315,14 @@
 
         private LineBuffer lineBuffer;
         private StringBuilder answerBody;
+        /** What the unfinished line holds; passed on with the result. */
+        private MemoryReservation lineMemory = newLineMemory();
+
+        private final HeadMemory headMemory = new HeadMemory(answerMemory);
+        private int memoryRetries;
+        /** The body that is being written, which this connection holds until then; else null. */
+        private final AtomicReference<CountedBytes> bodyInFlight = new AtomicReference<>();
+
         private boolean retired;
         /** Whether an earlier exchange used this connection: then an answer may be a late one to that. */
         private boolean usedBefore;
@@ -308,7 +335,21 @@
         ServerConnection(EndPoint endPoint, Exchange first) {
             super(endPoint, Server.this.mailbox, timers);
             this.exchange = first;
-            parser = new HttpParser((HttpParser.ResponseHandler) this, MAX_HEADER_BYTES);
+            parser = newParser();
+        }
+
+        private HttpParser newParser() {
+            return new HttpParser((HttpParser.ResponseHandler) this, MAX_HEADER_BYTES);
+        }
+
+        /** After a long head the parser is replaced, since it keeps its buffers at the size that they have reached. */
+        private void resetParser() {
+            if (headMemory.isLong()) {
+                parser = newParser();
+            } else {
+                parser.reset();
+            }
+            headMemory.release();
         }
 
         @Override
@@ -356,7 +397,14 @@
             return state == ServerList.State.READY && (next.attempt == null || next.attempt.maySend());
         }
 
+        private MemoryReservation newLineMemory() {
+            return answerMemory.newReservation(UNCOUNTED_LINE_BYTES);
+        }
+
         private void returnToPool() {
+            lineBuffer = null;
+            answerBody = null;
+            lineMemory.release();
             if (retired || state != ServerList.State.READY || hasUnread()) {
                 closeNow();
                 return;
@@ -392,6 +440,16 @@
                 return;
             }
             JobRequest request = attempt.request();
+            byte[] body = request.body().retain();
+            if (body == null) {
+                // The request has been answered since the last check.
+                exchange = null;
+                next.connection = null;
+                next.end(Status.NOT_SENT, null, null);
+                returnToPool();
+                return;
+            }
+            bodyInFlight.set(request.body());
             fields.add("X-Request-ID", request.id());
             fields.add("X-Timeout-Ms", String.valueOf(Math.max(1, attempt.timeLeftMicros() / 1000)));
             if (request.key() != null) {
@@ -403,20 +461,58 @@
                             HttpURI.from(request.target()),
                             HttpVersion.HTTP_1_1,
                             fields,
-                            request.body().length),
-                    request.body(),
+                            body.length),
+                    body,
                     () -> {
                         next.fullyWritten = true;
+                        releaseBody();
                         attempt.requestWritten();
                     });
             next.writePending = !next.fullyWritten && !hasWriteFailed();
         }
 
+        private void releaseBody() {
+            CountedBytes body = bodyInFlight.getAndSet(null);
+            if (body != null) {
+                body.release();
+            }
+        }
+
         @Override
         protected boolean isParsingEnabled() {
             return exchange != null;
         }
 
+        /** Waits for memory rather than fail: what others hold is given back as their clients get their answers. */
+        @Override
+        protected boolean reserveForParsing(int bytes) {
+            if (tryReserve(bytes)) {
+                memoryRetries = 0;
+                return true;
+            }
+            memoryRetries++;
+            if (memoryRetries % MAX_MEMORY_RETRIES == 0) {
+                answerMemory.reclaimOldest();
+            }
+            return false;
+        }
+
+        private boolean tryReserve(int bytes) {
+            if (answerBody == null && lineBuffer == null || parser.isState(HttpParser.State.TRAILER)) {
+                return headMemory.tryAdd(bytes);
+            }
+            if (lineBuffer == null || exchange.ended) {
+                return true;
+            }
+            int capacity = lineBuffer.capacityFor(bytes);
+            lineMemory.shrinkTo(capacity);
+            if (!lineMemory.tryGrowTo(capacity)) {
+                return false;
+            }
+            lineMemory.setReclaimer(() -> mailbox.post(this::closeNow));
+            return true;
+        }
+
         @Override
         protected void read() {
             if (exchange == null && !isClosed() && isBrokenWhileIdle()) {
@@ -478,8 +574,10 @@
                         "answer exceeds " + MAX_ANSWER_BYTES + " bytes; closing the connection");
             }
             if (lineBuffer != null) {
-                lineBuffer.add(bytes, this::handleLine);
-            } else if (answerBody.length() < MAX_LINE_BYTES) {
+                if (!exchange.ended) {
+                    lineBuffer.add(bytes, this::handleLine);
+                }
+            } else if (exchange.probe != null && answerBody.length() + bytes.remaining() <= MAX_LOAD_REPORT_BYTES) {
                 answerBody.append(StandardCharsets.UTF_8.decode(bytes));
             }
             return false;
@@ -507,7 +605,7 @@
                 case "done" -> endExchange(
                         Status.OK,
                         reportedLoad,
-                        String.valueOf(map.get("result")).getBytes(StandardCharsets.UTF_8));
+                        countResult(String.valueOf(map.get("result")).getBytes(StandardCharsets.UTF_8)));
                 case "failed" -> endExchange(Status.ERROR, reportedLoad, null);
                 case "returned" -> endExchange(Status.FULL, reportedLoad, null);
                 case "lost" -> endExchange(Status.RESET, reportedLoad, null);
@@ -515,7 +613,16 @@
             }
         }
 
-        private void endExchange(Status endStatus, Load reportedLoad, byte[] result) {
+        /** The result takes over what its line, which is longer, has reserved. */
+        private CountedBytes countResult(byte[] result) {
+            MemoryReservation reservation = lineMemory;
+            reservation.setReclaimer(null);
+            lineMemory = newLineMemory();
+            return new CountedBytes(result, 0, reservation);
+        }
+
+        private void endExchange(Status endStatus, Load reportedLoad, CountedBytes result) {
+            lineMemory.release(); // the rest of the answer is not kept
             exchange.end(endStatus, reportedLoad, result);
             setTimeLimit(ANSWER_END_TIMEOUT_MILLIS);
         }
@@ -545,7 +652,7 @@
             boolean reusable = persistent && exchange.fullyWritten;
             usedBefore = true;
             exchange = null;
-            parser.reset();
+            resetParser();
             if (reusable) {
                 returnToPool();
             } else {
@@ -558,6 +665,9 @@
         protected void onClosed(Throwable cause) {
             connections.remove(this);
             idleConnections.remove(this);
+            lineMemory.release();
+            headMemory.release();
+            releaseBody();
             if (reservedFor != null) {
                 Exchange next = reservedFor;
                 reservedFor = null;
--- a/src/test/java/barrowshore/client/UnreadContinueTest.java
+++ b/src/test/java/barrowshore/client/UnreadContinueTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import barrowshore.config.Config;
+import barrowshore.memory.CountedBytes;
+import barrowshore.memory.MemoryBudget;
 import barrowshore.net.Clock;
 import barrowshore.request.JobRequest;
 import barrowshore.status.ServiceState;
@@ -57,7 +59,14 @@
                     .replace("$S", "127.0.0.1:9"));
             RecordingRequestHandler requestHandler = new RecordingRequestHandler();
             ClientConnections connections = new ClientConnections(
-                    config, Clock.system(), Runnable::run, timers, requestHandler, () -> ServiceState.SERVING, 10);
+                    config,
+                    Clock.system(),
+                    Runnable::run,
+                    timers,
+                    requestHandler,
+                    () -> ServiceState.SERVING,
+                    10,
+                    new MemoryBudget(1 << 20, 16));
             ByteArrayEndPoint endPoint = new ByteArrayEndPoint(timers, 0, new byte[0], OUTPUT_BUFFER_BYTES);
             Connection connection = connections.accept(endPoint);
             endPoint.setConnection(connection);
@@ -69,7 +78,10 @@
             while (requestHandler.clients.isEmpty()) {
                 Thread.onSpinWait();
             }
-            requestHandler.clients.get(0).answer(new JobRequest.Served("one".getBytes(StandardCharsets.UTF_8)));
+            requestHandler
+                    .clients
+                    .get(0)
+                    .answer(new JobRequest.Served(CountedBytes.uncounted("one".getBytes(StandardCharsets.UTF_8))));
             String output = "";
             while (!output.endsWith("one")) {
                 output += endPoint.takeOutputString();
--- a/src/test/java/barrowshore/node/ClientGoneTest.java
+++ b/src/test/java/barrowshore/node/ClientGoneTest.java
@@ -5,6 +5,8 @@
 import barrowshore.client.ClientConnections;
 import barrowshore.config.Config;
 import barrowshore.list.ServerList;
+import barrowshore.memory.CountedBytes;
+import barrowshore.memory.MemoryBudget;
 import barrowshore.module.DispatchApi;
 import barrowshore.module.DispatchApi.Actions;
 import barrowshore.module.DispatchApi.Status;
@@ -283,7 +285,14 @@
         module.start();
         module.updateServers(new ServerList.Update(1, true, entries));
         clientConnections = new ClientConnections(
-                config, clock, clientExecutor, timers, requestHandler, () -> ServiceState.SERVING, MAX_CLIENTS);
+                config,
+                clock,
+                clientExecutor,
+                timers,
+                requestHandler,
+                () -> ServiceState.SERVING,
+                MAX_CLIENTS,
+                new MemoryBudget(1 << 20, 16));
         clientConnectionManager = new ConnectionManager(pool, timers, 1, MAX_CLIENTS, 10_000, this::acceptClient);
         clientConnectionManager.start();
         clientListener = ServerSocketChannel.open();
@@ -309,7 +318,8 @@
     /** At most one connection, so that the next request on it shows that nothing was sent before. */
     private Server newServer(String uid) {
         int k = uid.equals("s-1") ? FIRST_WORKER : SECOND_WORKER;
-        return new Server(uid, serverExecutors[k], serverConnections[k], timers, 60_000_000, 1);
+        return new Server(
+                uid, serverExecutors[k], serverConnections[k], timers, 60_000_000, 1, new MemoryBudget(1 << 20, 4));
     }
 
     private Connection acceptClient(EndPoint endPoint) {
@@ -426,7 +436,7 @@
                 "POST",
                 "/menu",
                 null,
-                new byte[] {'a'});
+                CountedBytes.uncounted(new byte[] {'a'}));
     }
 
     /** Opens an idle connection to the second worker, which carries the next attempt at once. */
--- a/src/test/java/barrowshore/node/LateConnectionTest.java
+++ b/src/test/java/barrowshore/node/LateConnectionTest.java
@@ -4,6 +4,8 @@
 
 import barrowshore.config.Config;
 import barrowshore.list.ServerList;
+import barrowshore.memory.CountedBytes;
+import barrowshore.memory.MemoryBudget;
 import barrowshore.module.Dispatcher;
 import barrowshore.net.Clock;
 import barrowshore.net.ConnectionManager;
@@ -80,7 +82,13 @@
                 config.classes(),
                 5,
                 uid -> new Server(
-                        uid, Runnable::run, connectionManagers[uid.equals("s-1") ? 0 : 1], timers, 60_000_000, 1),
+                        uid,
+                        Runnable::run,
+                        connectionManagers[uid.equals("s-1") ? 0 : 1],
+                        timers,
+                        60_000_000,
+                        1,
+                        new MemoryBudget(1 << 20, 4)),
                 message -> {},
                 actions -> new Dispatcher(config.settings(), actions));
         module.start();
@@ -122,9 +130,17 @@
 
     private JobRequest keyedRequest(String id) {
         return new JobRequest(
-                id, 0, 0, 1, 0, clock.micros() + 4_000_000, REPEAT_WINDOW_MICROS, "POST", "/menu", "key", new byte[] {
-                    'a'
-                });
+                id,
+                0,
+                0,
+                1,
+                0,
+                clock.micros() + 4_000_000,
+                REPEAT_WINDOW_MICROS,
+                "POST",
+                "/menu",
+                "key",
+                CountedBytes.uncounted(new byte[] {'a'}));
     }
 
     @Test
--- a/src/test/java/barrowshore/servers/ServerTest.java
+++ b/src/test/java/barrowshore/servers/ServerTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import barrowshore.list.ServerList;
+import barrowshore.memory.CountedBytes;
+import barrowshore.memory.MemoryBudget;
 import barrowshore.module.DispatchApi.Load;
 import barrowshore.module.DispatchApi.Note;
 import barrowshore.module.DispatchApi.Status;
@@ -63,8 +65,17 @@
         @Override
         public JobRequest request() {
             return new JobRequest(
-                    id, 0, -1, 1, 0, Long.MAX_VALUE, JobRequest.NO_REPEAT_LIMIT, "POST", "/menu", null, new byte[] {'a'
-                    });
+                    id,
+                    0,
+                    -1,
+                    1,
+                    0,
+                    Long.MAX_VALUE,
+                    JobRequest.NO_REPEAT_LIMIT,
+                    "POST",
+                    "/menu",
+                    null,
+                    CountedBytes.uncounted(new byte[] {'a'}));
         }
 
         @Override
@@ -93,7 +104,7 @@
         public void noteReceived(Note note, double share) {}
 
         @Override
-        public void ended(Status status, Load load, byte[] result) {
+        public void ended(Status status, Load load, CountedBytes result) {
             onEnded.run();
             endStatus.complete(status);
         }
@@ -106,7 +117,8 @@
         connectionManager.start();
         serverSocket = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         // Messages run on the poster's stack, in the order of the test's calls.
-        server = new Server("s-1", Runnable::run, connectionManager, timers, 60_000_000, 1);
+        server = new Server(
+                "s-1", Runnable::run, connectionManager, timers, 60_000_000, 1, new MemoryBudget(1 << 20, 4));
         updateState(ServerList.State.READY);
     }
 
