Count only the classes in use for the grace after SIGTERM, and follow reloads at the end

Cause: Config.asReloadOf keeps a vanished class in settings.classes, since classes are numbered for the life of the process, and JobScheduler.drain took the longest deadline of all of them.

Related paths with the same cause, found by going over what a reload can change: the grace was computed once, before a reload that was still being read or that came later; idle connections to servers and dials ended by the times of the start; the end was announced to peers also where the settings allow no messages; the module's turns at cold servers, highest priority and required kinds counted vanished classes.

Change: Settings.retiredClasses and activeClasses; ShutdownSequence has the times of the end, counted from SIGTERM, and a configuration can only move them forward; keepalive and dialTimeout are taken over at a reload.

--- a/src/main/java/barrowshore/client/ClientConnections.java
+++ b/src/main/java/barrowshore/client/ClientConnections.java
@@ -59,8 +59,6 @@
     private static final long OVERLOAD_RETRY_AFTER_MICROS = 1_000_000;
     /** Time for a client to read the last answer and close. */
     private static final long LINGER_MILLIS = 1_000;
-    /** Requests that begin this long or longer after SIGTERM must be answered before the process is killed. */
-    private static final long SHUTDOWN_GRACE_MILLIS = 600;
 
     /** The part of a request's body that the number of connections bounds, so that no budget counts it. */
     private static final int UNCOUNTED_BODY_BYTES = 4096;
@@ -125,12 +123,14 @@
         return new ClientConnection(endPoint);
     }
 
-    /** Prepares for a kill after that time: requests that still arrive must be answered before it. */
-    public void capDeadlinesForShutdown(long millisToKill) {
-        long now = clock.micros();
+    /**
+     * Prepares for a kill: requests that begin from the first time on, by the scheduler's clock, get a deadline of the
+     * second at most. An earlier limit stays.
+     */
+    public void capDeadlinesForShutdown(long fromMicros, long latestDeadlineMicros) {
         mailbox.post(() -> {
-            capFromMicros = now + SHUTDOWN_GRACE_MILLIS * 1000;
-            capMicros = now + millisToKill * 1000;
+            capFromMicros = Math.min(capFromMicros, fromMicros);
+            capMicros = Math.min(capMicros, latestDeadlineMicros);
             connections.forEach(connection -> connection.capDeadlines(capFromMicros, capMicros));
         });
     }
--- a/src/main/java/barrowshore/config/Config.java
+++ b/src/main/java/barrowshore/config/Config.java
@@ -17,6 +17,8 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * The configuration of a scheduler, read at its start and again on SIGHUP. Each field of the file is checked here, once; an
@@ -53,16 +55,8 @@
      */
     private static final Set<String> RELOADABLE_FIELDS = Set.of("discovery", "known", "seed", "settings");
     /** The settings that a reload cannot change: other state is numbered or built by them. */
-    private static final List<String> STARTUP_ONLY_SETTINGS = List.of(
-            "groupSize",
-            "me",
-            "zone",
-            "zones",
-            "kinds",
-            "tick",
-            "tier",
-            "policyLimits.dialTimeout",
-            "policyLimits.keepalive");
+    private static final List<String> STARTUP_ONLY_SETTINGS =
+            List.of("groupSize", "me", "zone", "zones", "kinds", "tick", "tier");
     /** Limit on the different class names over the reloads of one process: a class keeps its number after its removal. */
     private static final int MAX_CLASS_NAMES = 1000;
 
@@ -146,6 +140,10 @@
         merged.copyReloadableFrom(settings);
         merged.halls = settings.halls;
         merged.classes = jobClasses.toArray(JobClass[]::new);
+        merged.retiredClasses = IntStream.range(0, classNames.size())
+                .filter(number -> !classes.contains(classNames.get(number)))
+                .boxed()
+                .collect(Collectors.toUnmodifiableSet());
         return new Config(
                 running.name,
                 running.listen,
@@ -153,7 +151,7 @@
                 running.ops,
                 running.maxDescriptors,
                 merged,
-                running.keepAliveMicros,
+                keepAliveMicros,
                 grace,
                 List.copyOf(classNames),
                 tenants,
@@ -243,6 +241,14 @@
                 root);
     }
 
+    /** The longest deadline of a class that may get jobs, in microseconds. */
+    public long longestDeadlineMicros() {
+        return settings.activeClasses().stream()
+                .mapToLong(JobClass::deadlineMicros)
+                .max()
+                .orElse(0);
+    }
+
     /** The fields that differ from another configuration's and take effect only after a restart. */
     public List<String> fieldsNeedingRestart(Config other) {
         Set<String> fields = new TreeSet<>(startupOnly.keySet());
--- a/src/main/java/barrowshore/module/DispatchApi.java
+++ b/src/main/java/barrowshore/module/DispatchApi.java
@@ -3,6 +3,8 @@
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
 
 /**
  * The whole interface of the decision module: settings and calls in, actions out.
@@ -106,6 +108,8 @@
 
         public long tickMicros = 1_000;
         public JobClass[] classes = new JobClass[0];
+        /** The numbers of classes that get no more jobs; jobs in flight keep them. */
+        public Set<Integer> retiredClasses = Set.of();
         /** Jobs per second that each tenant may send to all dispatchers together; empty: no tenants. */
         public double[] tenantQuota = new double[0];
 
@@ -142,6 +146,14 @@
         /** The operators' rules on halls, which are the zones; null: only crossZoneCharge tells zones apart. */
         public HallRules halls;
 
+        /** The classes that may get jobs. */
+        public List<JobClass> activeClasses() {
+            return IntStream.range(0, classes.length)
+                    .filter(number -> !retiredClasses.contains(number))
+                    .mapToObj(number -> classes[number])
+                    .toList();
+        }
+
         static void require(boolean holds, String message) {
             if (!holds) {
                 throw new IllegalArgumentException(message);
@@ -170,6 +182,7 @@
          */
         public void copyReloadableFrom(Settings next) {
             classes = next.classes;
+            retiredClasses = next.retiredClasses;
             tenantQuota = next.tenantQuota;
             overQuotaWorthShare = next.overQuotaWorthShare;
             worthPerWork = next.worthPerWork;
@@ -185,6 +198,7 @@
             reportSource = next.reportSource;
             notesStart = next.notesStart;
             progressMicros = next.progressMicros;
+            connectTimeoutMicros = next.connectTimeoutMicros;
             startCapacity = next.startCapacity;
             warmUpMicros = next.warmUpMicros;
             overloadMultiple = next.overloadMultiple;
@@ -200,7 +214,6 @@
             zone = other.zone;
             machineKinds = other.machineKinds;
             tickMicros = other.tickMicros;
-            connectTimeoutMicros = other.connectTimeoutMicros;
             halls = other.halls;
         }
 
--- a/src/main/java/barrowshore/module/Dispatcher.java
+++ b/src/main/java/barrowshore/module/Dispatcher.java
@@ -92,7 +92,7 @@
     private void applyClassesAndTenants() {
         traffic.applyClasses(kinds);
         quotas.applyQuotas();
-        double meanTarget = Arrays.stream(settings.classes)
+        double meanTarget = settings.activeClasses().stream()
                 .mapToLong(JobClass::targetMicros)
                 .average()
                 .orElse(0);
--- a/src/main/java/barrowshore/module/TrafficStats.java
+++ b/src/main/java/barrowshore/module/TrafficStats.java
@@ -94,7 +94,11 @@
      * one keeps its number and gets no jobs.
      */
     void applyClasses(MachineKind[] kinds) {
-        for (JobClass jobClass : settings.classes) {
+        highestPriority = 0;
+        for (MachineKind kind : kinds) {
+            kind.requiredBySomeClass = false;
+        }
+        for (JobClass jobClass : settings.activeClasses()) {
             highestPriority = Math.max(highestPriority, jobClass.priority());
             kinds[Math.max(0, jobClass.kind())].requiredBySomeClass |= jobClass.kind() >= 0;
         }
--- a/src/main/java/barrowshore/net/ConnectionManager.java
+++ b/src/main/java/barrowshore/net/ConnectionManager.java
@@ -45,7 +45,7 @@
     private final ResizableSemaphore outgoingPermits;
     private final ResizableSemaphore clientPermits;
     private final Function<EndPoint, Connection> acceptedConnectionFactory;
-    private final long connectTimeoutMillis;
+    private volatile long connectTimeoutMillis;
     /** The only selector; null until the start, and kept after the stop, which closes connections that still use it. */
     private volatile ManagedSelector selector;
     /** Accepted connections until their descriptors are released, even if no actor knows them yet. */
@@ -107,6 +107,7 @@
      * which has no such check, is far longer.
      */
     private void scheduleConnectTimeout(SocketChannel channel, DialHandler handler) {
+        long limitMillis = connectTimeoutMillis;
         getScheduler()
                 .schedule(
                         () -> {
@@ -116,13 +117,13 @@
                                         connectionFailed(
                                                 channel,
                                                 new SocketTimeoutException(
-                                                        "not connected within " + connectTimeoutMillis + " ms"),
+                                                        "not connected within " + limitMillis + " ms"),
                                                 handler);
                                     }
                                 }));
                             }
                         },
-                        connectTimeoutMillis,
+                        limitMillis,
                         TimeUnit.MILLISECONDS);
     }
 
@@ -167,6 +168,11 @@
         }
     }
 
+    /** Sets the time limit of dials that begin from now on. */
+    public void setConnectTimeout(long millis) {
+        connectTimeoutMillis = millis;
+    }
+
     /** Changes both budgets; negative deltas take effect as descriptors in use are released. */
     public void addPermits(int outgoingDelta, int clientDelta) {
         outgoingPermits.addPermits(outgoingDelta);
--- a/src/main/java/barrowshore/node/JobScheduler.java
+++ b/src/main/java/barrowshore/node/JobScheduler.java
@@ -29,7 +29,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
@@ -40,7 +39,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
@@ -71,19 +69,6 @@
     private static final int REQUEST_THRESHOLD_DIVISOR = 16, ANSWER_THRESHOLD_DIVISOR = 4;
 
     private static final int LISTEN_BACKLOG = 512;
-    /** After SIGTERM or a drain order, the last new connections come within this time. Idle ones are closed this often. */
-    private static final long SETTLE_MILLIS = 500;
-    /**
-     * The grace after SIGTERM, before the process may be killed, is the longest deadline of a class, at most this, plus
-     * {@link #EXTRA_GRACE_MILLIS}.
-     */
-    private static final long MAX_JOB_GRACE_MILLIS = 3000;
-
-    private static final long EXTRA_GRACE_MILLIS = 700;
-    /** Left at the end of the grace to answer the requests that are still open. */
-    private static final long FINAL_ANSWER_MILLIS = 150;
-    /** Clients that no other scheduler can take stay until this much of the grace is left: enough for a usual job. */
-    private static final long USUAL_JOB_MILLIS = 800;
     /** After SIGTERM the process stays at least this long. */
     private static final long MIN_SHUTDOWN_MILLIS = 700;
 
@@ -109,6 +94,10 @@
     private final UpgradeCoordinator upgrade;
 
     private volatile boolean successorServing;
+    /** Null until SIGTERM. */
+    private volatile ShutdownSequence shutdown;
+
+    private final Clock clock;
     /** Descriptors for servers and for clients while this is the only process; see {@link #shareLimits}. */
     private final int serverDescriptors;
 
@@ -148,6 +137,7 @@
         this.hallRules = schedulerConfig.hallRules();
         this.serversFile = schedulerConfig.operatorSettings().serversFile();
         this.timers = timers;
+        this.clock = clock;
         int usableDescriptors =
                 config.maxDescriptors() - RESERVED_DESCRIPTORS - (config.ops() == null ? 0 : OpsServer.MAX_DESCRIPTORS);
         serverDescriptors = (int) (usableDescriptors * SERVER_DESCRIPTOR_SHARE);
@@ -342,7 +332,8 @@
                             ? "drained by the operators: clients are sent away"
                             : "activated by the operators: clients may stay");
             if (drain) {
-                timers.schedule(() -> closeIdleRepeatedly(state, true), SETTLE_MILLIS, TimeUnit.MILLISECONDS);
+                timers.schedule(
+                        () -> closeIdleRepeatedly(state, true), ShutdownSequence.SETTLE_MILLIS, TimeUnit.MILLISECONDS);
             }
         }
         return !state.isEnding();
@@ -389,7 +380,10 @@
     private void closeIdleRepeatedly(ServiceState expectedState, boolean includeUnanswered) {
         if (serviceState.get().changeCount() == expectedState.changeCount()) {
             clients.closeIdle(includeUnanswered);
-            timers.schedule(() -> closeIdleRepeatedly(expectedState, false), SETTLE_MILLIS, TimeUnit.MILLISECONDS);
+            timers.schedule(
+                    () -> closeIdleRepeatedly(expectedState, false),
+                    ShutdownSequence.SETTLE_MILLIS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -584,9 +578,11 @@
             if (!Objects.equals(serversFile, schedulerConfig.operatorSettings().serversFile())) {
                 LOG.log(Level.WARNING, "operator settings: servers changed, which takes effect only at a restart");
             }
-            module.changeSettings(newConfig.settings(), newConfig.classes());
+            config = newConfig; // first, so that servers that the module's actor adds from now on go by it
+            connectionManager.setConnectTimeout(newConfig.settings().connectTimeoutMicros / 1000);
+            module.changeSettings(newConfig.settings(), newConfig.classes(), newConfig.keepAliveMicros());
             clients.updateSettings(newConfig);
-            config = newConfig;
+            limitShutdown();
             discovery.setGrace(newConfig.grace());
             discovery.setAddress(newConfig.discovery());
             if (!Objects.equals(hallRules, schedulerConfig.hallRules())) {
@@ -614,23 +610,33 @@
             }
         };
         serviceState.updateAndGet(ServiceState::end);
-        long deadlineMillis = Arrays.stream(config.settings().classes)
-                .mapToLong(c -> c.deadlineMicros() / 1000)
-                .max()
-                .orElse(0);
-        long graceMillis = Math.min(MAX_JOB_GRACE_MILLIS, deadlineMillis) + EXTRA_GRACE_MILLIS;
-        clients.capDeadlinesForShutdown(graceMillis - FINAL_ANSWER_MILLIS);
-        module.scheduleFinalAnswers(graceMillis - FINAL_ANSWER_MILLIS);
-        // Schedulers restarted one after the other were once all closed to new connections for 2 s. So clients are sent
-        // away early only if another scheduler serves; else they stay as long as possible.
-        Consumer<Boolean> releaseClients = othersServe -> timers.schedule(
-                () -> {
-                    closeIdleRepeatedly(serviceState.updateAndGet(ServiceState::closeConnections), true);
-                    clients.runWhenEmpty(partDone);
-                    module.runWhenIdle(partDone);
-                },
-                othersServe ? SETTLE_MILLIS : Math.max(SETTLE_MILLIS, graceMillis - USUAL_JOB_MILLIS),
-                TimeUnit.MILLISECONDS);
+        ShutdownSequence sequence = new ShutdownSequence(clock, timers, clients, module, () -> {
+            closeIdleRepeatedly(serviceState.updateAndGet(ServiceState::closeConnections), true);
+            clients.runWhenEmpty(partDone);
+            module.runWhenIdle(partDone);
+        });
+        shutdown = sequence;
+        limitShutdown();
+        configMailbox.post(
+                this::limitShutdown); // after a configuration that came before SIGTERM and is still being read
+        releaseClientsIfOthersServe(sequence);
+        timers.schedule(partDone, MIN_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
+        return ended;
+    }
+
+    /** Ends in time for the deadlines of the configuration in use. */
+    private void limitShutdown() {
+        ShutdownSequence sequence = shutdown;
+        if (sequence != null) {
+            sequence.limitBy(config);
+        }
+    }
+
+    /**
+     * Lets clients go early only if another scheduler serves; else they stay as long as possible. Schedulers restarted one
+     * after the other were once all closed to new connections for 2 s.
+     */
+    private void releaseClientsIfOthersServe(ShutdownSequence sequence) {
         if (successorServing) {
             // The successor accepts clients and talks to peers; this process only answers the requests that it has.
             connectionManager.stopListening(clientListener, () -> {});
@@ -638,14 +644,14 @@
                 peers.close();
             }
             serviceState.updateAndGet(ServiceState::closeConnections);
-            releaseClients.accept(true);
-        } else if (peers == null) {
-            releaseClients.accept(false);
-        } else {
-            peers.announceEnd(releaseClients);
+            sequence.releaseClientsAt(ShutdownSequence.SETTLE_MILLIS);
+        } else if (peers != null && config.settings().mayMessagePeers) {
+            peers.announceEnd(othersServe -> {
+                if (othersServe) {
+                    sequence.releaseClientsAt(ShutdownSequence.SETTLE_MILLIS);
+                }
+            });
         }
-        timers.schedule(partDone, MIN_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
-        return ended;
     }
 
     /**
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -241,9 +241,10 @@
         });
     }
 
-    /** Changes the settings; classes: names by class number. */
-    void changeSettings(Settings newSettings, List<String> classes) {
+    /** Changes the settings; classes: names by class number; keepAliveMicros: of idle connections to servers. */
+    void changeSettings(Settings newSettings, List<String> classes, long keepAliveMicros) {
         mailbox.post(() -> {
+            servers.values().forEach(server -> server.setKeepAlive(keepAliveMicros));
             maxAttempts = newSettings.maxAttempts;
             counters.setClasses(classes);
             callModule(null, () -> module.changeSettings(nowMicros(), newSettings));
@@ -335,12 +336,9 @@
         publish();
     }
 
-    /** Answers every request still open after so many milliseconds; the process exits after that. */
-    void scheduleFinalAnswers(long millis) {
-        timers.schedule(
-                () -> mailbox.post(() -> List.copyOf(requests.values()).forEach(this::answerBeforeExit)),
-                millis,
-                TimeUnit.MILLISECONDS);
+    /** Answers every request that is still open; the process exits after that. */
+    void giveFinalAnswers() {
+        mailbox.post(() -> List.copyOf(requests.values()).forEach(this::answerBeforeExit));
     }
 
     /**
--- a/src/main/java/barrowshore/servers/Server.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -104,7 +104,7 @@
     private final ConnectionManager connectionManager;
     private final Scheduler timers;
     private final Mailbox mailbox;
-    private final long idleTimeoutMillis;
+    private long idleTimeoutMillis;
     private final int maxConnections;
     private final MemoryBudget answerMemory;
     private final ArrayDeque<ServerConnection> idleConnections = new ArrayDeque<>();
@@ -128,12 +128,35 @@
         this.connectionManager = connectionManager;
         this.timers = timers;
         this.maxConnections = maxConnections;
-        // A request written to a connection that the server is just closing may have run. So idle connections are
-        // closed after half of the server's keep-alive time.
-        this.idleTimeoutMillis = Math.max(1, keepAliveMicros / 2000);
+        this.idleTimeoutMillis = idleTimeoutMillis(keepAliveMicros);
         this.mailbox = new Mailbox("server " + uid, pool);
     }
 
+    /**
+     * How long a connection may be idle: half of the server's keep-alive time, since a request written to a connection that
+     * the server is just closing may have run.
+     */
+    private static long idleTimeoutMillis(long keepAliveMicros) {
+        return Math.max(1, keepAliveMicros / 2000);
+    }
+
+    /** Changes the server's keep-alive time; idle connections are closed, as they may have been idle for too long by now. */
+    public void setKeepAlive(long keepAliveMicros) {
+        mailbox.post(() -> {
+            long nextTimeoutMillis = idleTimeoutMillis(keepAliveMicros);
+            if (nextTimeoutMillis < idleTimeoutMillis) {
+                closeIdleConnections();
+            }
+            idleTimeoutMillis = nextTimeoutMillis;
+        });
+    }
+
+    private void closeIdleConnections() {
+        while (!idleConnections.isEmpty()) {
+            idleConnections.poll().closeNow();
+        }
+    }
+
     /** Takes over the server's latest entry from the server list. */
     public void update(ServerList.Entry entry) {
         mailbox.post(() -> {
@@ -158,9 +181,7 @@
     /** After a restart, a move or the start of a drain: closes idle connections now, busy ones after their exchange. */
     private void retireConnections() {
         connections.forEach(connection -> connection.retired = true);
-        while (!idleConnections.isEmpty()) {
-            idleConnections.poll().closeNow();
-        }
+        closeIdleConnections();
     }
 
     public void send(Attempt attempt) {
--- a/src/test/java/barrowshore/config/ConfigReloadTest.java
+++ b/src/test/java/barrowshore/config/ConfigReloadTest.java
@@ -57,6 +57,28 @@
                 .isEmpty();
     }
 
+    @Test
+    void timesOfConnectionsToServersAreTakenOver() {
+        assertThat(reload("\"keepalive\":60000000", "\"keepalive\":1000000").keepAliveMicros())
+                .isEqualTo(1_000_000);
+        assertThat(reload("\"dialTimeout\":250000", "\"dialTimeout\":90000").settings().connectTimeoutMicros)
+                .isEqualTo(90_000);
+    }
+
+    @Test
+    void vanishedClassGetsNoJobsAndItsDeadlineNoLongerCounts() {
+        Config shorter = reload("\"deadline\":5000000,\"worth\":2.0", "\"deadline\":1200000,\"worth\":2.0");
+        assertThat(shorter.longestDeadlineMicros()).isEqualTo(5_000_000);
+        Config withoutOrder = Config.parse(text.replaceFirst("(?s),\\s*\\{\"name\":\"order\".*?}", "")
+                        .replace("\"deadline\":5000000", "\"deadline\":1200000"))
+                .asReloadOf(running);
+        assertThat(withoutOrder.classes()).containsExactly("menu", "order");
+        assertThat(withoutOrder.settings().retiredClasses).containsExactly(1);
+        assertThat(withoutOrder.longestDeadlineMicros()).isEqualTo(1_200_000);
+        assertThat(Config.parse(text).asReloadOf(withoutOrder).settings().retiredClasses)
+                .isEmpty();
+    }
+
     @Test
     void aFileCutOffAtAnyByteIsRefused() {
         String whole = text.strip();
