Skip a connection that was closed before its request, in the test of slow first lists

On a busy machine the clock passes the dial's limit of 1,000 ms after the kernel has connected and before the actor has seen it; the actor closes that connection without a request, and the test took it for the next call.

Change: the test waits for a connection that carries a request. It still has to get the list within five calls.

--- a/src/test/java/barrowshore/servers/ServiceDiscoveryTest.java
+++ b/src/test/java/barrowshore/servers/ServiceDiscoveryTest.java
@@ -7,6 +7,7 @@
 import barrowshore.net.ConnectionManager;
 import barrowshore.net.ManualTime;
 import barrowshore.servers.ScriptedDiscovery.Call;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
@@ -122,6 +123,23 @@
         return call;
     }
 
+    /**
+     * Advances time until a request has come, and reads it. On a busy machine the clock, which moves without waiting for the
+     * actor, can pass the dial's time limit after the kernel has connected and before the actor has seen it; the actor then
+     * closes that connection without a request.
+     */
+    private Call awaitRequest(ScriptedDiscovery from) throws Exception {
+        while (true) {
+            Call call = awaitCall(from);
+            try {
+                call.target();
+                return call;
+            } catch (IOException e) {
+                continue; // closed before its request
+            }
+        }
+    }
+
     private void awaitEnd(Call call) throws Exception {
         call.awaitEnd();
         awaitActor();
@@ -533,15 +551,14 @@
         long answerDelayMillis = 1500;
         boolean listReceived = false;
         for (int k = 0; k < 5 && !listReceived; k++) {
-            Call call = awaitCall(discovery);
-            call.target();
+            Call call = awaitRequest(discovery);
             for (long left = answerDelayMillis; left > 0; left -= STEP_MILLIS) {
                 time.advance(STEP_MILLIS);
             }
             try {
                 call.answer(listJson(3, true, "Ready"));
                 listReceived = call.target().contains("watch");
-            } catch (java.io.IOException e) {
+            } catch (IOException e) {
                 listReceived = false; // abandoned before its answer
             }
         }
