Hold the limits on an answer in a test without assertions

The tests of ExchangeTest run with assertions. This one plays six such answers against a process without them; the requests would wait for an hour.

--- a/src/test/java/barrowshore/node/MemoryFloodTest.java
+++ b/src/test/java/barrowshore/node/MemoryFloodTest.java
@@ -5,6 +5,7 @@
 import barrowshore.fleet.SchedulerProcess;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -53,6 +54,8 @@
     private static final String BIG = "b".repeat(BIG_BYTES);
     private static final String MANY_HEADERS = "X-Cost: 1\r\n".repeat(LONG_HEAD_BYTES / 11);
 
+    private static final String CHUNKED_RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
     /** How the many clients and their workers hold memory. */
     private enum Flood {
         /** Requests with big bodies get big results. */
@@ -157,6 +160,38 @@
         assertThat(Files.readString(scheduler.logFile())).doesNotContain("OutOfMemoryError");
     }
 
+    /**
+     * Guards against limits on an answer that hold only where assertions are enabled: the parser swallows exceptions behind
+     * a head. Each request would wait for an hour.
+     */
+    @Test
+    void answersThatBreakALimitEndAtOnceWithoutAssertions() throws Exception {
+        List<String> answers = List.of(
+                chunk(line("another-request", "started", "")),
+                chunk("no JSON"),
+                chunk("\n".repeat(2_000)),
+                chunk("x".repeat(500_000)),
+                chunk(("y".repeat(100_000) + "\n").repeat(12)),
+                "no chunk size\r\n");
+        start(connection -> {
+            String head = readHead(connection.getInputStream());
+            if (head.startsWith("POST ")) {
+                int number = Integer.parseInt(header(head, "X-Request-ID").substring("usual".length()));
+                send(connection, CHUNKED_RESPONSE_HEAD + answers.get(number));
+            }
+            connection.getInputStream().transferTo(OutputStream.nullOutputStream());
+        });
+        for (int number = 0; number < answers.size(); number++) {
+            try (Socket client = new Socket(LOOPBACK, scheduler.address().getPort())) {
+                String request = requestText("usual" + number, "", "Content-Length: 1", "x");
+                send(client, request.replace("X-Timeout-Ms: " + DEADLINE_MILLIS, "X-Timeout-Ms: 3600000"));
+                assertThat(readHead(client.getInputStream()))
+                        .as("answer %s", number)
+                        .startsWith("HTTP/1.1 502 ");
+            }
+        }
+    }
+
     private void playKeptConnection(AtomicInteger answers, CountDownLatch allConnected) {
         try (Socket client = new Socket(LOOPBACK, scheduler.address().getPort())) {
             client.setSoTimeout(ANSWER_TIMEOUT_MILLIS);
@@ -207,9 +242,13 @@
     }
 
     private void start(Flood flood) throws Exception {
+        start(connection -> serve(connection, flood));
+    }
+
+    private void start(ConnectionTask workerTask) throws Exception {
         List<String> workers = new ArrayList<>();
         for (int k = 0; k < WORKERS; k++) {
-            ServerSocket listener = listen(connection -> serve(connection, flood));
+            ServerSocket listener = listen(workerTask);
             workers.add("{\"uid\":\"s-" + k + "\",\"endpoint\":\"127.0.0.1:" + listener.getLocalPort()
                     + "\",\"az\":\"a\",\"model\":\"m\",\"state\":\"Ready\",\"capacity_hint\":" + SLOTS_PER_WORKER
                     + "}");
@@ -217,7 +256,7 @@
         String list = "{\"rev\":5,\"all\":true,\"targets\":[" + String.join(",", workers) + "]}";
         ServerSocket discovery = listen(connection -> {
             readHead(connection.getInputStream());
-            send(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list));
+            send(connection, CHUNKED_RESPONSE_HEAD + chunk(list));
             connection.getInputStream().read();
         });
         scheduler = new SchedulerProcess(0, folder, SchedulerProcess.launchCommand(Path.of("deploy/balancer.toml")));
@@ -268,7 +307,7 @@
             in.skipNBytes(Integer.parseInt(header(head, "Content-Length")));
             String id = header(head, "X-Request-ID");
             boolean isFlood = id.startsWith("flood");
-            send(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line(id, "started", "")));
+            send(connection, CHUNKED_RESPONSE_HEAD + chunk(line(id, "started", "")));
             serviceTimes.schedule(
                     () -> {
                         if (isFlood && !flood.spoiltLine.isEmpty()) {
