Look a header's name up once to tell whether it is kept

Each header of a request went through two streams of names to tell whether it decides about the request; now one look-up in a set does. Nothing else changes.

--- a/src/main/java/barrowshore/client/RequestHeadParser.java
+++ b/src/main/java/barrowshore/client/RequestHeadParser.java
@@ -5,6 +5,8 @@
 import barrowshore.request.JobRequest;
 import barrowshore.wire.SettingsReader;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -29,9 +31,14 @@
     /** Headers that decide how a request is handled; a repeated one is ambiguous and rejected. */
     private static final List<String> SINGLE_VALUE_HEADERS =
             List.of("X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout-Ms", "X-Attrs", "Idempotency-Key");
-    /** The headers that are kept while a request arrives, besides those of {@link #SINGLE_VALUE_HEADERS}. */
-    private static final List<String> OTHER_HEADERS_READ =
-            List.of("Content-Length", "Transfer-Encoding", "Expect", "X-Cost");
+    /** The names of the headers that decide about a request, in any case. */
+    private static final Set<String> HEADERS_READ = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+
+    static {
+        HEADERS_READ.addAll(SINGLE_VALUE_HEADERS);
+        HEADERS_READ.addAll(List.of("Content-Length", "Transfer-Encoding", "Expect", "X-Cost"));
+    }
+
     /** So many headers of one name tell that it is repeated. */
     private static final int MAX_HEADERS_KEPT_PER_NAME = 2;
 
@@ -52,9 +59,14 @@
 
     /** Adds a header if it is one of those that decide about a request, twice at most: that tells that it is repeated. */
     static void keepIfRead(HttpField field, HttpFields.Mutable headers) {
-        boolean isRead = SINGLE_VALUE_HEADERS.stream().anyMatch(field::is)
-                || OTHER_HEADERS_READ.stream().anyMatch(field::is);
-        if (isRead && headers.stream().filter(kept -> kept.is(field.getName())).count() < MAX_HEADERS_KEPT_PER_NAME) {
+        if (!HEADERS_READ.contains(field.getName())) {
+            return;
+        }
+        int keptCount = 0;
+        for (HttpField kept : headers) {
+            keptCount += kept.is(field.getName()) ? 1 : 0;
+        }
+        if (keptCount < MAX_HEADERS_KEPT_PER_NAME) {
             headers.add(field);
         }
     }
