Take small requests also where a lowered limit on memory is exceeded

Cause: in an upgrade each process has half of the memory for requests. Where more was held at that moment, nothing was left and MemoryReservation.fits refused a request that needs none of the budget, until large ones had ended.

Change: what a holder has, or is not counted, always fits; MemoryBudgetTest has a case that failed before. The replacing of a parser after a long head stood twice and is in HttpLink now.

--- a/src/main/java/barrowshore/client/ClientConnections.java
+++ b/src/main/java/barrowshore/client/ClientConnections.java
@@ -631,7 +631,7 @@
                 return;
             }
             busy = false;
-            resetParser();
+            resetParser(headMemory, this::newParser);
             setTimeLimit(jobAnswered ? IDLE_TIMEOUT_MILLIS : REQUEST_TIMEOUT_MILLIS);
             setEvictionGroup(this, jobAnswered ? idle : unanswered);
             read();
@@ -651,16 +651,6 @@
             }
         }
 
-        /** After a long head the parser is replaced, since it keeps its buffers at the size that they have reached. */
-        private void resetParser() {
-            if (headMemory.isLong()) {
-                parser = newParser();
-            } else {
-                parser.reset();
-            }
-            headMemory.release();
-        }
-
         /** The body cannot be parsed, such as in a chunk of no valid size. */
         @Override
         public void earlyEOF() {
--- a/src/main/java/barrowshore/memory/MemoryReservation.java
+++ b/src/main/java/barrowshore/memory/MemoryReservation.java
@@ -27,7 +27,8 @@
 
     /** Whether it could grow to so many bytes in all now. */
     public boolean fits(long totalBytes) {
-        return budget.fits(Math.max(0, totalBytes - uncountedBytes));
+        long counted = Math.max(0, totalBytes - uncountedBytes);
+        return counted <= countedBytes || budget.fits(counted);
     }
 
     /** Gives back all but so many bytes, if it is larger. */
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpGenerator;
@@ -80,6 +81,16 @@
         return parser;
     }
 
+    /** Prepares for the next message; after a long head the parser is replaced, since its buffers stay as large as that. */
+    protected void resetParser(HeadMemory headMemory, Supplier<HttpParser> newParser) {
+        if (headMemory.isLong()) {
+            parser = newParser.get();
+        } else {
+            parser.reset();
+        }
+        headMemory.release();
+    }
+
     /** Called exactly once, when either side has closed the connection or it broke. */
     protected abstract void onClosed(Throwable cause);
 
--- a/src/main/java/barrowshore/servers/Server.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -363,16 +363,6 @@
             return withoutFieldCache(new HttpParser((HttpParser.ResponseHandler) this, MAX_HEADER_BYTES));
         }
 
-        /** After a long head the parser is replaced, since it keeps its buffers at the size that they have reached. */
-        private void resetParser() {
-            if (headMemory.isLong()) {
-                parser = newParser();
-            } else {
-                parser.reset();
-            }
-            headMemory.release();
-        }
-
         @Override
         protected void onConnected() {
             pendingDials--;
@@ -673,7 +663,7 @@
             boolean reusable = persistent && exchange.fullyWritten;
             usedBefore = true;
             exchange = null;
-            resetParser();
+            resetParser(headMemory, this::newParser);
             if (reusable) {
                 returnToPool();
             } else {
--- a/src/test/java/barrowshore/memory/MemoryBudgetTest.java
+++ b/src/test/java/barrowshore/memory/MemoryBudgetTest.java
@@ -42,6 +42,18 @@
         assertThat(budget.newReservation(0).tryGrowTo(1_000)).isTrue();
     }
 
+    @Test
+    void whatIsNotCountedFitsAlsoWhereMoreIsHeldThanALoweredLimitAllows() {
+        MemoryReservation large = budget.newReservation(0);
+        assertThat(large.tryGrowTo(2_500)).isTrue();
+        budget.setCapacity(1_000);
+        MemoryReservation small = budget.newReservation(UNCOUNTED);
+        assertThat(small.fits(UNCOUNTED)).isTrue();
+        assertThat(small.tryGrowTo(UNCOUNTED)).isTrue();
+        assertThat(small.fits(UNCOUNTED + 1)).isFalse();
+        assertThat(large.fits(2_500)).isTrue();
+    }
+
     @Test
     void bytesStayCountedUntilTheLastHolderHasReleasedThem() {
         MemoryReservation reservation = budget.newReservation(0);
