Review case 10: a start while discovery is down sends to a worker known to drain

Cause: after 1 s without an answer a starting scheduler uses the list of its configuration, though discovery's agent may have told of drains since, which count from the first moment of the process. Change: review case 10. Nothing is fixed.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# A scheduler starts while discovery is down, and sends to a worker that had begun to drain.
+# usage: review/10/run.sh, after the build of the deploy file and review/build-2.sh; TROUBLE=0 leaves the disruption out
+cd "$(dirname "$0")/../.." || exit 2
+[ -f target/review-2/StaleStart.class ] || exit 2
+exec java -cp target/review-2 StaleStart review/10
