--- a/review/standins-2/LeavingFlood.java
+++ b/review/standins-2/LeavingFlood.java
@@ -63,8 +63,8 @@
                     worker.uid, worker.address(), SchedulerConfig.ZONE, SchedulerConfig.MODEL, "Ready", 0);
         }
         Scheduler scheduler = new Scheduler(folder, Scheduler.freeAddress());
-        scheduler.writeConfig(SchedulerConfig.json("n1", scheduler.address, discovery.address(), null, null));
-        scheduler.start(Map.of());
+        scheduler.writeConfig(SchedulerConfig.json(scheduler.address, discovery.address(), null));
+        scheduler.start();
         if (!scheduler.awaitReady()) {
             throw new IllegalStateException("the scheduler is not ready");
         }
--- a/review/standins-2/Listener.java
+++ b/review/standins-2/Listener.java
@@ -3,8 +3,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 /** A listening loopback socket with a thread for each connection. */
 final class Listener {
@@ -16,7 +14,6 @@
     }
 
     private final ServerSocket server;
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     Listener(Handler handler) throws IOException {
         server = new ServerSocket();
@@ -36,7 +33,6 @@
             try {
                 Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
-                sockets.add(socket);
                 start(() -> serve(handler, socket));
             } catch (IOException e) {
                 return; // closed at the end of the run
@@ -49,8 +45,6 @@
             handler.serve(socket);
         } catch (IOException | InterruptedException e) {
             // the other side has closed or reset the connection
-        } finally {
-            sockets.remove(socket);
         }
     }
 
@@ -58,15 +52,4 @@
     String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
-
-    /** Closes all open connections; new ones are accepted as before. */
-    void closeConnections() {
-        for (Socket socket : sockets) {
-            try {
-                socket.close();
-            } catch (IOException e) {
-                // closed already
-            }
-        }
-    }
 }
--- a/review/standins-2/Scheduler.java
+++ b/review/standins-2/Scheduler.java
@@ -2,10 +2,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Map;
 
 /** One process of the scheduler, started with the command of the deploy file from the repository's root. */
 final class Scheduler {
@@ -14,6 +12,7 @@
 
     final String address;
     private final Path folder;
+    private Path temporary;
     private Process process;
 
     Scheduler(Path folder, String address) {
@@ -36,7 +35,7 @@
         throw new IOException("no run command in " + DEPLOY_FILE);
     }
 
-    Path configFile() {
+    private Path configFile() {
         return folder.resolve("config.json");
     }
 
@@ -45,13 +44,32 @@
         Files.writeString(configFile(), json);
     }
 
-    /** Starts the process with an empty private folder; the environment's further values may be none. */
-    void start(Map<String, String> environment) throws IOException {
-        Path temporary = Files.createTempDirectory(folder, "tmp");
+    /** Starts the process with an empty private folder, and without an address for operators. */
+    void start() throws IOException {
+        start(null);
+    }
+
+    /** Starts the process with an empty private folder; opsAddress: the second address, for operators; null: none. */
+    void start(String opsAddress) throws IOException {
+        temporary = Files.createTempDirectory(folder, "tmp");
+        launch(opsAddress);
+    }
+
+    /** Starts a new version beside this process, with a second address of its own and all else the same. */
+    Scheduler startNewVersion(String opsAddress) throws IOException {
+        Scheduler next = new Scheduler(folder, address);
+        next.temporary = temporary;
+        next.launch(opsAddress);
+        return next;
+    }
+
+    private void launch(String opsAddress) throws IOException {
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
         builder.environment().put("GW_CONFIG", configFile().toString());
         builder.environment().put("TMPDIR", temporary.toString());
-        builder.environment().putAll(environment);
+        if (opsAddress != null) {
+            builder.environment().put("GW_OPS", opsAddress);
+        }
         File log = folder.resolve("scheduler.log").toFile();
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         process = builder.start();
@@ -61,11 +79,20 @@
 
     /** Waits until it is ready for clients; false: not within the pages' 30 s. */
     boolean awaitReady() throws InterruptedException {
+        return awaitYes(address, "/-/ready");
+    }
+
+    /** Waits until the process says yes at its second address; false: not within the pages' 30 s. */
+    boolean awaitYes(String opsAddress) throws InterruptedException {
+        return awaitYes(opsAddress, "/v1/readyz");
+    }
+
+    private boolean awaitYes(String askedAddress, String target) throws InterruptedException {
         long end = Record.now() + READY_LIMIT_MILLIS;
         while (Record.now() < end) {
-            try (Client client = new Client(address)) {
-                if (client.get("/-/ready").status() == 200) {
-                    Record.line("scheduler is ready");
+            try (Client client = new Client(askedAddress)) {
+                if (client.get(target).status() == 200) {
+                    Record.line("scheduler process " + process.pid() + " says yes to " + target);
                     return true;
                 }
             }
@@ -74,18 +101,6 @@
         return false;
     }
 
-    long pid() {
-        return process.pid();
-    }
-
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
-    int exitCode() {
-        return process.exitValue();
-    }
-
     /** SIGTERM. */
     void terminate() {
         Record.line("SIGTERM to scheduler process " + process.pid());
@@ -97,8 +112,4 @@
         Record.line("SIGKILL to scheduler process " + process.pid());
         process.destroyForcibly().waitFor();
     }
-
-    String log() throws IOException {
-        return Files.readString(folder.resolve("scheduler.log"), StandardCharsets.UTF_8);
-    }
 }
--- a/review/standins-2/SchedulerConfig.java
+++ b/review/standins-2/SchedulerConfig.java
@@ -8,21 +8,14 @@
 
     private SchedulerConfig() {}
 
-    /** opsAddress, knownList: null for none. */
-    static String json(String name, String listen, String discovery, String opsAddress, String knownList) {
-        return json(name, listen, discovery, opsAddress, knownList, true);
+    /** knownList: the list known from before, or null; a second copy of a request may be sent while the first is out. */
+    static String json(String listen, String discovery, String knownList) {
+        return json(listen, discovery, knownList, true);
     }
 
     /** secondCopies: whether a second copy of a request may be sent while the first is out. */
-    static String json(
-            String name,
-            String listen,
-            String discovery,
-            String opsAddress,
-            String knownList,
-            boolean secondCopies) {
-        return "{\"name\":\"" + name + "\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\","
-                + (opsAddress == null ? "" : "\"ops\":\"" + opsAddress + "\",")
+    static String json(String listen, String discovery, String knownList, boolean secondCopies) {
+        return "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\","
                 + (knownList == null ? "" : "\"known\":" + knownList + ",")
                 + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                 + "\"settings\":{\"family\":\"jobs\",\"groupSize\":1,\"me\":0,\"tier\":0,\"zone\":0,\"zones\":[\"" + ZONE
--- a/review/standins-2/SlowDiscovery.java
+++ b/review/standins-2/SlowDiscovery.java
@@ -1,6 +1,5 @@
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Discovery is slow: it answers each call late. A worker begins to drain. The scheduler has to stop sending there within
@@ -30,10 +29,9 @@
             publish(discovery, worker, "Ready");
         }
         Scheduler scheduler = new Scheduler(folder, Scheduler.freeAddress());
-        scheduler.writeConfig(SchedulerConfig.json(
-                "n1", scheduler.address, discovery.address(), null, discovery.wholeList()));
+        scheduler.writeConfig(SchedulerConfig.json(scheduler.address, discovery.address(), discovery.wholeList()));
         discovery.answerDelayMillis = trouble ? ANSWER_DELAY_MILLIS : 0;
-        scheduler.start(Map.of());
+        scheduler.start();
         if (!scheduler.awaitReady()) {
             throw new IllegalStateException("the scheduler is not ready");
         }
--- a/review/standins-2/SpoiltAnswer.java
+++ b/review/standins-2/SpoiltAnswer.java
@@ -2,7 +2,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Some answers of workers are spoilt: the line that ends the job has lost its result. No client may be served with what no
@@ -48,8 +47,8 @@
                     worker.uid, worker.address(), SchedulerConfig.ZONE, SchedulerConfig.MODEL, "Ready", 0);
         }
         Scheduler scheduler = new Scheduler(folder, Scheduler.freeAddress());
-        scheduler.writeConfig(SchedulerConfig.json("n1", scheduler.address, discovery.address(), null, null));
-        scheduler.start(Map.of());
+        scheduler.writeConfig(SchedulerConfig.json(scheduler.address, discovery.address(), null));
+        scheduler.start();
         if (!scheduler.awaitReady()) {
             throw new IllegalStateException("the scheduler is not ready");
         }
