--- a/review/standins-2/Load.java
+++ b/review/standins-2/Load.java
@@ -30,6 +30,13 @@
         return outcomes;
     }
 
+    /** How many of them were served. */
+    static long served(List<Outcome> outcomes) {
+        return outcomes.stream()
+                .filter(outcome -> outcome.answer().status() == 200)
+                .count();
+    }
+
     private static void sendUntil(
             String address, String jobClass, long timeoutMillis, long endMillis, List<Outcome> outcomes) {
         byte[] body = "lunch".getBytes(StandardCharsets.UTF_8);
--- a/review/standins-2/SlowDiscovery.java
+++ b/review/standins-2/SlowDiscovery.java
@@ -40,6 +40,7 @@
                 .max(Comparator.comparingInt(worker -> worker.arrivals.size()))
                 .orElseThrow();
         long drainMillis = Record.now();
+        require(!leaving.arrivals.isEmpty(), "no worker got a job");
         leaving.draining = true;
         publish(discovery, leaving, "Terminating");
         sendJobs(scheduler, drainMillis + AFTER_DRAIN_MILLIS);
@@ -60,6 +61,8 @@
     }
 
     private static void sendJobs(Scheduler scheduler, long endMillis) throws InterruptedException {
-        Load.run(scheduler.address, CLIENTS, SchedulerConfig.SAFE_CLASS, TIMEOUT_MILLIS, endMillis);
+        List<Load.Outcome> outcomes =
+                Load.run(scheduler.address, CLIENTS, SchedulerConfig.SAFE_CLASS, TIMEOUT_MILLIS, endMillis);
+        require(Load.served(outcomes) > 0, "no job was served");
     }
 }
--- a/review/standins-2/SpoiltAnswer.java
+++ b/review/standins-2/SpoiltAnswer.java
@@ -58,6 +58,7 @@
                 SchedulerConfig.UNSAFE_CLASS,
                 TIMEOUT_MILLIS,
                 Record.now() + LOAD_MILLIS);
+        require(Load.served(outcomes) > 0, "no job was served");
         long foreign = outcomes.stream()
                 .filter(outcome -> outcome.answer().status() == 200
                         && !outcome.answer().text().startsWith("result of " + outcome.id() + " by "))
--- a/review/standins-2/UpgradeInOutage.java
+++ b/review/standins-2/UpgradeInOutage.java
@@ -41,6 +41,7 @@
         Worker leaving = workers.stream()
                 .max(Comparator.comparingInt(worker -> worker.arrivals.size()))
                 .orElseThrow();
+        require(!leaving.arrivals.isEmpty(), "no worker got a job");
         leaving.draining = true;
         publish(discovery, leaving, "Terminating");
         sendJobs(before, Record.now() + BEFORE_OUTAGE_MILLIS);
@@ -98,6 +99,8 @@
     }
 
     private static void sendJobs(Scheduler scheduler, long endMillis) throws InterruptedException {
-        Load.run(scheduler.address, CLIENTS, SchedulerConfig.SAFE_CLASS, TIMEOUT_MILLIS, endMillis);
+        List<Load.Outcome> outcomes =
+                Load.run(scheduler.address, CLIENTS, SchedulerConfig.SAFE_CLASS, TIMEOUT_MILLIS, endMillis);
+        require(Load.served(outcomes) > 0, "no job was served");
     }
 }
