--- a/review/standins-2/LateSecondAnswer.java
+++ b/review/standins-2/LateSecondAnswer.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -13,7 +14,8 @@
  * same kept connection. While an attempt is out on its open connection, no other attempt of its request may come.
  */
 final class LateSecondAnswer extends Case {
-    private static final long JOB_MILLIS = 200, TIMEOUT_MILLIS = 5000, LOAD_MILLIS = 20_000;
+    private static final long SHORTEST_JOB_MILLIS = 100, LONGEST_JOB_MILLIS = 300, TIMEOUT_MILLIS = 5000;
+    private static final long LOAD_MILLIS = 20_000;
     /** How long behind the first answer the second one comes. */
     private static final long SECOND_ANSWER_MILLIS = 8;
     /** How long a worker takes to take a job; its answer begins then. */
@@ -93,7 +95,7 @@
             try {
                 hold(id, TAKE_MILLIS);
                 begin("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + line(id, "\"state\":\"started\""));
-                hold(id, JOB_MILLIS);
+                hold(id, ThreadLocalRandom.current().nextLong(SHORTEST_JOB_MILLIS, LONGEST_JOB_MILLIS));
                 Record.line("worker " + worker.uid + " ran " + id);
                 write(line(id, "\"state\":\"done\",\"result\":\"result of " + id + " by " + worker.uid + "\"")
                         + "0\r\n\r\n");
@@ -184,7 +186,7 @@
         require(scheduler.awaitReady(), "the scheduler is not ready");
         List<Load.Outcome> outcomes = Load.run(
                 scheduler.address, CLIENTS, SchedulerConfig.SAFE_CLASS, TIMEOUT_MILLIS, Record.now() + LOAD_MILLIS);
-        Thread.sleep(5 * JOB_MILLIS);
+        Thread.sleep(3 * LONGEST_JOB_MILLIS);
         require(Load.served(outcomes) > 0, "no job was served");
         long copies = countCopies();
         Record.line("jobs: " + outcomes.size() + "; second answers: " + secondAnswers + "; second copies: " + copies);
