Draw the schedulers' ports of the review cases outside of the system's range

Change: ports from 20,000 to 32,000; a worker of case 8 answers 404 to a request without an id, as PROTOCOL has it.

--- a/review/standins-2/LateSecondAnswer.java
+++ b/review/standins-2/LateSecondAnswer.java
@@ -79,6 +79,8 @@
                     int load = worker.held.get();
                     String report = "{\"inflight\":" + load + ",\"x0\":" + Math.max(0, SLOTS - load) + "}";
                     begin("HTTP/1.1 200 OK\r\nContent-Length: " + report.length() + "\r\n\r\n" + report);
+                } else if (id == null) {
+                    begin("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
                 } else {
                     runJob(id);
                 }
--- a/review/standins-2/Scheduler.java
+++ b/review/standins-2/Scheduler.java
@@ -1,14 +1,17 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** One process of the scheduler, started with the command of the deploy file from the repository's root. */
 final class Scheduler {
     private static final Path DEPLOY_FILE = Path.of("deploy/balancer.toml");
     private static final long READY_LIMIT_MILLIS = 30_000;
+    private static final int FIRST_PORT = 20_000, LAST_PORT = 32_000, MAX_PORT_TRIES = 1000;
 
     final String address;
     private final Path folder;
@@ -20,10 +23,17 @@
         this.address = address;
     }
 
+    /** An address that is free now, outside of the ports that systems hand out, so that nobody gets it by chance. */
     static String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
+        for (int tries = 0; tries < MAX_PORT_TRIES; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return "127.0.0.1:" + socket.getLocalPort();
+            } catch (BindException e) {
+                // in use: another one
+            }
         }
+        throw new IOException("no port is free");
     }
 
     private static String runCommand() throws IOException {
