Serve only a result that the worker has said, in one reading of its line

A number or an object came in a form of Java's, half a surrogate pair as a question mark.

Cause: Server.ServerConnection.handleLine made text of whatever stood under "result" with String.valueOf. LineBuffer and the conversion to UTF-8 replaced what they could not read, and the JSON parser leaves text behind the object, takes the last of two fields of one name and reads invalid escapes. Results take no other path: two processes of an upgrade exchange ids alone.

Change: AnswerLine reads a line into a typed message. A line with which this fails closes the connection, and the attempt ends as one that may have run. Load reports have a class of their own.

--- a/src/main/java/barrowshore/net/LineBuffer.java
+++ b/src/main/java/barrowshore/net/LineBuffer.java
@@ -2,12 +2,13 @@
 
 import barrowshore.memory.GrowableBuffer;
 import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 
 /**
  * Splits a byte stream into lines, which may span reads. It buffers the incomplete line up to a maximum size and passes
- * on complete lines only.
+ * on complete lines only, which must be UTF-8.
  */
 public final class LineBuffer {
     private static final int INITIAL_BYTES = 256;
@@ -25,7 +26,11 @@
         return line.capacityFor(additionalBytes);
     }
 
-    /** Adds bytes and passes each completed line, without its terminator, to the consumer. */
+    /**
+     * Adds bytes and passes each completed line, without its terminator, to the consumer.
+     *
+     * @throws IllegalStateException if the line is too long or not UTF-8
+     */
     public void add(ByteBuffer bytes, Consumer<String> consumer) {
         while (bytes.hasRemaining()) {
             int count = bytesBeforeTerminator(bytes);
@@ -49,10 +54,21 @@
         return end - start;
     }
 
-    /** Passes on the buffered bytes as a line; for a message that ends without a line terminator. */
-    public void end(Consumer<String> consumer) {
-        String text = new String(line.array(), 0, line.size(), StandardCharsets.UTF_8);
+    private void end(Consumer<String> consumer) {
+        String text = decodeLine();
         line.clear();
         consumer.accept(text);
     }
+
+    /** Rejects invalid bytes: with a replacement character in their place, the line would not be the sender's. */
+    private String decodeLine() {
+        try {
+            return StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(line.array(), 0, line.size()))
+                    .toString();
+        } catch (CharacterCodingException e) {
+            throw new IllegalStateException("line is not UTF-8", e);
+        }
+    }
 }
--- a/src/main/java/barrowshore/servers/Server.java
+++ b/src/main/java/barrowshore/servers/Server.java
@@ -67,9 +67,6 @@
     /** How often an answer tries to get memory before another one has to give it up. */
     private static final int MAX_MEMORY_RETRIES = 50;
 
-    /** Upper bound of a plausible load value: more requests or free slots than any machine has. */
-    private static final double MAX_LOAD_VALUE = 1e5;
-
     /** One attempt, implemented by the module actor; {@link #ended} is called exactly once unless it is abandoned. */
     public interface Attempt {
         JobRequest request();
@@ -313,19 +310,6 @@
         }
     }
 
-    /** Parses a load report: missing or invalid values become NaN; returns null if it is no report at all. */
-    static Load parseLoad(Object json) {
-        return json instanceof Map<?, ?> map && !map.isEmpty()
-                ? new Load(loadValue(map, "inflight"), loadValue(map, "queue"), loadValue(map, "x0"))
-                : null;
-    }
-
-    /** Returns NaN for an impossible value, which would distort the learned load statistics. */
-    private static double loadValue(Map<?, ?> map, String name) {
-        double value = map.get(name) instanceof Number n ? n.doubleValue() : Double.NaN;
-        return value >= 0 && value <= MAX_LOAD_VALUE ? value : Double.NaN;
-    }
-
     /** One connection to the server: idle, reserved for an exchange, or carrying one. */
     private final class ServerConnection extends HttpLink implements HttpParser.ResponseHandler {
         private Exchange exchange;
@@ -545,7 +529,7 @@
             if (field.is(NOT_PROCESSED_HEADER)) {
                 notProcessed = "1".equals(field.getValue());
             } else if (field.is(LOAD_HEADER)) {
-                headerLoad = parseLoad(Json.parseOrNull(field.getValue()));
+                headerLoad = LoadReport.parse(Json.parseOrNull(field.getValue()));
             }
         }
 
@@ -581,8 +565,7 @@
         public boolean content(ByteBuffer bytes) {
             bytesRead += bytes.remaining();
             if (bytesRead > MAX_ANSWER_BYTES) {
-                throw new IllegalStateException(
-                        "answer exceeds " + MAX_ANSWER_BYTES + " bytes; closing the connection");
+                throw new InvalidAnswerException("answer exceeds " + MAX_ANSWER_BYTES + " bytes");
             }
             if (lineBuffer != null) {
                 if (!exchange.ended) {
@@ -596,30 +579,23 @@
 
         private void handleLine(String line) {
             if (++linesRead > MAX_ANSWER_LINES) {
-                throw new IllegalStateException(
-                        "answer exceeds " + MAX_ANSWER_LINES + " lines; closing the connection");
+                throw new InvalidAnswerException("answer exceeds " + MAX_ANSWER_LINES + " lines");
             }
             if (line.isBlank() || exchange.ended) {
                 return;
             }
-            if (!(Json.parseOrNull(line) instanceof Map<?, ?> map)
-                    || !exchange.attempt.request().id().equals(map.get("id"))) {
-                // The connection can't be trusted any more. The exception closes it before the outcome is reported: a
-                // retry sent before the close would be a second copy.
-                throw new IllegalStateException("answer doesn't match the request's id; closing the connection");
-            }
-            Load reportedLoad = parseLoad(map.get("load"));
-            switch (String.valueOf(map.get("state"))) {
-                case "started" -> exchange.attempt.noteReceived(Note.STARTED, 0);
-                case "running" -> exchange.attempt.noteReceived(
-                        Note.PROGRESS, map.get("share") instanceof Number n ? n.doubleValue() : 0);
-                case "done" -> endExchange(
-                        Status.OK,
-                        reportedLoad,
-                        countResult(String.valueOf(map.get("result")).getBytes(StandardCharsets.UTF_8)));
-                case "failed" -> endExchange(Status.ERROR, reportedLoad, null);
-                case "returned" -> endExchange(Status.FULL, reportedLoad, null);
-                case "lost" -> endExchange(Status.RESET, reportedLoad, null);
+            // An invalid line's exception closes the connection before the outcome is reported: a retry sent before the
+            // close would be a second copy.
+            AnswerLine answerLine =
+                    AnswerLine.parse(line, exchange.attempt.request().id());
+            Load reportedLoad = answerLine.load();
+            switch (answerLine.state()) {
+                case STARTED -> exchange.attempt.noteReceived(Note.STARTED, 0);
+                case RUNNING -> exchange.attempt.noteReceived(Note.PROGRESS, answerLine.share());
+                case DONE -> endExchange(Status.OK, reportedLoad, countResult(answerLine.result()));
+                case FAILED -> endExchange(Status.ERROR, reportedLoad, null);
+                case RETURNED -> endExchange(Status.FULL, reportedLoad, null);
+                case LOST -> endExchange(Status.RESET, reportedLoad, null);
                 default -> {}
             }
         }
@@ -642,8 +618,7 @@
         public boolean messageComplete() {
             if (statusCode < 200) {
                 if (++linesRead > MAX_ANSWER_LINES) {
-                    throw new IllegalStateException(
-                            "more than " + MAX_ANSWER_LINES + " interim responses; closing the connection");
+                    throw new InvalidAnswerException("more than " + MAX_ANSWER_LINES + " interim responses");
                 }
                 parser.reset();
                 return true;
@@ -652,7 +627,7 @@
                 // The stream ended without a final state: the job may have run.
                 exchange.end(Status.RESET, headerLoad, null);
             } else if (exchange.probe != null) {
-                Load reportedLoad = parseLoad(Json.parseOrNull(answerBody.toString()));
+                Load reportedLoad = LoadReport.parse(Json.parseOrNull(answerBody.toString()));
                 exchange.end(
                         statusCode == 200 ? Status.OK : Status.ERROR,
                         reportedLoad != null ? reportedLoad : headerLoad,
--- a/src/test/java/barrowshore/servers/LoadReportTest.java
+++ b/src/test/java/barrowshore/servers/LoadReportTest.java
@@ -12,13 +12,13 @@
     @ParameterizedTest
     @ValueSource(strings = {"-0.5", "1e18", "1e999", "\"4\"", "null", "true", "[4]", "{}", "NaN"})
     void impossibleValueIsIgnored(String value) {
-        assertThat(Server.parseLoad(Json.parseOrNull("{\"inflight\":" + value + ",\"util\":1,\"x0\":2.5}")))
+        assertThat(LoadReport.parse(Json.parseOrNull("{\"inflight\":" + value + ",\"util\":1,\"x0\":2.5}")))
                 .isEqualTo(new Load(Double.NaN, Double.NaN, 2.5));
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"", "{", "{\"inflight\":7", "[]", "7", "{}", "inflight=7"})
     void invalidReportYieldsNull(String text) {
-        assertThat(Server.parseLoad(Json.parseOrNull(text))).isNull();
+        assertThat(LoadReport.parse(Json.parseOrNull(text))).isNull();
     }
 }
