Begin no attempt for a client whose end lies behind megabytes that nobody wants

Cause: an end is learned only by reading what comes before it. HttpLink.discardUnwanted read 64 KB in 10 ms behind the first 256 KB, and the question before each attempt read no further than that throttle and took an end that it had not reached for a client that is there.

Change: while an answer is awaited, up to 16 MB are read at full speed, into one shared buffer. HttpLink.checkEnd waits until no unwanted byte has come for 10 ms; if they go on coming the answer is "unknown", no attempt begins, and the client gets its final answer. All attempts pass this question right before their first byte. A pause has one timer, not one more each question.

On the code before, the five new cases of ClientGoneTest and client-floods-much-and-goes.txt of ExchangeTest fail.

--- a/src/main/java/barrowshore/client/ClientConnections.java
+++ b/src/main/java/barrowshore/client/ClientConnections.java
@@ -543,12 +543,14 @@
             return gone;
         }
 
+        @Override
+        public boolean mayBeGone() {
+            return gone || isEndUnknown();
+        }
+
         @Override
         public void checkConnection(Runnable then) {
-            mailbox.post(() -> {
-                read();
-                then.run();
-            });
+            mailbox.post(() -> checkEnd(then));
         }
 
         private void sendAnswer(JobRequest.Answer answer) {
--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -27,8 +27,13 @@
     private static final int INITIAL_HEADER_BUFFER_BYTES = 2048;
     /** Longest accepted head of a request or a response. */
     protected static final int MAX_HEADER_BYTES = 16384;
-    /** Bytes that are read and discarded at full speed, so that the peer can still read its last answer. */
-    private static final int MAX_DISCARDED_BYTES = 256 * 1024;
+    /** Bytes that are read and discarded at full speed after the last answer, so that the peer can still read that. */
+    private static final int MAX_DISCARDED_AFTER_CLOSE_BYTES = 256 * 1024;
+    /**
+     * The same while an answer is awaited: the peer's close is noticed only behind them, so they exceed what a system
+     * usually buffers for a connection.
+     */
+    private static final int MAX_DISCARDED_BEFORE_ANSWER_BYTES = 16 * 1024 * 1024;
     /**
      * Above that, reading is throttled to so many bytes per pause instead of closing: a close with bytes unread would reset
      * the connection and could destroy the answer. The time limit bounds it.
@@ -36,6 +41,13 @@
     private static final int FLOOD_READ_BYTES = 64 * 1024;
 
     private static final long FLOOD_PAUSE_MILLIS = 10;
+    /** Takes what is discarded, on all connections: nobody reads it. */
+    private static final ByteBuffer DISCARD_BUFFER = ByteBuffer.allocateDirect(FLOOD_READ_BYTES);
+    /** After so long without a byte, a peer whose window was closed has had time to send on, or to tell its end. */
+    private static final long QUIET_MILLIS = 10;
+    /** How often {@link #checkEnd} waits for that. */
+    private static final int MAX_QUIET_WAITS = 4;
+
     /** Time until the next try to parse after {@link #reserveForParsing} has refused. */
     protected static final long MEMORY_RETRY_MILLIS = 10;
 
@@ -59,7 +71,15 @@
     /** Whether unsolicited bytes overflowed the buffer; they are discarded, so that the peer's close is still seen. */
     private boolean flooded;
 
+    /** The bytes discarded at full speed, or since the last pause. */
     private int discardedBytes;
+    /** Whether reading has stopped until a timer fires. */
+    private boolean readingPaused;
+    /** Number of the reads that discarded something. */
+    private int discardCount;
+    /** Whether the last {@link #checkEnd} could not tell: so much comes that the end may be behind it. */
+    private volatile boolean endUnknown;
+
     /** Whether reading goes on when a timer fires, after {@link #reserveForParsing} has refused. */
     private boolean waitingForMemory;
 
@@ -153,24 +173,81 @@
     }
 
     private boolean canParse() {
-        return !discarding && !flooded && isParsingEnabled();
+        return !isDiscarding() && isParsingEnabled();
     }
 
     /** Discards what nobody wants any more; false: so much that reading pauses. */
     private boolean discardUnwanted() {
-        if (!discarding && !flooded && BufferUtil.space(readBuffer) == 0 && !isParsingEnabled()) {
+        if (!isDiscarding() && BufferUtil.space(readBuffer) == 0 && !isParsingEnabled()) {
             flooded = discardsOverflow();
         }
-        if (discarding || flooded) {
-            discardedBytes += readBuffer.remaining();
-            BufferUtil.clear(readBuffer);
-            if (discardedBytes > MAX_DISCARDED_BYTES + FLOOD_READ_BYTES) {
-                discardedBytes = MAX_DISCARDED_BYTES;
-                timers.schedule(() -> mailbox.post(this::read), FLOOD_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
-                return false;
-            }
+        if (!isDiscarding()) {
+            return true;
         }
-        return true;
+        countDiscarded(readBuffer.remaining());
+        BufferUtil.clear(readBuffer);
+        int fullSpeedBytes = discarding ? MAX_DISCARDED_AFTER_CLOSE_BYTES : MAX_DISCARDED_BEFORE_ANSWER_BYTES;
+        if (!readingPaused && discardedBytes > fullSpeedBytes + FLOOD_READ_BYTES) {
+            discardedBytes = fullSpeedBytes;
+            pauseReading();
+        }
+        return !readingPaused;
+    }
+
+    private boolean isDiscarding() {
+        return discarding || flooded;
+    }
+
+    private void countDiscarded(int bytes) {
+        discardedBytes += bytes;
+        discardCount += bytes > 0 ? 1 : 0;
+    }
+
+    private void pauseReading() {
+        readingPaused = true;
+        timers.schedule(
+                () -> mailbox.post(() -> {
+                    readingPaused = false;
+                    read();
+                }),
+                FLOOD_PAUSE_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Reads all that has arrived, so that an end is noticed that comes behind it, then runs the callback. Where unwanted
+     * bytes have overflowed the buffer, an end may be on its way behind more of them, which the peer could not send before:
+     * so the callback waits until none has come for a while. If they go on coming, {@link #isEndUnknown} is true afterwards.
+     */
+    protected void checkEnd(Runnable then) {
+        checkEnd(then, MAX_QUIET_WAITS);
+    }
+
+    private void checkEnd(Runnable then, int waitsLeft) {
+        read();
+        if (closed || !flooded) {
+            then.run();
+            return;
+        }
+        int countBefore = discardCount;
+        timers.schedule(
+                () -> mailbox.post(() -> {
+                    read();
+                    boolean quiet = closed || discardCount == countBefore && !readingPaused;
+                    if (quiet || waitsLeft == 0) {
+                        endUnknown = !quiet;
+                        then.run();
+                    } else {
+                        checkEnd(then, waitsLeft - 1);
+                    }
+                }),
+                QUIET_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Whether the peer sends so much that the last {@link #checkEnd} could not tell whether it has ended; any thread. */
+    protected boolean isEndUnknown() {
+        return endUnknown;
     }
 
     /** Parses what is in the buffer; false: it has to wait for memory. */
@@ -187,7 +264,7 @@
     /** Fills the buffer from the socket; false: there was nothing to read. */
     private boolean fill() throws IOException {
         boolean parse = canParse();
-        int filled = getEndPoint().fill(readBuffer);
+        int filled = isDiscarding() ? fillAndDiscard() : getEndPoint().fill(readBuffer);
         if (filled < 0) {
             endOfStream = true;
             if (parse) {
@@ -206,6 +283,14 @@
         return true;
     }
 
+    private int fillAndDiscard() throws IOException {
+        ByteBuffer buffer = DISCARD_BUFFER.duplicate();
+        BufferUtil.clear(buffer);
+        int filled = getEndPoint().fill(buffer);
+        countDiscarded(Math.max(0, filled));
+        return filled;
+    }
+
     /**
      * Reserves memory for what parsing so many bytes may make this connection keep. False: not now; unless the subclass has
      * stopped parsing, it is tried again after {@link #MEMORY_RETRY_MILLIS}, and meanwhile nothing more is read.
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -169,7 +169,7 @@
         public boolean maySend() {
             long now = clock.micros();
             // Called by the server's actor: an end that the actor here knows counts before the server is told of it.
-            boolean stillWanted = !ended && !openRequest.answered && !openRequest.client.isGone();
+            boolean stillWanted = !ended && !openRequest.answered && !openRequest.client.mayBeGone();
             return stillWanted && now < startByMicros && now < openRequest.request.deadlineMicros();
         }
 
--- a/src/main/java/barrowshore/request/JobRequest.java
+++ b/src/main/java/barrowshore/request/JobRequest.java
@@ -73,9 +73,17 @@
             return false;
         }
 
+        /**
+         * Whether the client has gone, or sends so much that the last {@link #checkConnection} could not tell. No attempt
+         * may begin for it then.
+         */
+        default boolean mayBeGone() {
+            return isGone();
+        }
+
         /**
          * Checks whether the connection is still open, without waiting for an event that says so, then runs the callback,
-         * which may only post. Afterwards {@link #isGone} returns the result.
+         * which may only post. Afterwards {@link #mayBeGone} returns the result.
          */
         default void checkConnection(Runnable then) {
             then.run();
--- a/src/test/java/barrowshore/node/ClientGoneTest.java
+++ b/src/test/java/barrowshore/node/ClientGoneTest.java
@@ -41,6 +41,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -73,6 +74,13 @@
 
     private static final long ATTEMPT_LIMIT_MICROS = 88_888;
 
+    /** The pauses and waits of a connection on which unwanted bytes arrive. */
+    private static final long FLOOD_TIMER_MICROS = 10_000;
+    /** More than is read at full speed while a request is open. */
+    private static final int ENDLESS_FLOOD_BYTES = 17 << 20;
+
+    private static final int FLOOD_BYTES = 8 << 20;
+
     private static final int MAX_CLIENTS = 10;
     private static final int FIRST_WORKER = 0;
     private static final int SECOND_WORKER = 1;
@@ -108,6 +116,10 @@
     /** The same, while they were still open. */
     private final List<String> outcomesWhileOpen = new CopyOnWriteArrayList<>();
 
+    /** The first worker's connection with the job of a client that floods, and the task that floods. */
+    private Socket floodedWorker;
+
+    private Future<Void> flood;
     private ServerSocketChannel clientListener;
     private ConnectionManager clientConnectionManager;
     private ClientConnections clientConnections;
@@ -117,6 +129,7 @@
     private static final class ScriptTimers extends AbstractLifeCycle implements Scheduler {
         final BlockingQueue<Runnable> secondCopies = new LinkedBlockingQueue<>();
         final BlockingQueue<Runnable> attemptLimits = new LinkedBlockingQueue<>();
+        final BlockingQueue<Runnable> floodTimers = new LinkedBlockingQueue<>();
 
         @Override
         public Task schedule(Runnable run, long delay, TimeUnit unit) {
@@ -124,6 +137,8 @@
                 secondCopies.add(run);
             } else if (unit.toMicros(delay) == ATTEMPT_LIMIT_MICROS) {
                 attemptLimits.add(run);
+            } else if (unit.toMicros(delay) == FLOOD_TIMER_MICROS) {
+                floodTimers.add(run);
             }
             return () -> true;
         }
@@ -612,4 +627,62 @@
         serverExecutors[SECOND_WORKER].awaitWaitingTurn();
         return client;
     }
+
+    /** Opens a client whose job is at the first worker, and lets it send so much that nobody wants. */
+    private WaitingClient openFloodingClient(int bytes) throws Exception {
+        WaitingClient client = openClient("one-failed");
+        floodedWorker = acceptAtWorker(FIRST_WORKER);
+        readRequest(floodedWorker);
+        flood = pool.submit(() -> {
+            client.socket.getOutputStream().write(new byte[bytes]);
+            return null;
+        });
+        return client;
+    }
+
+    /** Its end is behind what it has sent, and is noticed without a pause. */
+    @ParameterizedTest
+    @EnumSource(LeaveMode.class)
+    void clientLeavesBehindMegabytesThatNobodyWants(LeaveMode mode) throws Exception {
+        Socket second = openIdleConnection();
+        WaitingClient client = openFloodingClient(FLOOD_BYTES);
+        flood.get();
+        leaveAll(new Departure(mode, true), List.of(client));
+        reply(floodedWorker, "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n");
+        assertNextAttemptIsOfALaterRequest("two", second);
+    }
+
+    /** A client that is quiet after it has sent much is there, and its job is repeated. */
+    @Test
+    void quietClientIsThereBehindMegabytesThatNobodyWants() throws Exception {
+        Socket second = openIdleConnection();
+        WaitingClient client = openFloodingClient(FLOOD_BYTES);
+        flood.get();
+        client.awaitAllRead();
+        reply(floodedWorker, "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n");
+        runFloodTimersUntilReadable(second);
+        assertThat(readRequest(second)).contains("X-Request-ID: one-failed");
+    }
+
+    /** Whether the client has gone cannot be told: no attempt begins, and it gets its final answer. */
+    @Test
+    void noAttemptBeginsForAClientThatSendsWithoutEnd() throws Exception {
+        Socket second = openIdleConnection();
+        WaitingClient client = openFloodingClient(ENDLESS_FLOOD_BYTES);
+        Runnable firstPause = timers.floodTimers.take();
+        reply(floodedWorker, "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n");
+        timers.floodTimers.add(firstPause);
+        runFloodTimersUntilReadable(client.socket);
+        assertThat(HttpText.firstLine(client.socket.getInputStream())).isEqualTo("HTTP/1.1 502 Bad Gateway");
+        assertNextAttemptIsOfALaterRequest("two", second);
+    }
+
+    private void runFloodTimersUntilReadable(Socket socket) throws IOException {
+        while (socket.getInputStream().available() == 0) {
+            Runnable timer = timers.floodTimers.poll();
+            if (timer != null) {
+                timer.run();
+            }
+        }
+    }
 }
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -120,6 +120,7 @@
                                 .replace("\\\r\n", "")
                                 .replace("\\n", "\n")
                                 .replace("$64K", "x".repeat(65536))
+                                .replace("$4M", "x".repeat(4 << 20))
                                 .replace("$16K", "k".repeat(16384))
                                 .replace("$2000LINES", "\n".repeat(2000))),
                         text);
