Hold the pauses of a flood in its test until the attempt waits for quiet

It ran the connection's pauses while the failed attempt was on its way to the second worker; with 1 MB left behind the limit the client could be quiet before it was asked about, so that the attempt rightly began.

Change: the test takes the first pause and the first wait for quiet before it runs either, and the client sends 32 MB from a thread of its own, which no selector shares. What is checked is the same.

--- a/src/test/java/barrowshore/node/ClientGoneTest.java
+++ b/src/test/java/barrowshore/node/ClientGoneTest.java
@@ -41,7 +41,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -77,7 +77,7 @@
     /** The pauses and waits of a connection on which unwanted bytes arrive. */
     private static final long FLOOD_TIMER_MICROS = 10_000;
     /** More than is read at full speed while a request is open. */
-    private static final int ENDLESS_FLOOD_BYTES = 17 << 20;
+    private static final int ENDLESS_FLOOD_BYTES = 32 << 20;
 
     private static final int FLOOD_BYTES = 8 << 20;
 
@@ -119,7 +119,7 @@
     /** The first worker's connection with the job of a client that floods, and the task that floods. */
     private Socket floodedWorker;
 
-    private Future<Void> flood;
+    private FutureTask<Void> flood;
     private ServerSocketChannel clientListener;
     private ConnectionManager clientConnectionManager;
     private ClientConnections clientConnections;
@@ -633,10 +633,13 @@
         WaitingClient client = openClient("one-failed");
         floodedWorker = acceptAtWorker(FIRST_WORKER);
         readRequest(floodedWorker);
-        flood = pool.submit(() -> {
+        flood = new FutureTask<>(() -> {
             client.socket.getOutputStream().write(new byte[bytes]);
             return null;
         });
+        Thread flooding = new Thread(flood);
+        flooding.setDaemon(true);
+        flooding.start();
         return client;
     }
 
@@ -669,9 +672,11 @@
     void noAttemptBeginsForAClientThatSendsWithoutEnd() throws Exception {
         Socket second = openIdleConnection();
         WaitingClient client = openFloodingClient(ENDLESS_FLOOD_BYTES);
-        Runnable firstPause = timers.floodTimers.take();
+        Runnable pause = timers.floodTimers.take();
         reply(floodedWorker, "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n");
-        timers.floodTimers.add(firstPause);
+        Runnable quietWait = timers.floodTimers.take();
+        timers.floodTimers.add(pause);
+        timers.floodTimers.add(quietWait);
         runFloodTimersUntilReadable(client.socket);
         assertThat(HttpText.firstLine(client.socket.getInputStream())).isEqualTo("HTTP/1.1 502 Bad Gateway");
         assertNextAttemptIsOfALaterRequest("two", second);
