Limit what the system keeps unread for each connection

Cause: the heap and the resident memory keep their limits, but a socket's receive buffer grows to megabytes where a peer sends more than is read, and counts as the process's memory where that is limited as a whole.

Change: ConnectionManager.limitReceiveBuffer, 32 KB, on listening and dialed sockets.

--- a/src/main/java/barrowshore/net/ConnectionManager.java
+++ b/src/main/java/barrowshore/net/ConnectionManager.java
@@ -1,9 +1,11 @@
 package barrowshore.net;
 
 import java.io.IOException;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
+import java.nio.channels.NetworkChannel;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
@@ -28,6 +30,8 @@
  * once the descriptor is released, which is later than the close of the channel (see {@link #afterRelease}).
  */
 public final class ConnectionManager extends SelectorManager {
+    private static final System.Logger LOG = System.getLogger(ConnectionManager.class.getName());
+
     /** Marks a connection that was accepted and so counts against the budget of client connections. */
     public interface AcceptedConnection {}
 
@@ -42,6 +46,12 @@
 
     private static final long ACCEPT_SWEEP_INTERVAL_MILLIS = 10;
 
+    /**
+     * For what the system keeps of a connection's unread bytes, which counts as this process's memory where that is limited.
+     * Left to itself the system lets it grow to some megabytes for each connection.
+     */
+    private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
+
     private final ResizableSemaphore outgoingPermits;
     private final ResizableSemaphore clientPermits;
     private final Function<EndPoint, Connection> acceptedConnectionFactory;
@@ -87,6 +97,7 @@
             channel = SocketChannel.open();
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            limitReceiveBuffer(channel);
             if (channel.connect(address)) {
                 accept(channel, handler);
             } else {
@@ -127,6 +138,18 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Limits what the system keeps of unread bytes; one that refuses has a limit of its own. To be called before the socket
+     * connects or listens: accepted connections have the limit of the listening socket.
+     */
+    public static void limitReceiveBuffer(NetworkChannel channel) {
+        try {
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, "the receive buffer of a socket cannot be limited", e);
+        }
+    }
+
     public void listen(ServerSocketChannel server) throws IOException {
         server.configureBlocking(false);
         acceptor(server);
--- a/src/main/java/barrowshore/node/JobScheduler.java
+++ b/src/main/java/barrowshore/node/JobScheduler.java
@@ -413,6 +413,7 @@
         try {
             listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             listener.setOption(StandardSocketOptions.SO_REUSEPORT, sharedPort);
+            ConnectionManager.limitReceiveBuffer(listener);
             return listener.bind(address, LISTEN_BACKLOG);
         } catch (IOException | RuntimeException e) {
             listener.close();
