Remember the ids that may have run for eight times as many requests

Cause: RequestIds forgot an id after 2,048 others, which one client can send within seconds; then it ran again.

Change: 16,384 ids, and 24,576 of other processes; the queue to the other process holds them all.

Evidence: RequestIdsTest.usedIdIsRememberedWhileThousandsOfOthersRun fails on the code before and passes now.

--- a/src/main/java/barrowshore/upgrade/LineWriter.java
+++ b/src/main/java/barrowshore/upgrade/LineWriter.java
@@ -14,8 +14,8 @@
  */
 final class LineWriter {
     private static final System.Logger LOG = System.getLogger("barrowshore.upgrade.Twin");
-    private static final int MAX_QUEUED_LINES = 16_384;
-    /** Optional lines are dropped above this, so that the others find room. */
+    private static final int MAX_QUEUED_LINES = 49_152;
+    /** Optional lines are dropped above this, so that the others find room; all ids that a process remembers fit. */
     private static final int MAX_QUEUED_BEFORE_OPTIONAL = MAX_QUEUED_LINES / 2;
 
     private final SocketChannel channel;
--- a/src/main/java/barrowshore/upgrade/RequestIds.java
+++ b/src/main/java/barrowshore/upgrade/RequestIds.java
@@ -31,10 +31,10 @@
     private static final int MAX_UNANSWERED_TICKS = 25;
     /** After so long without a tick this process was held up itself: what the others have sent may still be unread. */
     private static final long HELD_UP_MICROS = 5 * TICK_MILLIS * 1000;
-    /** Covers about a minute at the usual load. */
-    private static final int MAX_USED_IDS = 2048;
-    /** Covers an upgrade at several times the usual load. */
-    private static final int MAX_FOREIGN_IDS = 8192;
+    /** Covers the longest deadlines while clients send as many jobs as one process carries; some 150 bytes each. */
+    private static final int MAX_USED_IDS = 16_384;
+    /** What another process tells at the start of an upgrade, and what it runs during that. */
+    private static final int MAX_FOREIGN_IDS = 24_576;
 
     /** What {@link #begin} decides. */
     public enum Admission {
--- a/src/test/java/barrowshore/upgrade/RequestIdsTest.java
+++ b/src/test/java/barrowshore/upgrade/RequestIdsTest.java
@@ -211,6 +211,23 @@
         assertThat(upgrade.old.ids.begin("again", false)).isEqualTo(Admission.IN_USE);
     }
 
+    /** A client that sends as many jobs as it can must not make the id of another's job one that may run again. */
+    @Test
+    void usedIdIsRememberedWhileThousandsOfOthersRun() {
+        assertThat(upgrade.old.ids.begin("left", false)).isEqualTo(Admission.ADMITTED);
+        upgrade.old.ids.end("left", true);
+        for (int k = 0; k < 15_000; k++) {
+            upgrade.old.ids.begin("other" + k, false);
+            upgrade.old.ids.end("other" + k, true);
+        }
+        assertThat(upgrade.old.ids.begin("left", false)).isEqualTo(Admission.IN_USE);
+        connectAndServe();
+        assertThat(upgrade.successor.begin("left")).isEqualTo(Admission.IN_USE);
+        upgrade.old.die();
+        assertThat(upgrade.successor.begin("other0")).isEqualTo(Admission.IN_USE);
+        assertThat(upgrade.successor.begin("left")).isEqualTo(Admission.IN_USE);
+    }
+
     /**
      * A process that runs reads what it was sent within 50 ms. Each may be held up for any time, at least 400 ms after the
      * other one was, and may die.
