--- a/src/main/java/barrowshore/net/HttpLink.java
+++ b/src/main/java/barrowshore/net/HttpLink.java
@@ -27,22 +27,11 @@
     private static final int INITIAL_HEADER_BUFFER_BYTES = 2048;
     /** Longest accepted head of a request or a response. */
     protected static final int MAX_HEADER_BYTES = 16384;
-    /** Bytes that are read and discarded at full speed after the last answer, so that the peer can still read that. */
-    private static final int MAX_DISCARDED_AFTER_CLOSE_BYTES = 256 * 1024;
-    /**
-     * The same while an answer is awaited: the peer's close is noticed only behind them, so they exceed what a system
-     * usually buffers for a connection.
-     */
-    private static final int MAX_DISCARDED_BEFORE_ANSWER_BYTES = 16 * 1024 * 1024;
-    /**
-     * Above that, reading is throttled to so many bytes per pause instead of closing: a close with bytes unread would reset
-     * the connection and could destroy the answer. The time limit bounds it.
-     */
-    private static final int FLOOD_READ_BYTES = 64 * 1024;
 
     private static final long FLOOD_PAUSE_MILLIS = 10;
+    private static final int DISCARD_BUFFER_BYTES = 64 * 1024;
     /** Takes what is discarded, on all connections: nobody reads it. */
-    private static final ByteBuffer DISCARD_BUFFER = ByteBuffer.allocateDirect(FLOOD_READ_BYTES);
+    private static final ByteBuffer DISCARD_BUFFER = ByteBuffer.allocateDirect(DISCARD_BUFFER_BYTES);
     /** After so long without a byte, a peer whose window was closed has had time to send on, or to tell its end. */
     private static final long QUIET_MILLIS = 10;
     /** How often {@link #checkEnd} waits for that. */
@@ -71,12 +60,9 @@
     /** Whether unsolicited bytes overflowed the buffer; they are discarded, so that the peer's close is still seen. */
     private boolean flooded;
 
-    /** The bytes discarded at full speed, or since the last pause. */
-    private int discardedBytes;
+    private final DiscardMeter discardMeter = new DiscardMeter();
     /** Whether reading has stopped until a timer fires. */
     private boolean readingPaused;
-    /** Number of the reads that discarded something. */
-    private int discardCount;
     /** Whether the last {@link #checkEnd} could not tell: so much comes that the end may be behind it. */
     private volatile boolean endUnknown;
 
@@ -184,11 +170,9 @@
         if (!isDiscarding()) {
             return true;
         }
-        countDiscarded(readBuffer.remaining());
+        discardMeter.add(readBuffer.remaining());
         BufferUtil.clear(readBuffer);
-        int fullSpeedBytes = discarding ? MAX_DISCARDED_AFTER_CLOSE_BYTES : MAX_DISCARDED_BEFORE_ANSWER_BYTES;
-        if (!readingPaused && discardedBytes > fullSpeedBytes + FLOOD_READ_BYTES) {
-            discardedBytes = fullSpeedBytes;
+        if (!readingPaused && discardMeter.isPauseDue(!discarding)) {
             pauseReading();
         }
         return !readingPaused;
@@ -198,11 +182,6 @@
         return discarding || flooded;
     }
 
-    private void countDiscarded(int bytes) {
-        discardedBytes += bytes;
-        discardCount += bytes > 0 ? 1 : 0;
-    }
-
     private void pauseReading() {
         readingPaused = true;
         timers.schedule(
@@ -229,11 +208,11 @@
             then.run();
             return;
         }
-        int countBefore = discardCount;
+        int countBefore = discardMeter.count();
         timers.schedule(
                 () -> mailbox.post(() -> {
                     read();
-                    boolean quiet = closed || discardCount == countBefore && !readingPaused;
+                    boolean quiet = closed || discardMeter.count() == countBefore && !readingPaused;
                     if (quiet || waitsLeft == 0) {
                         endUnknown = !quiet;
                         then.run();
@@ -287,7 +266,7 @@
         ByteBuffer buffer = DISCARD_BUFFER.duplicate();
         BufferUtil.clear(buffer);
         int filled = getEndPoint().fill(buffer);
-        countDiscarded(Math.max(0, filled));
+        discardMeter.add(Math.max(0, filled));
         return filled;
     }
 
@@ -349,7 +328,7 @@
      */
     protected void closeGracefully(long millis) {
         discarding = true;
-        discardedBytes = 0;
+        discardMeter.reset();
         setTimeLimit(millis);
         getEndPoint().shutdownOutput();
         read();
