Tell the new process of an upgrade the server list that the old one has

Cause: the old process asks discovery for the changes after version 44, the one with the drain, the new one for those after 43, which is that of the configuration (trace of the case: "asked ... after=43" at 0.3 s and 0.8 s, yes at 1.4 s). After 1 s without an answer ServiceDiscovery gave the configured list to the module; the link between the two processes carried no list.

Change: the link carries the list. The old process tells all of it when the new one connects, and each tells the other what discovery tells it from then on, also through a third process. KnownServerList, which is pure, holds what is known and decides what is news: revisions are compared only within one address of discovery, changes are taken only where nothing before them is missing, and an answer to an earlier call does not undo what the other process told meanwhile. A new process does not serve by its configured list until the old one has told its list, has ended, or has said nothing for 3 s, so that the yes stays within 6 s beside a process that hangs or is of the version before. The operators' figures say "ready" before clients are accepted, no longer just after.

The signal handler moves from JobScheduler to a class of its own; it is unchanged.

Tests: upgrade-in-outage and upgrade-news-side-by-side fail on the code before (the job goes to the leaving worker; the news never comes). KnownServerListTest plays 500 random histories at two processes.

--- a/src/main/java/barrowshore/capacity/simulated/SimulatedScheduler.java
+++ b/src/main/java/barrowshore/capacity/simulated/SimulatedScheduler.java
@@ -139,7 +139,6 @@
                 connectionManager,
                 timers,
                 update -> mailbox.post(() -> receiveList(update)),
-                () -> {},
                 config.knownServers(),
                 config.grace());
         peers = new PeerMessenger(
@@ -150,7 +149,7 @@
                 (from, message) -> mailbox.post(() -> receivePeerMessage(from, message)));
         connectionManager.start();
         post(Category.REFRESH, () -> dispatcher.start(now()));
-        discovery.open();
+        discovery.open(false);
     }
 
     CpuMeter meter() {
--- a/src/main/java/barrowshore/list/ServerList.java
+++ b/src/main/java/barrowshore/list/ServerList.java
@@ -60,14 +60,9 @@
             this(revision, full, entries, List.of());
         }
 
-        /** Applies changes to this full list and returns the resulting full list. */
-        public Update apply(Update changes) {
-            Map<String, Entry> next = new LinkedHashMap<>();
-            entries.forEach(e -> next.put(e.uid(), e));
-            changes.entries().forEach(e -> next.put(e.uid(), e));
-            changes.unknownServers().forEach(next::remove);
-            next.values().removeIf(e -> e.state() == State.GONE);
-            return new Update(changes.revision(), true, List.copyOf(next.values()), changes.unknownServers());
+        /** The same, marked as full. */
+        public Update asFull() {
+            return new Update(revision, true, entries, unknownServers);
         }
     }
 
@@ -115,6 +110,37 @@
         return new Update((long) numberOr(json.get("rev"), 0), Boolean.TRUE.equals(json.get("all")), entries, unknown);
     }
 
+    /** The update in service discovery's JSON, with the servers that were left out as ones of no model. */
+    static Map<String, Object> toJsonFields(Update update, ZoneKindNames names) {
+        List<Map<String, Object>> targets = new ArrayList<>();
+        update.entries().forEach(entry -> targets.add(toJsonFields(entry, names)));
+        update.unknownServers().forEach(uid -> targets.add(Map.of("uid", uid, "state", "Ready")));
+        return Map.of("rev", update.revision(), "all", update.full(), "targets", targets);
+    }
+
+    private static Map<String, Object> toJsonFields(Entry entry, ZoneKindNames names) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("uid", entry.uid());
+        fields.put("endpoint", entry.endpoint());
+        fields.put("az", nameAt(names.zones(), entry.zone()));
+        fields.put("model", nameAt(names.kinds(), entry.kind()));
+        fields.put("pod_group", entry.cell());
+        fields.put(
+                "state",
+                switch (entry.state()) {
+                    case READY -> "Ready";
+                    case TERMINATING -> "Terminating";
+                    case GONE -> "Gone";
+                });
+        fields.put("capacity_hint", entry.capacityHint());
+        fields.put("boot_ms", entry.bootMicros() / 1000);
+        return fields;
+    }
+
+    private static String nameAt(List<String> names, int position) {
+        return position >= 0 && position < names.size() ? names.get(position) : "";
+    }
+
     private static double numberOr(Object value, double defaultValue) {
         return value instanceof Number n ? n.doubleValue() : defaultValue;
     }
--- a/src/main/java/barrowshore/node/JobScheduler.java
+++ b/src/main/java/barrowshore/node/JobScheduler.java
@@ -5,6 +5,8 @@
 import barrowshore.config.ConfigException;
 import barrowshore.halls.HallRules;
 import barrowshore.halls.HallState;
+import barrowshore.list.ServerList;
+import barrowshore.list.ServerListMessage;
 import barrowshore.memory.MemoryBudget;
 import barrowshore.module.DispatchApi;
 import barrowshore.module.Dispatcher;
@@ -24,7 +26,6 @@
 import barrowshore.upgrade.OtherProcess;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
-import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.StandardSocketOptions;
@@ -184,8 +185,7 @@
                 pool,
                 connectionManager,
                 timers,
-                serverList == null ? module::updateServers : serverList::applyDiscovery,
-                () -> module.useKnownServers(config.knownServers()),
+                new DiscoveryListener(),
                 config.knownServers(),
                 config.grace());
         peers = config.peers() == null
@@ -193,8 +193,10 @@
                 : new PeerMessenger(config.peers(), config.ops() != null, pool, clock, module::receivePeerMessage);
         connectionManager.start();
         module.start();
-        discovery.open();
-        upgrade = upgradeSocket == null ? null : new UpgradeCoordinator(upgradeSocket, pool, new UpgradeHost());
+        upgrade = upgradeSocket == null
+                ? null
+                : new UpgradeCoordinator(upgradeSocket, config.names(), pool, new UpgradeHost());
+        discovery.open(upgrade != null && upgrade.hasPredecessor());
         beginToListen();
         if (config.ops() == null) {
             opsServer = null;
@@ -328,11 +330,17 @@
 
         @Override
         public void otherProcessConnected(OtherProcess other) {
+            if (other == OtherProcess.SUCCESSOR) {
+                discovery.tellWholeList(message -> upgrade.sendServerList(other, message));
+            }
             module.admission().connect(other, other == OtherProcess.PREDECESSOR, upgrade::sendIdMessage);
         }
 
         @Override
         public void otherProcessEnded(OtherProcess other) {
+            if (other == OtherProcess.PREDECESSOR) {
+                discovery.predecessorEnded();
+            }
             module.admission().disconnect(other);
         }
 
@@ -340,6 +348,34 @@
         public void idMessageReceived(OtherProcess from, IdMessage message) {
             module.admission().receive(from, message);
         }
+
+        @Override
+        public void serverListReceived(OtherProcess from, ServerListMessage message) {
+            discovery.receiveFromOtherProcess(message, from == OtherProcess.PREDECESSOR);
+        }
+    }
+
+    private final class DiscoveryListener implements ServiceDiscovery.Listener {
+        @Override
+        public void updated(ServerList.Update update) {
+            if (serverList == null) {
+                module.updateServers(update);
+            } else {
+                serverList.applyDiscovery(update);
+            }
+        }
+
+        @Override
+        public void startupWaitEnded(ServerList.Update knownList) {
+            module.useKnownServers(knownList);
+        }
+
+        @Override
+        public void toldByDiscovery(ServerListMessage message) {
+            if (upgrade != null) {
+                upgrade.sendServerList(message);
+            }
+        }
     }
 
     /** Drains or activates by the operators' order; false: not done, since the scheduler is ending. */
@@ -425,7 +461,8 @@
     public static void serve(ConfigFiles files) throws Exception {
         CompletableFuture<JobScheduler> started = new CompletableFuture<>();
         // Installed first: by default SIGHUP ends the JVM.
-        boolean hangUpHandled = handleHangUp(() -> started.thenAccept(scheduler -> scheduler.reload(files::read)));
+        boolean hangUpHandled =
+                HangUpSignal.handle(() -> started.thenAccept(scheduler -> scheduler.reload(files::read)));
         SchedulerConfig schedulerConfig = files.read();
         Config config = schedulerConfig.config();
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
@@ -508,7 +545,7 @@
         Config config = schedulerConfig.config();
         Scheduler timers = new ScheduledExecutorScheduler("timers", true, 1);
         timers.start();
-        handleHangUp(() -> {});
+        HangUpSignal.handle(() -> {});
         JobScheduler scheduler = new JobScheduler(
                 schedulerConfig, Clock.system(), timers, null, actions -> new Dispatcher(config.settings(), actions));
         try (Socket client =
@@ -535,31 +572,6 @@
         }
     }
 
-    /**
-     * Handles SIGHUP by the action; false: it was ignored when the process started, which the JVM does not change.
-     * sun.misc.Signal is the only way: a shutdown hook also runs on SIGHUP but cannot stop the exit. It is used by
-     * reflection, since direct use gives a compiler warning that cannot be suppressed.
-     */
-    static boolean handleHangUp(Runnable action) {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal"), handler = Class.forName("sun.misc.SignalHandler");
-            Object proxy =
-                    Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (self, method, args) -> {
-                        if (method.getName().equals("handle")) {
-                            action.run();
-                            return null;
-                        }
-                        return method.invoke(action, args); // methods of Object
-                    });
-            Object previous = signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
-            return previous != handler.getField("SIG_IGN").get(null);
-        } catch (ReflectiveOperationException e) {
-            LOG.log(Level.WARNING, "SIGHUP cannot be handled and will end the process", e);
-            return false;
-        }
-    }
-
     /** Reloads the configuration if its file has changed; stands in for SIGHUP. */
     void reloadIfChanged(ConfigFiles files) {
         configMailbox.post(() -> {
--- a/src/main/java/barrowshore/node/ModuleActor.java
+++ b/src/main/java/barrowshore/node/ModuleActor.java
@@ -242,7 +242,6 @@
             applyList(update, update.full() ? ListKind.WHOLE : ListKind.CHANGES);
             listReceived = true;
             notifyIfReady();
-            publish();
         });
     }
 
@@ -334,11 +333,11 @@
     }
 
     private void notifyIfReady() {
+        publish(); // first, so that operators are told that it is ready as soon as clients are accepted
         if (listReceived) {
             readyListeners.forEach(Runnable::run);
             readyListeners.clear();
         }
-        publish();
     }
 
     /** Answers every request that is still open; the process exits after that. */
--- a/src/main/java/barrowshore/node/UpgradeCoordinator.java
+++ b/src/main/java/barrowshore/node/UpgradeCoordinator.java
@@ -1,5 +1,7 @@
 package barrowshore.node;
 
+import barrowshore.list.ServerList.ZoneKindNames;
+import barrowshore.list.ServerListMessage;
 import barrowshore.status.ServiceState;
 import barrowshore.upgrade.IdMessage;
 import barrowshore.upgrade.OtherProcess;
@@ -11,14 +13,15 @@
 
 /**
  * Coordinates the old and the new process of a scheduler while both run during an upgrade: they share the scheduler's
- * limits, tell each other the ids of their requests, pass on the operators' drain orders, and the new one announces when it
- * serves. It owns the
- * {@link UpgradeLink}, in whose mailbox its callbacks run. Neither process ever waits for the other.
+ * limits, tell each other the ids of their requests and what they know of the server list, pass on the operators' drain
+ * orders, and the new one announces when it serves. It owns the {@link UpgradeLink}, in whose mailbox its callbacks run.
  */
 final class UpgradeCoordinator implements UpgradeLink.Listener {
     private static final System.Logger LOG = System.getLogger("barrowshore.node.Succession");
     /** Lines of the link's protocol: clients are sent away, clients are accepted again, this process serves. */
     private static final String AWAY = "away", BACK = "back", SERVING = "serving";
+    /** The first word of a line with a {@link ServerListMessage}. */
+    private static final String SERVER_LIST = "list";
 
     /** The scheduler of this process. */
     interface Host {
@@ -41,15 +44,20 @@
 
         /** Receives what the other process tells about ids of requests. */
         void idMessageReceived(OtherProcess from, IdMessage message);
+
+        /** Receives what the other process tells of the server list. */
+        void serverListReceived(OtherProcess from, ServerListMessage message);
     }
 
     private final Host host;
+    private final ZoneKindNames names;
     private final UpgradeLink link;
-    private boolean predecessorAlive;
-    private boolean successorAlive;
+    private volatile boolean predecessorAlive;
+    private volatile boolean successorAlive;
 
-    UpgradeCoordinator(Path socketFile, Executor pool, Host host) {
+    UpgradeCoordinator(Path socketFile, ZoneKindNames names, Executor pool, Host host) {
         this.host = host;
+        this.names = names;
         this.link = new UpgradeLink(socketFile, pool, this);
         this.predecessorAlive = link.foundPredecessor();
     }
@@ -71,6 +79,19 @@
         link.send(to == OtherProcess.PREDECESSOR, message.toLine(), message.isOptional());
     }
 
+    /** Tells another process, if it is there, what this one knows of the server list. */
+    void sendServerList(OtherProcess to, ServerListMessage message) {
+        link.sendServerList(to == OtherProcess.PREDECESSOR, SERVER_LIST + " " + message.toJson(names));
+    }
+
+    /** Tells all other processes. */
+    void sendServerList(ServerListMessage message) {
+        if (predecessorAlive || successorAlive) {
+            sendServerList(OtherProcess.PREDECESSOR, message);
+            sendServerList(OtherProcess.SUCCESSOR, message);
+        }
+    }
+
     /** Tells the predecessor that this process listens to clients from now on. */
     void announceServing() {
         link.send(true, SERVING, false);
@@ -95,13 +116,14 @@
 
     @Override
     public void lineReceived(boolean fromPredecessor, String line) {
+        OtherProcess from = fromPredecessor ? OtherProcess.PREDECESSOR : OtherProcess.SUCCESSOR;
         Optional<IdMessage> idMessage = IdMessage.parse(line);
         if (idMessage.isPresent()) {
-            host.idMessageReceived(
-                    fromPredecessor ? OtherProcess.PREDECESSOR : OtherProcess.SUCCESSOR, idMessage.get());
+            host.idMessageReceived(from, idMessage.get());
             return;
         }
-        switch (line.split(" ", 2)[0]) {
+        String[] words = line.split(" ", 2);
+        switch (words[0]) {
             case AWAY -> host.applyDrain(true);
             case BACK -> host.applyDrain(false);
             case SERVING -> {
@@ -109,10 +131,23 @@
                     host.setSuccessorServing(true);
                 }
             }
+            case SERVER_LIST -> receiveServerList(from, words[words.length - 1]);
             default -> {} // lines that a later version may add
         }
     }
 
+    private void receiveServerList(OtherProcess from, String json) {
+        ServerListMessage message;
+        try {
+            message = ServerListMessage.parse(json, names);
+        } catch (IllegalArgumentException e) {
+            LOG.log(Level.WARNING, "the other process told a server list that cannot be read: {0}", e.getMessage());
+            return;
+        }
+        host.serverListReceived(from, message);
+        sendServerList(from == OtherProcess.PREDECESSOR ? OtherProcess.SUCCESSOR : OtherProcess.PREDECESSOR, message);
+    }
+
     @Override
     public void linkClosed(boolean toPredecessor) {
         LOG.log(
--- a/src/main/java/barrowshore/servers/ServiceDiscovery.java
+++ b/src/main/java/barrowshore/servers/ServiceDiscovery.java
@@ -1,8 +1,10 @@
 package barrowshore.servers;
 
+import barrowshore.list.KnownServerList;
 import barrowshore.list.ServerList;
 import barrowshore.list.ServerList.Update;
 import barrowshore.list.ServerList.ZoneKindNames;
+import barrowshore.list.ServerListMessage;
 import barrowshore.net.ConnectionManager;
 import barrowshore.net.HttpLink;
 import barrowshore.net.JsonObjectBuffer;
@@ -12,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -29,9 +32,9 @@
 
 /**
  * The actor that follows the server list of service discovery: it reads the full list, then watches for changes. It
- * owns the watch's connection, its timers and the revision last received, and reopens a watch that breaks or falls
- * silent. Every update goes to the listener unfiltered and in order. The address may change at run time; a revision
- * is never used at another address than the one that sent it.
+ * owns the watch's connection, its timers and the {@link KnownServerList}, and reopens a watch that breaks or falls silent.
+ * Every update goes to the listener in order; what another process of this scheduler tells goes there too. The address may
+ * change at run time; a revision is never used at another address than the one that sent it.
  */
 public final class ServiceDiscovery {
     private static final System.Logger LOG = System.getLogger(ServiceDiscovery.class.getName());
@@ -73,12 +76,32 @@
      * but it gives the list to nobody, and a scheduler that never gets ready serves nobody.
      */
     private static final long BUSY_STARTUP_WAIT_MILLIS = 4000;
+    /**
+     * How long a process that starts beside an older one of the same scheduler waits for the list of that one. It must serve
+     * within 6 s, its JVM's start included, also where the older one hangs or is of a version that tells no list.
+     */
+    private static final long PREDECESSOR_WAIT_MILLIS = 3000;
+
+    /** Receives what becomes known; called in this actor's mailbox. */
+    @FunctionalInterface
+    public interface Listener {
+        /** A full list or changes, in order; the first one is a full list. */
+        void updated(Update update);
+
+        /**
+         * The startup wait is over without an update: the list known by then, perhaps an empty one, is to be used. Not
+         * called while a call may still be answered, and later if discovery refuses calls.
+         */
+        default void startupWaitEnded(Update knownList) {}
+
+        /** Discovery has told something that another process of this scheduler has to know too. */
+        default void toldByDiscovery(ServerListMessage message) {}
+    }
 
     private final ConnectionManager connectionManager;
     private final Scheduler timers;
     private final ZoneKindNames names;
-    private final Consumer<Update> listener;
-    private final Runnable onStartupWaitEnded;
+    private final Listener listener;
     private final Mailbox mailbox;
     /** Randomizes pauses, so that schedulers restarted together don't call in step. */
     private final SplittableRandom jitter = new SplittableRandom();
@@ -88,21 +111,20 @@
     private int addressGeneration;
     /** Number of the latest dial; identifies an abandoned one that connects late. */
     private int dialCount;
-    /** Whether {@link #revision} is one that the present address can send changes since. */
-    private boolean hasBaseList;
 
-    private long revision;
-    /** The list from the previous run, to which the first changes are applied; null once an update has come. */
-    private Update previousList;
+    private final KnownServerList knownList;
     /** Base of the next pause; 0 after a watch that had been up for a while: then the next call is made at once. */
     private long pauseMillis = MIN_PAUSE_MILLIS;
     /** The watch whose call to the present address is still unanswered, or null. */
     private Watch unansweredWatch;
 
     private boolean dialing, pausing;
-    private final boolean startedWithPreviousList;
-    /** Whether jobs are being sent by some list, from discovery at any address or from the previous run. */
+    /** Whether jobs are being sent by some list, whoever told it. */
     private boolean listInUse;
+    /** Whether an older process of this scheduler may still tell its list. */
+    private boolean awaitingPredecessor;
+    /** Whether another process of this scheduler has told its list. */
+    private boolean toldByOtherProcess;
     /** Consecutive calls that timed out without any answer. */
     private int unansweredCalls;
 
@@ -119,9 +141,7 @@
     /**
      * Creates the actor; {@link #open} starts it.
      *
-     * @param onStartupWaitEnded runs once the startup wait is over: the list known by then is to be used, be it only the
-     *     previous one. It doesn't run while a call may still be answered, and runs later if discovery refuses calls.
-     * @param previousList the list from the previous run. If it has entries, only changes since are requested, so that
+     * @param configuredList the list known from before. If it has entries, only changes since are requested, so that
      *     many schedulers starting at once don't each ask an overloaded discovery for the full list.
      * @param graceMicros how long a terminating server may still get new jobs
      */
@@ -131,15 +151,10 @@
             Executor pool,
             ConnectionManager connectionManager,
             Scheduler timers,
-            Consumer<Update> listener,
-            Runnable onStartupWaitEnded,
-            Update previousList,
+            Listener listener,
+            Update configuredList,
             long graceMicros) {
-        this.startedWithPreviousList = !previousList.entries().isEmpty();
-        this.previousList = startedWithPreviousList ? previousList : null;
-        this.hasBaseList = this.previousList != null;
-        this.revision = previousList.revision();
-        this.onStartupWaitEnded = onStartupWaitEnded;
+        this.knownList = new KnownServerList(address, configuredList);
         this.connectionManager = connectionManager;
         this.timers = timers;
         this.address = address;
@@ -162,8 +177,16 @@
         mailbox.post(() -> deriveTimeouts(graceMicros));
     }
 
-    public void open() {
-        mailbox.post(() -> dial(addressGeneration));
+    /** Begins to call discovery; besidePredecessor: an older process of this scheduler serves, and may tell its list. */
+    public void open(boolean besidePredecessor) {
+        mailbox.post(() -> {
+            awaitingPredecessor = besidePredecessor;
+            dial(addressGeneration);
+        });
+        if (besidePredecessor) {
+            timers.schedule(
+                    () -> mailbox.post(this::stopAwaitingPredecessor), PREDECESSOR_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        }
         timers.schedule(
                 () -> mailbox.post(() -> {
                     startupWaitOver = true;
@@ -189,16 +212,47 @@
 
     /**
      * Ends the startup wait, but not while a call is unanswered: a starting process short of processor time could
-     * otherwise fall back to an outdated list although the answer is already in its socket buffer.
+     * otherwise fall back to an outdated list although the answer is already in its socket buffer. Nor while an older
+     * process may still tell its list, which may be a later one than that of the configuration.
      */
     private void endStartupWaitIfDue() {
-        if (startupWaitOver && unansweredWatch == null && !dialing && (!everRefused || busyStartupWaitOver)) {
+        boolean busyWaitOver = !everRefused || busyStartupWaitOver || toldByOtherProcess;
+        if (startupWaitOver && unansweredWatch == null && !dialing && busyWaitOver && !awaitingPredecessor) {
             startupWaitOver = false;
-            listInUse |= startedWithPreviousList;
-            onStartupWaitEnded.run();
+            listInUse |= knownList.hasList();
+            listener.startupWaitEnded(knownList.whole());
         }
     }
 
+    /** The older process has told its list, has ended, or has not told it in time. */
+    private void stopAwaitingPredecessor() {
+        awaitingPredecessor = false;
+        endStartupWaitIfDue();
+    }
+
+    /** The older process of this scheduler has ended. */
+    public void predecessorEnded() {
+        mailbox.post(this::stopAwaitingPredecessor);
+    }
+
+    /** Another process of this scheduler has told its list, or changes of it; fromPredecessor: it is the older one. */
+    public void receiveFromOtherProcess(ServerListMessage message, boolean fromPredecessor) {
+        mailbox.post(() -> {
+            toldByOtherProcess = true;
+            if (knownList.applyFromOtherProcess(message) && listInUse) {
+                listener.updated(knownList.takeNews(message.update()));
+            }
+            if (fromPredecessor && message.update().full()) {
+                stopAwaitingPredecessor();
+            }
+        });
+    }
+
+    /** Passes the list known at present to the consumer, in this actor's mailbox, unless none is known. */
+    public void tellWholeList(Consumer<ServerListMessage> consumer) {
+        mailbox.post(() -> knownList.wholeMessage().ifPresent(consumer));
+    }
+
     /**
      * Switches to discovery at another address. The former watch stays active until the new address has sent its list,
      * which is read in full, since revisions of different addresses aren't comparable.
@@ -209,8 +263,7 @@
                 address = newAddress;
                 addressGeneration++;
                 unansweredWatch = null;
-                hasBaseList = false;
-                previousList = null;
+                knownList.setAddress(newAddress);
                 pauseMillis = 0;
                 dial(addressGeneration);
             }
@@ -250,7 +303,7 @@
     }
 
     private long nextAnswerTimeoutMillis() {
-        boolean hasNoList = !listInUse && previousList == null;
+        boolean hasNoList = !listInUse && !knownList.hasList();
         return hasNoList
                 ? answerTimeoutMillis << Math.min(unansweredCalls, MAX_ANSWER_TIMEOUT_DOUBLINGS)
                 : answerTimeoutMillis;
@@ -294,6 +347,10 @@
         private boolean readingFullList, refused, abandoned;
         private int callCount;
         private int timeLimitCount;
+        /** Where this connection leads. */
+        private final InetSocketAddress source = address;
+        /** The last revision that came here, or that the call has named; {@link Long#MIN_VALUE}: none. */
+        private long lastRevision = Long.MIN_VALUE;
 
         Watch(EndPoint endPoint, int generation, int dialNumber) {
             super(endPoint, ServiceDiscovery.this.mailbox, timers);
@@ -372,7 +429,9 @@
         }
 
         private void sendCall() {
-            readingFullList = !hasBaseList;
+            Optional<Long> baseRevision = knownList.baseRevision();
+            readingFullList = baseRevision.isEmpty();
+            lastRevision = baseRevision.orElse(Long.MIN_VALUE);
             unansweredWatch = this;
             setTimeLimit(nextAnswerTimeoutMillis());
             int callNumber = ++callCount;
@@ -384,7 +443,7 @@
             }
             HttpFields.Mutable fields =
                     HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":" + address.getPort());
-            String target = readingFullList ? "/api/targets" : "/api/targets?watch=1&after=" + revision;
+            String target = readingFullList ? "/api/targets" : "/api/targets?watch=1&after=" + lastRevision;
             write(
                     new MetaData.Request("GET", HttpURI.from(target), HttpVersion.HTTP_1_1, fields, 0),
                     new byte[0],
@@ -469,30 +528,35 @@
                             "servers of an unknown model, left out: {0}",
                             String.join(", ", update.unknownServers()));
                 }
-                if (previousList != null && generation == addressGeneration && !update.full()) {
-                    if (update.revision() < revision) {
-                        // Revisions went back, so the changes don't apply to the previous list: read the full list.
-                        hasBaseList = false;
-                        previousList = null;
-                        closeNow();
-                        return;
-                    }
-                    update = previousList.apply(update);
-                }
-                listener.accept(readingFullList ? new Update(update.revision(), true, update.entries()) : update);
-                listInUse = true;
-                if (generation == addressGeneration) {
-                    previousList = null;
-                    revision = update.revision();
-                    hasBaseList = true;
-                    pauseMillis = Math.min(pauseMillis, MIN_PAUSE_MILLIS);
-                    makeActive();
-                }
+                apply(readingFullList ? update.asFull() : update);
             } catch (IllegalArgumentException | ClassCastException e) {
                 closeOnInvalidList(e);
             }
         }
 
+        private void apply(Update update) {
+            boolean isCurrent = generation == addressGeneration;
+            if (isCurrent && knownList.isInvalidatedBy(update, lastRevision)) {
+                knownList.requireWholeList();
+                closeNow();
+                return;
+            }
+            long baseRevision = update.full() ? update.revision() : lastRevision;
+            ServerListMessage message = new ServerListMessage(source, baseRevision, update);
+            if (knownList.applyFromDiscovery(source, update, lastRevision)) {
+                listener.updated(knownList.takeNews(update));
+                listener.toldByDiscovery(message);
+            } else {
+                knownList.takeUntold().ifPresent(listener::updated);
+            }
+            lastRevision = update.revision();
+            listInUse = true;
+            if (isCurrent) {
+                pauseMillis = Math.min(pauseMillis, MIN_PAUSE_MILLIS);
+                makeActive();
+            }
+        }
+
         /** Closes the connection; the next watch starts from the last valid revision, so that nothing is skipped. */
         private void closeOnInvalidList(RuntimeException cause) {
             if (!isClosed()) {
@@ -511,7 +575,10 @@
 
         @Override
         public boolean messageComplete() {
-            if (readingFullList && hasBaseList && persistent && generation == addressGeneration) {
+            if (readingFullList
+                    && knownList.baseRevision().isPresent()
+                    && persistent
+                    && generation == addressGeneration) {
                 parser.reset();
                 sendCall();
             } else {
--- a/src/main/java/barrowshore/upgrade/UpgradeLink.java
+++ b/src/main/java/barrowshore/upgrade/UpgradeLink.java
@@ -164,6 +164,16 @@
         });
     }
 
+    /** The same with what this process knows of the server list; dropped where the other process reads too slowly. */
+    public void sendServerList(boolean toPredecessor, String line) {
+        mailbox.post(() -> {
+            LineWriter target = toPredecessor ? predecessorWriter : successorWriter;
+            if (target != null) {
+                target.writeLong(line);
+            }
+        });
+    }
+
     private interface IoTask {
         void run() throws IOException;
     }
--- a/src/main/java/barrowshore/wire/Json.java
+++ b/src/main/java/barrowshore/wire/Json.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import org.eclipse.jetty.util.ajax.JSON;
 
-/** Parses JSON text and the addresses in it. */
+/** Parses and writes JSON text, and parses the addresses in it. */
 public final class Json {
     private static final String ESCAPED_CHARACTERS = "\"\\/bfnrt";
     /** Hexadecimal digits behind {@code \\u}. */
@@ -101,6 +101,11 @@
         }
     }
 
+    /** Writes maps with text keys, collections, texts, numbers and Boolean values as JSON, on one line. */
+    public static String write(Object value) {
+        return new JSON().toJSON(value);
+    }
+
     /** Parses address:port; an IllegalArgumentException names the field and its text. */
     public static InetSocketAddress parseAddress(String text, String field) {
         int colon = text.lastIndexOf(':');
--- a/src/test/java/barrowshore/node/ExchangeTest.java
+++ b/src/test/java/barrowshore/node/ExchangeTest.java
@@ -44,7 +44,8 @@
  * script of blocks: a line {@code == PEER ACTION}, then the bytes. Their lines end in CR LF, unless a backslash ends them;
  * {@code @NAME ARGUMENTS} after the action takes the bytes from {@code messages/NAME}. Peers: C1, C2.. clients; S1, S2..
  * the connections that the one server accepts, in order; D1, D2.. those of discovery; E1, E2.. those of a second
- * discovery; O1, O2.. operators. {@code == figures} reads the metrics until they hold the lines given. Time is manual: only
+ * discovery; O1, O2.. operators. {@code == figures} reads the metrics until they hold the lines given, {@code
+ * == former-figures} those of the older process. Time is manual: only
  * {@code == time MILLIS} and the steps that wait "in time" advance it.
  */
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -74,7 +75,7 @@
     @Test
     void sigHupIsHandled() throws Exception {
         CountDownLatch heard = new CountDownLatch(1);
-        JobScheduler.handleHangUp(heard::countDown);
+        HangUpSignal.handle(heard::countDown);
         Class<?> signal = Class.forName("sun.misc.Signal");
         signal.getMethod("raise", signal)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
@@ -152,11 +153,8 @@
                             "127.0.0.1:" + scheduler.address().getPort() + "\",\"discovery");
                     startScheduler();
                 }
-                case "followed" -> {
-                    while (!predecessor.isSuccessorServing()) {
-                        Thread.onSpinWait();
-                    }
-                }
+                case "followed" -> awaitFollower();
+                case "followed-in-time" -> awaitFollowerInTime();
                 case "left-to-the-next" -> {
                     while (predecessor.isListening()) {
                         Thread.onSpinWait();
@@ -190,7 +188,8 @@
                         assertThat(readMessage(idle.getInputStream())).startsWith("HTTP/1.1 200");
                     }
                 }
-                case "figures" -> awaitMetrics(text.strip().split("\n"));
+                case "figures" -> awaitMetrics(scheduler, text.strip().split("\n"));
+                case "former-figures" -> awaitMetrics(predecessor, text.strip().split("\n"));
                 case "term" -> drained = (predecessor == null ? scheduler : predecessor).drain();
                 case "gone" -> {
                     while (!drained.await(1, TimeUnit.MILLISECONDS)) {
@@ -206,6 +205,23 @@
             }
         }
 
+        private void awaitFollower() {
+            while (!predecessor.isSuccessorServing()) {
+                Thread.onSpinWait();
+            }
+        }
+
+        /** Advances time until the successor serves; between the steps the predecessor answers a call. */
+        private void awaitFollowerInTime() throws IOException {
+            while (!predecessor.isSuccessorServing()) {
+                time.advance(10);
+                try (Socket asker = new Socket(LOOPBACK, predecessor.address().getPort())) {
+                    send(asker, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                    readMessage(asker.getInputStream());
+                }
+            }
+        }
+
         /** A process that takes the upgrade link's connection and understands nothing that it is told. */
         private void startEarlierVersion() throws IOException {
             earlierVersion = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
@@ -399,10 +415,10 @@
         }
 
         /** Reads the metrics until they hold the lines, since they are published asynchronously. */
-        private void awaitMetrics(String[] lines) throws IOException {
+        private static void awaitMetrics(JobScheduler from, String[] lines) throws IOException {
             List<String> metrics = List.of();
             for (int tries = 0; tries < 20_000 && !metrics.containsAll(List.of(lines)); tries++) {
-                try (Socket asker = new Socket(LOOPBACK, scheduler.opsAddress().getPort())) {
+                try (Socket asker = new Socket(LOOPBACK, from.opsAddress().getPort())) {
                     send(asker, "GET /v1/metrics HTTP/1.1\r\nHost: x\r\n\r\n");
                     metrics = List.of(readMessage(asker.getInputStream()).split("\r?\n"));
                 }
--- a/src/test/java/barrowshore/servers/ServiceDiscoveryTest.java
+++ b/src/test/java/barrowshore/servers/ServiceDiscoveryTest.java
@@ -4,11 +4,14 @@
 
 import barrowshore.list.ServerList;
 import barrowshore.list.ServerList.Update;
+import barrowshore.list.ServerListMessage;
 import barrowshore.net.ConnectionManager;
 import barrowshore.net.ManualTime;
 import barrowshore.servers.ScriptedDiscovery.Call;
+import barrowshore.wire.Json;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -35,6 +38,7 @@
     private static final long MAX_WAIT_MILLIS = 400;
 
     private static final long ANSWER_TIMEOUT_MILLIS = 500, SILENCE_TIMEOUT_MILLIS = 3000, DIAL_TIMEOUT_MILLIS = 1000;
+    private static final long PREDECESSOR_WAIT_MILLIS = 3000;
     private static final Update EMPTY_LIST = new Update(0, true, List.of());
     private static final ServerList.ZoneKindNames NAMES = new ServerList.ZoneKindNames(List.of("a"), List.of("m"));
 
@@ -50,6 +54,7 @@
     private ScriptedDiscovery discovery, otherDiscovery;
     private ServiceDiscovery client;
     private boolean startupWaitEnded;
+    private Update listAtStartupWaitEnd;
 
     @BeforeEach
     void open() throws Exception {
@@ -67,17 +72,36 @@
     }
 
     private void start(Update previousList, long graceMicros) {
+        start(previousList, graceMicros, false);
+    }
+
+    private void start(Update previousList, long graceMicros, boolean besidePredecessor) {
         client = new ServiceDiscovery(
                 discovery.address(),
                 NAMES,
                 this::runLocked,
                 connectionManager,
                 time,
-                updates::add,
-                () -> startupWaitEnded = true,
+                new DiscoveryListener(),
                 previousList,
                 graceMicros);
-        client.open();
+        client.open(besidePredecessor);
+    }
+
+    private final class DiscoveryListener implements ServiceDiscovery.Listener {
+        @Override
+        public void updated(Update update) {
+            updates.add(update);
+        }
+
+        @Override
+        public void startupWaitEnded(Update knownList) {
+            startupWaitEnded = true;
+            listAtStartupWaitEnd = knownList;
+        }
+
+        @Override
+        public void toldByDiscovery(ServerListMessage message) {}
     }
 
     private void runLocked(Runnable message) {
@@ -103,7 +127,7 @@
         return new Update(
                 5,
                 true,
-                ServerList.parse((java.util.Map<?, ?>) barrowshore.wire.Json.parse(listJson(5, true, "Ready")), NAMES)
+                ServerList.parse((Map<?, ?>) Json.parse(listJson(5, true, "Ready")), NAMES)
                         .entries());
     }
 
@@ -564,4 +588,72 @@
         }
         assertThat(listReceived).as("the slow list was received").isTrue();
     }
+
+    private ServerListMessage predecessorList() {
+        Update update = ServerList.parse((Map<?, ?>) Json.parse(listJson(8, true, "Terminating")), NAMES);
+        return new ServerListMessage(discovery.address(), 8, update);
+    }
+
+    /** Guards against a new version that serves by its configured list although the older process has a later one. */
+    @Test
+    void listOfThePredecessorIsAwaitedAndUsed() throws Exception {
+        start(previousList(), GRACE_MICROS, true);
+        time.advance(PREDECESSOR_WAIT_MILLIS - STEP_MILLIS);
+        assertThat(startupWaitEnded).isFalse();
+        client.receiveFromOtherProcess(predecessorList(), true);
+        while (!startupWaitEnded) {
+            time.advance(STEP_MILLIS); // until a call that is still open has been given up
+        }
+        assertThat(listAtStartupWaitEnd).isEqualTo(predecessorList().update());
+    }
+
+    @Test
+    void listOfThePredecessorEndsTheWaitForADiscoveryThatRefuses() throws Exception {
+        start(previousList(), GRACE_MICROS, true);
+        client.receiveFromOtherProcess(predecessorList(), true);
+        Call call = awaitCall(discovery);
+        while (!startupWaitEnded) {
+            call.target();
+            call.refuse("3600");
+            awaitEnd(call);
+            call = startupWaitEnded ? call : awaitCall(discovery);
+        }
+        assertReportedWithin(1000 + 2 * 1000, 0); // the startup wait, and the longest pause
+        assertThat(listAtStartupWaitEnd).isEqualTo(predecessorList().update());
+    }
+
+    @Test
+    void predecessorThatTellsNoListIsNotAwaitedForLong() throws Exception {
+        discovery.refuse();
+        start(previousList(), GRACE_MICROS, true);
+        time.advance(PREDECESSOR_WAIT_MILLIS - STEP_MILLIS);
+        assertThat(startupWaitEnded).isFalse();
+        time.advance(MAX_WAIT_MILLIS + STEP_MILLIS);
+        assertThat(startupWaitEnded).isTrue();
+        assertThat(listAtStartupWaitEnd).isEqualTo(previousList());
+    }
+
+    @Test
+    void predecessorThatHasEndedIsNotAwaited() throws Exception {
+        discovery.refuse();
+        start(previousList(), GRACE_MICROS, true);
+        client.predecessorEnded();
+        time.advance(1000 + MAX_WAIT_MILLIS);
+        assertThat(startupWaitEnded).isTrue();
+    }
+
+    @Test
+    void answerOfDiscoveryIsUsedWithoutAwaitingThePredecessor() throws Exception {
+        start(previousList(), GRACE_MICROS, true);
+        answerTerminating(awaitCall(discovery), 9);
+        assertThat(time.millis()).isLessThan(1000);
+    }
+
+    @Test
+    void newsOfTheOtherProcessArePassedOnWhileDiscoveryIsSilent() throws Exception {
+        startAndWatch(GRACE_MICROS);
+        client.receiveFromOtherProcess(predecessorList(), false);
+        assertThat(awaitUpdate()).isEqualTo(predecessorList().update());
+        assertThat(awaitCall(discovery).target()).isEqualTo("/api/targets?watch=1&after=8");
+    }
 }
