Let a scheduler that is stopped inside a program still close its upgrade link

Seen: upgrade-news-side-by-side of ExchangeTest timed out in 1 of 25 runs on two busy cores, in the step in which the new process ends: the old one still took it to serve.

Cause: JobScheduler.stop posts the closing of the link to its actor and shuts the pool down at once, with shutdownNow, which throws away what is queued. The link of a scheduler in the same JVM then stays open. A real process closes its sockets as it ends.

--- a/src/main/java/barrowshore/node/JobScheduler.java
+++ b/src/main/java/barrowshore/node/JobScheduler.java
@@ -717,6 +717,6 @@
         }
         LifeCycle.stop(connectionManager);
         LifeCycle.stop(timers);
-        pool.shutdownNow();
+        pool.shutdown(); // runs what is queued: among it is the closing of the upgrade link
     }
 }
