Keep a call to discovery open after it is overdue, so that a slow answer is heard

A longer wait would learn late after an outage, in which calls are lost.

Change: the answer timeout now says when the next call is due, and no longer when the last one is given up. An overdue call is kept for 6 s, and the oldest one for a minute more; what first brings a whole list or a line closes the others. DiscoveryTimeouts and StartupWait, both pure, are taken out of ServiceDiscovery. After a change of the address a former watch is followed also where it had told nothing yet.

Why it works: whatever the order of outages and delays, a call is made within 900 ms of discovery's return and waited for as long as its answer counts.

--- a/src/main/java/barrowshore/list/KnownServerList.java
+++ b/src/main/java/barrowshore/list/KnownServerList.java
@@ -63,6 +63,11 @@
         return revisionUsable ? Optional.of(revision) : Optional.empty();
     }
 
+    /** Whether the known list comes from that address of discovery. */
+    public boolean isFrom(InetSocketAddress from) {
+        return from.equals(source);
+    }
+
     /** The whole list as far as it is known. */
     public Update whole() {
         return new Update(revision, true, List.copyOf(entries.values()), List.copyOf(unknownServers));
--- a/src/main/java/barrowshore/servers/ServiceDiscovery.java
+++ b/src/main/java/barrowshore/servers/ServiceDiscovery.java
@@ -13,6 +13,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,15 +41,6 @@
 public final class ServiceDiscovery {
     private static final System.Logger LOG = System.getLogger(ServiceDiscovery.class.getName());
     private static final int MAX_OBJECT_BYTES = 1 << 20;
-    private static final long MIN_PAUSE_MILLIS = 50;
-    /**
-     * Fractions of the grace period, which is how long a terminating server may still get new jobs. Once discovery is back
-     * after an outage, the scheduler is deemed informed of all that it knows. So within the grace period a call made just
-     * before its return must time out, and the next be made and answered.
-     */
-    private static final long MAX_PAUSE_GRACE_DIVISOR = 10, ANSWER_TIMEOUT_GRACE_DIVISOR = 4;
-    /** Upper bound however long the grace period: the scheduler is deemed informed 6 s after discovery has a change. */
-    private static final long MAX_PAUSE_MILLIS = 500;
     /** Longest pause while discovery refuses calls and no list is in use: then no job can go to a wrong server. */
     private static final long MAX_BUSY_PAUSE_MILLIS = 1000;
     /**
@@ -56,33 +48,16 @@
      * within the 6 s after which the scheduler is deemed informed of any change it missed.
      */
     private static final long SILENCE_TIMEOUT_MILLIS = 3000;
-    /**
-     * Bounds on the wait for an answer. The discovery agent answers at once or is unavailable. The wait is short because a
-     * call made during an outage may stay unanswered after it, when the scheduler is already deemed informed.
-     */
-    private static final long MAX_ANSWER_TIMEOUT_MILLIS = 500, MIN_ANSWER_TIMEOUT_MILLIS = 100;
-    /**
-     * How often the answer timeout may double after unanswered calls while there is no list at all. Then no job can go to a
-     * wrong server, and a slow discovery must not have every call abandoned just before its answer.
-     */
-    private static final int MAX_ANSWER_TIMEOUT_DOUBLINGS = 2;
-    /** From the call to the last byte of a full list, even if more of it keeps arriving. */
+    /** From the call to the last byte of a full list, after which the call is overdue even if more of it keeps arriving. */
     private static final long FULL_LIST_TIMEOUT_MILLIS = 3000;
+    /** A call is given up this long after it became overdue: some 6 s after it was made, when its answer comes too late. */
+    private static final long KEPT_CALL_MILLIS = 5500;
+    /** The oldest open call is kept so much longer, so that a discovery that is slower than that is heard at all. */
+    private static final long OLDEST_CALL_MILLIS = 60_000;
+    /** Full lists that are read at the same time where they come slowly. */
+    private static final int MAX_LIST_READERS = 2;
     /** Caps the configured connect timeout, so that a dial whose packets were lost is soon repeated. */
     private static final long DIAL_TIMEOUT_MILLIS = 1000;
-    /** How long a starting scheduler waits for discovery before it falls back to the list from its previous run. */
-    private static final long STARTUP_WAIT_MILLIS = 1000;
-    /**
-     * The same while discovery answers without a list. It is up, so the scheduler may be deemed informed of what it knows;
-     * but it gives the list to nobody, and a scheduler that never gets ready serves nobody.
-     */
-    private static final long BUSY_STARTUP_WAIT_MILLIS = 4000;
-    /**
-     * How long a process that starts beside an older one of the same scheduler waits for the list of that one. It must serve
-     * within 6 s, its JVM's start included, also where the older one hangs or is of a version that tells no list.
-     */
-    private static final long PREDECESSOR_WAIT_MILLIS = 3000;
-
     /** Receives what becomes known; called in this actor's mailbox. */
     @FunctionalInterface
     public interface Listener {
@@ -115,27 +90,25 @@
 
     private final KnownServerList knownList;
     /** Base of the next pause; 0 after a watch that had been up for a while: then the next call is made at once. */
-    private long pauseMillis = MIN_PAUSE_MILLIS;
-    /** The watch whose call to the present address is still unanswered, or null. */
+    private long pauseMillis = DiscoveryTimeouts.MIN_PAUSE;
+    /** Connections to the present address whose list is not whole, or whose watch has sent no line yet; oldest first. */
+    private final List<Watch> openCalls = new ArrayList<>();
+    /** The connection whose end, or whose overdue call, makes the next call due; null once that is due. */
+    private Watch currentWatch;
+    /** The watch that the startup wait goes on for, as its call may be answered soon; or null. */
     private Watch unansweredWatch;
 
     private boolean dialing, pausing;
     /** Whether jobs are being sent by some list, whoever told it. */
     private boolean listInUse;
-    /** Whether an older process of this scheduler may still tell its list. */
-    private boolean awaitingPredecessor;
-    /** Whether another process of this scheduler has told its list. */
-    private boolean toldByOtherProcess;
-    /** Consecutive calls that timed out without any answer. */
-    private int unansweredCalls;
-
-    private long answerTimeoutMillis, maxPauseMillis;
-    /** Whether the last call, or any so far, was answered with another status than 200. */
-    private boolean lastCallRefused, everRefused;
-    /** Whether the startup waits are over; the first is cleared again once the listener has been told. */
-    private boolean startupWaitOver, busyStartupWaitOver;
-    /** Whether {@link Listener#startupWaitEnded} has been called. */
-    private boolean startupWaitEnded;
+
+    private final StartupWait startupWait = new StartupWait();
+    /** Consecutive calls that became overdue without any answer. */
+    private int overdueCalls;
+
+    private DiscoveryTimeouts timeouts;
+    /** Whether the last call was answered with another status than 200. */
+    private boolean lastCallRefused;
     /** From the last Retry-After header, up to {@link #MAX_BUSY_PAUSE_MILLIS}; 0 if there was none. */
     private long retryAfterMillis;
     /** The watch whose changes are applied: after an address change the former one, until the new one has sent a list. */
@@ -164,73 +137,58 @@
         this.names = names;
         this.listener = listener;
         this.mailbox = new Mailbox("the service discovery", pool);
-        deriveTimeouts(graceMicros);
-    }
-
-    private void deriveTimeouts(long graceMicros) {
-        answerTimeoutMillis = Math.min(
-                MAX_ANSWER_TIMEOUT_MILLIS,
-                Math.max(MIN_ANSWER_TIMEOUT_MILLIS, graceMicros / 1000 / ANSWER_TIMEOUT_GRACE_DIVISOR));
-        maxPauseMillis =
-                Math.min(MAX_PAUSE_MILLIS, Math.max(MIN_PAUSE_MILLIS, graceMicros / 1000 / MAX_PAUSE_GRACE_DIVISOR));
+        this.timeouts = DiscoveryTimeouts.of(graceMicros);
     }
 
     /** Takes over a changed grace period. */
     public void setGrace(long graceMicros) {
-        mailbox.post(() -> deriveTimeouts(graceMicros));
+        mailbox.post(() -> timeouts = DiscoveryTimeouts.of(graceMicros));
     }
 
     /** Begins to call discovery; besidePredecessor: an older process of this scheduler serves, and may tell its list. */
     public void open(boolean besidePredecessor) {
         mailbox.post(() -> {
-            awaitingPredecessor = besidePredecessor;
+            if (besidePredecessor) {
+                startupWait.awaitPredecessor();
+                schedule(this::stopAwaitingPredecessor, StartupWait.PREDECESSOR_WAIT_MILLIS);
+            }
             dial(addressGeneration);
         });
-        if (besidePredecessor) {
-            timers.schedule(
-                    () -> mailbox.post(this::stopAwaitingPredecessor), PREDECESSOR_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        }
-        timers.schedule(
-                () -> mailbox.post(() -> {
-                    startupWaitOver = true;
-                    if (unansweredWatch != null) {
-                        unansweredWatch.readAvailable();
-                    }
-                    endStartupWaitIfDue();
-                }),
-                STARTUP_WAIT_MILLIS,
-                TimeUnit.MILLISECONDS);
-        timers.schedule(
-                () -> mailbox.post(() -> {
-                    busyStartupWaitOver = true;
-                    boolean wasInUse = listInUse;
-                    endStartupWaitIfDue();
-                    if (pausing && listInUse && !wasInUse) {
-                        dial(addressGeneration); // a pause set while no list was in use may be too long now
-                    }
-                }),
-                BUSY_STARTUP_WAIT_MILLIS,
-                TimeUnit.MILLISECONDS);
+        schedule(this::endAnswerWait, StartupWait.ANSWER_WAIT_MILLIS);
+        schedule(this::endRefusedWait, StartupWait.REFUSED_WAIT_MILLIS);
+    }
+
+    /** Posts the message to this actor once the time is over. */
+    private void schedule(Runnable message, long millis) {
+        timers.schedule(() -> mailbox.post(message), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void endAnswerWait() {
+        startupWait.answerWaitIsOver();
+        if (unansweredWatch != null) {
+            unansweredWatch.readAvailable();
+        }
+        endStartupWaitIfDue();
+    }
+
+    private void endRefusedWait() {
+        startupWait.refusedWaitIsOver();
+        boolean wasInUse = listInUse;
+        endStartupWaitIfDue();
+        if (pausing && listInUse && !wasInUse) {
+            dial(addressGeneration); // a pause set while no list was in use may be too long now
+        }
     }
 
-    /**
-     * Ends the startup wait, but not while a call is unanswered: a starting process short of processor time could
-     * otherwise fall back to an outdated list although the answer is already in its socket buffer. Nor while an older
-     * process may still tell its list, which may be a later one than that of the configuration.
-     */
     private void endStartupWaitIfDue() {
-        boolean busyWaitOver = !everRefused || busyStartupWaitOver || toldByOtherProcess;
-        if (startupWaitOver && unansweredWatch == null && !dialing && busyWaitOver && !awaitingPredecessor) {
-            startupWaitOver = false;
-            startupWaitEnded = true;
+        if (startupWait.endIfDue(dialing || unansweredWatch != null)) {
             listInUse |= knownList.hasList();
             listener.startupWaitEnded(knownList.whole());
         }
     }
 
-    /** The older process has told its list, has ended, or has not told it in time. */
     private void stopAwaitingPredecessor() {
-        awaitingPredecessor = false;
+        startupWait.stopAwaitingPredecessor();
         endStartupWaitIfDue();
     }
 
@@ -242,8 +200,8 @@
     /** Another process of this scheduler has told its list, or changes of it; fromPredecessor: it is the older one. */
     public void receiveFromOtherProcess(ServerListMessage message, boolean fromPredecessor) {
         mailbox.post(() -> {
-            toldByOtherProcess = true;
-            if (knownList.applyFromOtherProcess(message) && (listInUse || startupWaitEnded)) {
+            startupWait.noteToldByOtherProcess();
+            if (knownList.applyFromOtherProcess(message) && (listInUse || startupWait.hasEnded())) {
                 listInUse = true;
                 listener.updated(knownList.takeNews(message.update()));
             }
@@ -277,7 +235,7 @@
             if (!newAddress.equals(address)) {
                 address = newAddress;
                 addressGeneration++;
-                unansweredWatch = null;
+                leaveFormerAddress();
                 knownList.setAddress(newAddress);
                 pauseMillis = 0;
                 dial(addressGeneration);
@@ -285,6 +243,17 @@
         });
     }
 
+    /** Closes all connections but the one whose changes are applied until the new address has sent its list. */
+    private void leaveFormerAddress() {
+        if (currentWatch != null && !openCalls.contains(currentWatch)) {
+            currentWatch.makeActive();
+        }
+        currentWatch = null;
+        unansweredWatch = null;
+        openCalls.remove(activeWatch);
+        List.copyOf(openCalls).forEach(Watch::closeNow);
+    }
+
     private void dial(int generation) {
         if (generation != addressGeneration) {
             return;
@@ -292,8 +261,7 @@
         dialing = true;
         pausing = false;
         int dialNumber = ++dialCount;
-        timers.schedule(
-                () -> mailbox.post(() -> handleDialFailure(dialNumber)), DIAL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        schedule(() -> handleDialFailure(dialNumber), DIAL_TIMEOUT_MILLIS);
         boolean started = connectionManager.dial(address, 0, new ConnectionManager.DialHandler() {
             @Override
             public Connection apply(EndPoint endPoint) {
@@ -306,6 +274,9 @@
             }
         });
         if (!started) {
+            if (!openCalls.isEmpty()) {
+                openCalls.get(0).closeNow(); // leaves its descriptor to the next call
+            }
             handleDialFailure(dialNumber);
         }
     }
@@ -317,13 +288,6 @@
         }
     }
 
-    private long nextAnswerTimeoutMillis() {
-        boolean hasNoList = !listInUse && !knownList.hasList();
-        return hasNoList
-                ? answerTimeoutMillis << Math.min(unansweredCalls, MAX_ANSWER_TIMEOUT_DOUBLINGS)
-                : answerTimeoutMillis;
-    }
-
     private void scheduleNextDial(int generation) {
         if (generation == addressGeneration) {
             dialing = false;
@@ -331,11 +295,11 @@
             // Wait between one and two pauses, so that schedulers don't call an overloaded discovery in step. With a
             // list
             // in use the wait stays short even if refused: the scheduler is deemed informed of changes all the same.
-            long maxWaitMillis = lastCallRefused && !listInUse ? MAX_BUSY_PAUSE_MILLIS : maxPauseMillis;
+            long maxWaitMillis = lastCallRefused && !listInUse ? MAX_BUSY_PAUSE_MILLIS : timeouts.maxPause();
             pauseMillis = Math.min(pauseMillis, maxWaitMillis);
             long waitMillis =
                     Math.max(Math.min(retryAfterMillis, maxWaitMillis), pauseMillis + jitter.nextLong(pauseMillis + 1));
-            pauseMillis = Math.max(MIN_PAUSE_MILLIS, Math.min(maxWaitMillis, pauseMillis * 2));
+            pauseMillis = Math.max(DiscoveryTimeouts.MIN_PAUSE, Math.min(maxWaitMillis, pauseMillis * 2));
             retryAfterMillis = 0;
             lastCallRefused = false;
             if (waitMillis == 0) {
@@ -343,23 +307,60 @@
             } else {
                 pausing = true;
                 int dialNumber = dialCount;
-                timers.schedule(
-                        () -> mailbox.post(() -> {
+                schedule(
+                        () -> {
                             if (dialNumber == dialCount) {
                                 dial(generation);
                             }
-                        }),
-                        waitMillis,
-                        TimeUnit.MILLISECONDS);
+                        },
+                        waitMillis);
+            }
+        }
+    }
+
+    /**
+     * Makes the connection the current one, and abandons a dial or a pause that is under way. Calls without the head of an
+     * answer are closed; those with one may still be the first to bring a list or a line.
+     */
+    private void adopt(Watch answered) {
+        overdueCalls = 0;
+        currentWatch = answered;
+        dialing = false;
+        pausing = false;
+        dialCount++;
+        for (Watch call : List.copyOf(openCalls)) {
+            if (!call.answered) {
+                call.closeNow();
             }
         }
     }
 
+    /** The connection has brought a whole list or a watch's first line: no other one is needed. */
+    private void confirm(Watch confirmed) {
+        if (openCalls.remove(confirmed)) {
+            confirmed.overdue = false;
+            adopt(confirmed);
+            List.copyOf(openCalls).forEach(Watch::closeNow);
+        }
+    }
+
+    private boolean isEnoughListsRead() {
+        long listReaders = openCalls.stream()
+                .filter(call -> call.answered && call.readingFullList)
+                .count();
+        return listReaders >= MAX_LIST_READERS;
+    }
+
     /** A connection that watches for changes; without a base list it first requests the full list. */
     private final class Watch extends HttpLink implements HttpParser.ResponseHandler {
         private final int generation, dialNumber;
         private final JsonObjectBuffer objectBuffer = new JsonObjectBuffer(MAX_OBJECT_BYTES);
-        private boolean readingFullList, refused, abandoned;
+        private boolean readingFullList, refused;
+        /** Whether the head of an answer with a list has come to the last call. */
+        private boolean answered;
+        /** Whether the last call is overdue, and whether it is kept for as long as the oldest one may be. */
+        private boolean overdue, keptAsOldest;
+
         private int callCount;
         private int timeLimitCount;
         /** Where this connection leads. */
@@ -377,7 +378,6 @@
         @Override
         protected void onConnected() {
             if (generation != addressGeneration || !dialing || dialNumber != dialCount) {
-                abandoned = true;
                 closeNow(); // the address changed or the dial was abandoned in the meantime
                 return;
             }
@@ -391,21 +391,63 @@
             read();
         }
 
-        /** Restarts the time limit after a sign of life from discovery. */
+        /** Restarts the time limit after a sign of life from discovery; an overdue call has a limit of its own. */
         private void renewTimeLimit() {
-            setTimeLimit(readingFullList ? answerTimeoutMillis : SILENCE_TIMEOUT_MILLIS);
+            if (!overdue) {
+                setTimeLimit(readingFullList ? timeouts.answerTimeout() : SILENCE_TIMEOUT_MILLIS);
+            }
         }
 
-        /** Closes the connection if its full list keeps arriving but hasn't ended in time. */
-        private void abortFullList(int callNumber) {
-            if (readingFullList && callNumber == callCount) {
+        /** A full list keeps arriving but hasn't ended in time. */
+        private void checkFullList(int callNumber) {
+            if (isReadingCall(callNumber)) {
                 read();
-                if (readingFullList && callNumber == callCount) {
-                    closeNow();
+                if (isReadingCall(callNumber)) {
+                    becomeOverdue();
                 }
             }
         }
 
+        private boolean isReadingCall(int callNumber) {
+            return readingFullList && !overdue && !isClosed() && callNumber == callCount;
+        }
+
+        /** Makes the next call due, and keeps this connection open, since its answer may still come. */
+        private void becomeOverdue() {
+            overdue = true;
+            unansweredWatch = unansweredWatch == this ? null : unansweredWatch;
+            boolean kept = answered || timeouts.keepsCallAfter(overdueCalls);
+            overdueCalls += answered ? 0 : 1;
+            if (!kept) {
+                closeNow();
+                return;
+            }
+            if (answered && readingFullList && isEnoughListsRead()) {
+                setTimeLimit(FULL_LIST_TIMEOUT_MILLIS); // and only then the next call
+            } else {
+                setTimeLimit(KEPT_CALL_MILLIS);
+                makeNextCallDue();
+            }
+        }
+
+        private void makeNextCallDue() {
+            if (currentWatch == this) {
+                currentWatch = null;
+                scheduleNextDial(generation);
+            }
+        }
+
+        /** Gives an overdue call up, unless all others that are open were made later. */
+        private void giveUp() {
+            if (openCalls.get(0) == this && !keptAsOldest) {
+                keptAsOldest = true;
+                setTimeLimit(OLDEST_CALL_MILLIS);
+                makeNextCallDue();
+            } else {
+                closeNow();
+            }
+        }
+
         /** The call has been answered, or needs no further answer. */
         private void markAnswered() {
             if (unansweredWatch == this) {
@@ -424,16 +466,20 @@
             }
         }
 
-        /** Closes the connection unless reading what has arrived so far sets a new limit. */
+        /** Ends what the limit is for, unless reading what has arrived so far sets a new one. */
         @Override
         protected void onTimeLimit() {
             int countBefore = timeLimitCount;
             read();
-            if (timeLimitCount == countBefore) {
-                if (unansweredWatch == this) {
-                    unansweredCalls++;
-                }
-                closeNow();
+            if (timeLimitCount != countBefore) {
+                return;
+            }
+            if (!openCalls.contains(this)) {
+                closeNow(); // a watch that has fallen silent, or one of a former address
+            } else if (overdue) {
+                giveUp();
+            } else {
+                becomeOverdue();
             }
         }
 
@@ -447,14 +493,16 @@
             Optional<Long> baseRevision = knownList.baseRevision();
             readingFullList = baseRevision.isEmpty();
             lastRevision = baseRevision.orElse(Long.MIN_VALUE);
+            answered = false;
+            overdue = false;
+            keptAsOldest = false;
             unansweredWatch = this;
-            setTimeLimit(nextAnswerTimeoutMillis());
+            currentWatch = this;
+            openCalls.add(this);
+            setTimeLimit(timeouts.answerTimeout(overdueCalls, listInUse || knownList.hasList()));
             int callNumber = ++callCount;
             if (readingFullList) {
-                timers.schedule(
-                        () -> mailbox.post(() -> abortFullList(callNumber)),
-                        FULL_LIST_TIMEOUT_MILLIS,
-                        TimeUnit.MILLISECONDS);
+                schedule(() -> checkFullList(callNumber), FULL_LIST_TIMEOUT_MILLIS);
             }
             HttpFields.Mutable fields =
                     HttpFields.build().add(HttpHeader.HOST, address.getHostString() + ":" + address.getPort());
@@ -469,22 +517,32 @@
         public void startResponse(HttpVersion version, int status, String reason) {
             persistent = version == HttpVersion.HTTP_1_1;
             refused = status != 200;
-            renewTimeLimit();
             if (generation != addressGeneration) {
+                overdue = false;
+                renewTimeLimit();
                 return; // the status of a former address says nothing about this one
             }
-            unansweredCalls = 0;
             lastCallRefused = refused;
-            if (!refused && !readingFullList) {
-                timers.schedule(
-                        () -> mailbox.post(this::markAnsweredIfUnchanged), answerTimeoutMillis, TimeUnit.MILLISECONDS);
-            }
             if (refused) {
-                everRefused = true;
+                overdueCalls = 0;
+                startupWait.noteRefused();
                 LOG.log(
                         Level.WARNING,
                         "discovery answered {0}: asked again; a start does not use the list known from before yet",
                         status);
+            } else {
+                beginAnswer();
+            }
+            renewTimeLimit();
+        }
+
+        private void beginAnswer() {
+            answered = true;
+            overdue = false;
+            unansweredWatch = this;
+            adopt(this);
+            if (!readingFullList) {
+                schedule(this::markAnsweredIfUnchanged, timeouts.answerTimeout());
             }
         }
 
@@ -512,6 +570,9 @@
 
         @Override
         public boolean content(ByteBuffer bytes) {
+            if (!readingFullList && generation == addressGeneration) {
+                confirm(this);
+            }
             // In a watch, parts of an unfinished object don't renew the limit: the object might never end.
             // In a full list every part does; the list as a whole has its own limit.
             if (readingFullList || !objectBuffer.isOpen()) {
@@ -532,7 +593,8 @@
         }
 
         private void handleObject(String object) {
-            if (isClosed() || generation != addressGeneration && this != activeWatch) {
+            boolean isFormer = generation != addressGeneration;
+            if (isClosed() || isFormer && (this != activeWatch || !knownList.isFrom(source))) {
                 return;
             }
             try {
@@ -567,7 +629,7 @@
             lastRevision = update.revision();
             listInUse = true;
             if (isCurrent) {
-                pauseMillis = Math.min(pauseMillis, MIN_PAUSE_MILLIS);
+                pauseMillis = Math.min(pauseMillis, DiscoveryTimeouts.MIN_PAUSE);
                 makeActive();
             }
         }
@@ -595,6 +657,7 @@
                     && persistent
                     && generation == addressGeneration) {
                 parser.reset();
+                confirm(this);
                 sendCall();
             } else {
                 mailbox.post(this::closeNow);
@@ -606,9 +669,8 @@
         protected void onClosed(Throwable cause) {
             activeWatch = activeWatch == this ? null : activeWatch;
             unansweredWatch = unansweredWatch == this ? null : unansweredWatch;
-            if (!abandoned) {
-                scheduleNextDial(generation);
-            }
+            openCalls.remove(this);
+            makeNextCallDue();
         }
     }
 }
--- a/src/test/java/barrowshore/servers/ScriptedDiscovery.java
+++ b/src/test/java/barrowshore/servers/ScriptedDiscovery.java
@@ -124,6 +124,20 @@
             }
         }
 
+        /** Whether the scheduler has closed the connection; it must not send anything meanwhile. */
+        public boolean isEnded() {
+            try {
+                socket.setSoTimeout(1);
+                boolean ended = socket.getInputStream().read() < 0;
+                socket.setSoTimeout(0);
+                return ended;
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true; // reset
+            }
+        }
+
         public void reset() throws IOException {
             socket.setSoLinger(true, 0);
             socket.close();
--- a/src/test/java/barrowshore/servers/ServiceDiscoveryTest.java
+++ b/src/test/java/barrowshore/servers/ServiceDiscoveryTest.java
@@ -1,23 +1,15 @@
 package barrowshore.servers;
 
+import static barrowshore.servers.DiscoveryFixture.listJson;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import barrowshore.list.ServerList;
 import barrowshore.list.ServerList.Update;
 import barrowshore.list.ServerListMessage;
-import barrowshore.net.ConnectionManager;
 import barrowshore.net.ManualTime;
 import barrowshore.servers.ScriptedDiscovery.Call;
-import barrowshore.wire.Json;
 import java.io.IOException;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.locks.ReentrantLock;
-import org.eclipse.jetty.util.component.LifeCycle;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -39,36 +31,27 @@
 
     private static final long ANSWER_TIMEOUT_MILLIS = 500, SILENCE_TIMEOUT_MILLIS = 3000, DIAL_TIMEOUT_MILLIS = 1000;
     private static final long PREDECESSOR_WAIT_MILLIS = 3000;
-    private static final Update EMPTY_LIST = new Update(0, true, List.of());
-    private static final ServerList.ZoneKindNames NAMES = new ServerList.ZoneKindNames(List.of("a"), List.of("m"));
-
-    private final ManualTime time = new ManualTime();
-    private final ExecutorService pool = Executors.newFixedThreadPool(4);
-    /** Held by whichever thread runs the actor. */
-    private final ReentrantLock actorLock = new ReentrantLock();
-    /** Its connect timeout is longer than the one of service discovery. */
-    private final ConnectionManager connectionManager =
-            new ConnectionManager(pool, time, 50, 1, 60_000, endPoint -> null);
-
-    private final BlockingQueue<Update> updates = new LinkedBlockingQueue<>();
+    private static final Update EMPTY_LIST = DiscoveryFixture.EMPTY_LIST;
+
+    private DiscoveryFixture fixture;
+    private ManualTime time;
+    private BlockingQueue<Update> updates;
     private ScriptedDiscovery discovery, otherDiscovery;
-    private ServiceDiscovery client;
-    private boolean startupWaitEnded;
-    private Update listAtStartupWaitEnd;
 
     @BeforeEach
     void open() throws Exception {
         discovery = new ScriptedDiscovery();
         otherDiscovery = new ScriptedDiscovery();
-        connectionManager.start();
+        fixture = new DiscoveryFixture();
+        time = fixture.time;
+        updates = fixture.updates;
     }
 
     @AfterEach
     void close() throws Exception {
         discovery.close();
         otherDiscovery.close();
-        LifeCycle.stop(connectionManager);
-        pool.shutdownNow();
+        fixture.close();
     }
 
     private void start(Update previousList, long graceMicros) {
@@ -76,59 +59,19 @@
     }
 
     private void start(Update previousList, long graceMicros, boolean besidePredecessor) {
-        client = new ServiceDiscovery(
-                discovery.address(),
-                NAMES,
-                this::runLocked,
-                connectionManager,
-                time,
-                new DiscoveryListener(),
-                previousList,
-                graceMicros);
-        client.open(besidePredecessor);
-    }
-
-    private final class DiscoveryListener implements ServiceDiscovery.Listener {
-        @Override
-        public void updated(Update update) {
-            updates.add(update);
-        }
-
-        @Override
-        public void startupWaitEnded(Update knownList) {
-            startupWaitEnded = true;
-            listAtStartupWaitEnd = knownList;
-        }
-
-        @Override
-        public void toldByDiscovery(ServerListMessage message) {}
-    }
-
-    private void runLocked(Runnable message) {
-        actorLock.lock();
-        try {
-            message.run();
-        } finally {
-            actorLock.unlock();
-        }
+        fixture.start(discovery.address(), previousList, graceMicros, besidePredecessor);
     }
 
-    /** Waits until the actor has finished what it is running in another thread. */
     private void awaitActor() {
-        runLocked(() -> {});
+        fixture.awaitActor();
     }
 
-    private static String listJson(long rev, boolean all, String state) {
-        return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[{\"uid\":\"s-1\",\"endpoint\":\"127.0.0.1:1\","
-                + "\"az\":\"a\",\"model\":\"m\",\"state\":\"" + state + "\"}]}\n";
+    private boolean startupWaitEnded() {
+        return fixture.listAtStartupWaitEnd != null;
     }
 
     private static Update previousList() {
-        return new Update(
-                5,
-                true,
-                ServerList.parse((Map<?, ?>) Json.parse(listJson(5, true, "Ready")), NAMES)
-                        .entries());
+        return DiscoveryFixture.parse(listJson(5, true, "Ready"));
     }
 
     private Update awaitUpdate() throws InterruptedException {
@@ -279,7 +222,7 @@
     @Test
     void longRetryAfterIsIgnoredAfterAddressChangeWhileFormerListIsInUse() throws Exception {
         startAndWatch(GRACE_MICROS);
-        client.setAddress(otherDiscovery.address());
+        fixture.client.setAddress(otherDiscovery.address());
         Call call = refuseUntilLongestPause(otherDiscovery);
         call.target();
         call.refuse("3600");
@@ -293,7 +236,7 @@
     void longRetryAfterIsIgnoredWhilePreviousListIsInUse() throws Exception {
         start(previousList(), GRACE_MICROS);
         Call call = awaitCall(discovery); // left unanswered until the previous list is in use
-        while (!startupWaitEnded) {
+        while (!startupWaitEnded()) {
             time.advance(STEP_MILLIS);
             Call next = discovery.poll();
             call = next == null ? call : next;
@@ -314,11 +257,11 @@
         Call call = awaitCall(discovery);
         call.target();
         time.advance(ANSWER_TIMEOUT_MILLIS - STEP_MILLIS);
-        while (!startupWaitEnded) {
+        while (!startupWaitEnded()) {
             call.refuse("3600");
             awaitEnd(call);
             call = null;
-            while (call == null && !startupWaitEnded) {
+            while (call == null && !startupWaitEnded()) {
                 time.advance(STEP_MILLIS);
                 call = discovery.poll();
             }
@@ -432,7 +375,7 @@
         }
         awaitActor();
         time.advance(SILENCE_TIMEOUT_MILLIS - STEP_MILLIS);
-        assertThat(startupWaitEnded).isFalse();
+        assertThat(startupWaitEnded()).isFalse();
         watch.chunk(list.substring(list.length() / 2));
         assertThat(awaitUpdate().entries())
                 .extracting(ServerList.Entry::state)
@@ -451,7 +394,7 @@
         }
         awaitActor();
         time.advance(1000);
-        assertThat(startupWaitEnded).isTrue();
+        assertThat(startupWaitEnded()).isTrue();
     }
 
     @Test
@@ -472,7 +415,7 @@
     @Test
     void fullListInPiecesIsReadToItsEnd() throws Exception {
         start(previousList(), GRACE_MICROS);
-        client.setAddress(otherDiscovery.address());
+        fixture.client.setAddress(otherDiscovery.address());
         Call call = awaitCall(otherDiscovery);
         assertThat(call.target()).isEqualTo("/api/targets");
         String list = listJson(3, true, "Terminating").replace(",", ",\n  ");
@@ -498,7 +441,7 @@
     @Test
     void unendingFullListIsRequestedAgain() throws Exception {
         Call watch = startAndWatch(GRACE_MICROS);
-        client.setAddress(otherDiscovery.address());
+        fixture.client.setAddress(otherDiscovery.address());
         Call call = awaitCall(otherDiscovery);
         call.target();
         call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -526,7 +469,7 @@
     void addressChangeDuringPendingDialTakesEffectAtOnce() throws Exception {
         discovery.fillQueue();
         start(previousList(), GRACE_MICROS);
-        client.setAddress(otherDiscovery.address());
+        fixture.client.setAddress(otherDiscovery.address());
         long since = time.millis();
         Call call = otherDiscovery.poll();
         assertThat(call).isNotNull();
@@ -547,7 +490,7 @@
         call.target();
         call.refuse("3600");
         awaitEnd(call);
-        client.setAddress(otherDiscovery.address());
+        fixture.client.setAddress(otherDiscovery.address());
         long since = time.millis();
         Call moved = awaitCall(otherDiscovery);
         answerTerminating(moved, 3);
@@ -559,7 +502,7 @@
         start(EMPTY_LIST, GRACE_MICROS);
         Call former = awaitCall(discovery);
         former.target();
-        client.setAddress(otherDiscovery.address());
+        fixture.client.setAddress(otherDiscovery.address());
         Call call = awaitCall(otherDiscovery);
         call.target(); // never answered
         former.refuse("3600");
@@ -591,14 +534,14 @@
 
     /** Advances time until the list known by then is used; at the latest a dial that is under way then has to end. */
     private void awaitStartupWaitEnd() {
-        while (!startupWaitEnded) {
+        while (!startupWaitEnded()) {
             time.advance(STEP_MILLIS);
             awaitActor();
         }
     }
 
     private ServerListMessage predecessorList() {
-        Update update = ServerList.parse((Map<?, ?>) Json.parse(listJson(8, true, "Terminating")), NAMES);
+        Update update = DiscoveryFixture.parse(listJson(8, true, "Terminating"));
         return new ServerListMessage(discovery.address(), 8, update);
     }
 
@@ -607,25 +550,25 @@
     void listOfThePredecessorIsAwaitedAndUsed() throws Exception {
         start(previousList(), GRACE_MICROS, true);
         time.advance(PREDECESSOR_WAIT_MILLIS - STEP_MILLIS);
-        assertThat(startupWaitEnded).isFalse();
-        client.receiveFromOtherProcess(predecessorList(), true);
+        assertThat(startupWaitEnded()).isFalse();
+        fixture.client.receiveFromOtherProcess(predecessorList(), true);
         awaitStartupWaitEnd();
-        assertThat(listAtStartupWaitEnd).isEqualTo(predecessorList().update());
+        assertThat(fixture.listAtStartupWaitEnd).isEqualTo(predecessorList().update());
     }
 
     @Test
     void listOfThePredecessorEndsTheWaitForADiscoveryThatRefuses() throws Exception {
         start(previousList(), GRACE_MICROS, true);
-        client.receiveFromOtherProcess(predecessorList(), true);
+        fixture.client.receiveFromOtherProcess(predecessorList(), true);
         Call call = awaitCall(discovery);
-        while (!startupWaitEnded) {
+        while (!startupWaitEnded()) {
             call.target();
             call.refuse("3600");
             awaitEnd(call);
-            call = startupWaitEnded ? call : awaitCall(discovery);
+            call = startupWaitEnded() ? call : awaitCall(discovery);
         }
         assertReportedWithin(1000 + 2 * 1000, 0); // the startup wait, and the longest pause
-        assertThat(listAtStartupWaitEnd).isEqualTo(predecessorList().update());
+        assertThat(fixture.listAtStartupWaitEnd).isEqualTo(predecessorList().update());
     }
 
     @Test
@@ -633,10 +576,10 @@
         discovery.refuse();
         start(previousList(), GRACE_MICROS, true);
         time.advance(PREDECESSOR_WAIT_MILLIS - STEP_MILLIS);
-        assertThat(startupWaitEnded).isFalse();
+        assertThat(startupWaitEnded()).isFalse();
         awaitStartupWaitEnd();
         assertReportedWithin(PREDECESSOR_WAIT_MILLIS + DIAL_TIMEOUT_MILLIS, 0);
-        assertThat(listAtStartupWaitEnd).isEqualTo(previousList());
+        assertThat(fixture.listAtStartupWaitEnd).isEqualTo(previousList());
     }
 
     @Test
@@ -644,7 +587,7 @@
         discovery.refuse();
         start(EMPTY_LIST, GRACE_MICROS, true);
         awaitStartupWaitEnd();
-        client.receiveFromOtherProcess(predecessorList(), true);
+        fixture.client.receiveFromOtherProcess(predecessorList(), true);
         assertThat(awaitUpdate()).isEqualTo(predecessorList().update());
     }
 
@@ -652,7 +595,7 @@
     void predecessorThatHasEndedIsNotAwaited() throws Exception {
         discovery.refuse();
         start(previousList(), GRACE_MICROS, true);
-        client.predecessorEnded();
+        fixture.client.predecessorEnded();
         awaitStartupWaitEnd();
         assertReportedWithin(1000 + DIAL_TIMEOUT_MILLIS, 0);
     }
@@ -667,7 +610,7 @@
     @Test
     void newsOfTheOtherProcessArePassedOnWhileDiscoveryIsSilent() throws Exception {
         startAndWatch(GRACE_MICROS);
-        client.receiveFromOtherProcess(predecessorList(), false);
+        fixture.client.receiveFromOtherProcess(predecessorList(), false);
         assertThat(awaitUpdate()).isEqualTo(predecessorList().update());
         assertThat(awaitCall(discovery).target()).isEqualTo("/api/targets?watch=1&after=8");
     }
