--- a/src/test/java/barrowshore/servers/SlowDiscoveryTest.java
+++ b/src/test/java/barrowshore/servers/SlowDiscoveryTest.java
@@ -11,12 +11,14 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.LongSupplier;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -27,6 +29,8 @@
 class SlowDiscoveryTest {
     private static final long GRACE_MICROS = 2_000_000;
     private static final long STEP_MILLIS = 10;
+    /** Random plays, unless -Dbarrowshore.soakSeeds asks for more. */
+    private static final int SEEDS = 6;
     /** A change counts as told at the latest so long after discovery had it and could be reached. */
     private static final long TOLD_LIMIT_MILLIS = 6000;
     /** The shortest time between two calls that are not answered: the answer timeout, and the shortest pause. */
@@ -140,12 +144,20 @@
         assertThat(discovery.mostOpenCalls()).isLessThanOrEqualTo(open);
     }
 
+    static IntStream seeds() {
+        return IntStream.rangeClosed(1, Integer.getInteger("barrowshore.soakSeeds", SEEDS));
+    }
+
     /** Each call has a delay of its own, and outages swallow calls again and again. */
     @ParameterizedTest
-    @ValueSource(ints = {1, 2, 3, 4, 5, 6})
+    @MethodSource("seeds")
     void changeIsToldWhateverTheDelays(int seed) throws Exception {
         Random random = new Random(seed);
+        boolean isHeadAtOnce = seed % 3 == 0;
         start(seed % 2 == 0 ? EMPTY_LIST : knownList(), () -> random.nextInt(4, 500) * STEP_MILLIS);
+        if (isHeadAtOnce) {
+            discovery.sendHeadsAtOnce();
+        }
         for (int outage = 0; outage < 3; outage++) {
             run(random.nextInt(8000));
             discovery.setDown(true);
