Take discovery's list where the other process told one with left-out servers

Seen in review of KnownServerList: where the older process had left out servers of a model that it does not know, the new one reads the whole list; an answer of the same revision then counted as told before, and the list was asked for again and again.

Change: such an answer is taken. listWithLeftOutServersIsUsedButReadWhole goes on to it, and failed before.

--- a/src/main/java/barrowshore/list/KnownServerList.java
+++ b/src/main/java/barrowshore/list/KnownServerList.java
@@ -108,9 +108,9 @@
     public boolean applyFromDiscovery(InetSocketAddress from, Update update, long sinceRevision) {
         configured = false;
         confirmed = true;
-        boolean outdated =
-                from.equals(source) && update.revision() >= sinceRevision && update.revision() <= otherRevision;
-        if (outdated) {
+        boolean isSameHistory = from.equals(source) && update.revision() >= sinceRevision;
+        boolean isToldBefore = revisionUsable ? update.revision() <= otherRevision : update.revision() < otherRevision;
+        if (isSameHistory && isToldBefore) {
             return false;
         }
         source = from;
@@ -127,8 +127,7 @@
         }
         configured = false;
         source = message.source();
-        // Without the entries that the other process left out, the whole list is needed: their models may be known
-        // here.
+        // Without the entries that the other process left out the whole list is needed: their models may be known here.
         revisionUsable =
                 source.equals(address) && message.update().unknownServers().isEmpty();
         apply(message.update());
--- a/src/test/java/barrowshore/list/KnownServerListTest.java
+++ b/src/test/java/barrowshore/list/KnownServerListTest.java
@@ -135,6 +135,11 @@
         Update partial = new Update(44, true, List.of(leaving("a")), List.of("b"));
         assertThat(list.applyFromOtherProcess(told(ADDRESS, 44, partial))).isTrue();
         assertThat(list.baseRevision()).isEmpty();
+        assertThat(list.applyFromDiscovery(ADDRESS, full(43, ready("a"), ready("b")), NO_REVISION))
+                .isFalse();
+        assertThat(list.applyFromDiscovery(ADDRESS, full(44, leaving("a"), ready("b")), NO_REVISION))
+                .isTrue();
+        assertThat(list.baseRevision()).isEqualTo(Optional.of(44L));
     }
 
     @Test
